Add design page, module skeleton, peer messages and configuration model

Cause: the project needs one page that all modules are written from, and a build whose formatter and linter run from the first commit. Change: docs/design.md; Maven modules; peer.proto with its committed generated classes; identifiers, result codes, inputs and effects of the decision core; configuration model with content-hashed shards.

--- /dev/null
+++ b/bronzehill-bench/src/main/java/org/bronzehill/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Package bench. */
+package org.bronzehill.bench;
--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Package cli. */
+package org.bronzehill.cli;
--- /dev/null
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/AdapterSpec.java
@@ -0,0 +1,34 @@
+package org.bronzehill.config;
+
+import java.util.Map;
+
+/**
+ * An adapter with its numbered versions.
+ *
+ * @param group group through which members are entitled to the adapter
+ * @param versions location of the weights by version number
+ * @param pins version by kind of request; the key {@code *} pins every other kind
+ */
+public record AdapterSpec(
+        String name,
+        String baseModel,
+        String group,
+        Map<Integer, String> versions,
+        Map<String, Integer> pins) {
+
+    /** Key of the pin that applies to every kind without one of its own. */
+    public static final String ANY_KIND = "*";
+
+    public AdapterSpec {
+        versions = Map.copyOf(versions);
+        pins = Map.copyOf(pins);
+    }
+
+    /**
+     * Returns the version pinned for {@code kind}, or 0 if the adapter does not serve that kind.
+     */
+    public int versionFor(String kind) {
+        Integer version = pins.get(kind);
+        return version != null ? version : pins.getOrDefault(ANY_KIND, 0);
+    }
+}
--- /dev/null
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/ConfigurationStore.java
@@ -0,0 +1,153 @@
+package org.bronzehill.config;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Holds the configuration in force and its shards. The number in force never decreases. Not
+ * thread-safe: it belongs to the thread that makes the decisions.
+ */
+public final class ConfigurationStore {
+
+    private Configuration current = Configuration.EMPTY;
+    private Manifest manifest = new Manifest(0, "", List.of());
+    private Map<String, byte[]> contents = Map.of();
+    private long staleReads;
+
+    private ConfigurationStore() {}
+
+    /** Creates a store that holds {@link Configuration#EMPTY}. */
+    public static ConfigurationStore create() {
+        return new ConfigurationStore();
+    }
+
+    /** Outcome of offering an image to the store. */
+    public enum Offer {
+        /** The image is in force now. */
+        ACCEPTED,
+        /** The image has the number that is already in force. */
+        SAME,
+        /** The image has an older number and was ignored. */
+        STALE,
+        /** The image lacks shards that the store does not hold either. */
+        INCOMPLETE
+    }
+
+    /**
+     * Puts the image in force if its number is higher; a left value says why it cannot be decoded.
+     */
+    public Either<String, Offer> offer(ConfigurationImage image) {
+        Manifest next = image.manifest();
+        if (next.number() < manifest.number()) {
+            staleReads++;
+            return Either.right(Offer.STALE);
+        }
+        if (next.number() == manifest.number()) {
+            return Either.right(Offer.SAME);
+        }
+        if (!missing(next, image.shards().keySet()).isEmpty()) {
+            return Either.right(Offer.INCOMPLETE);
+        }
+        Map<String, byte[]> available = new HashMap<>(contents);
+        available.putAll(image.shards());
+        return decode(next, available)
+                .map(
+                        decoded -> {
+                            apply(next, decoded, available);
+                            return Offer.ACCEPTED;
+                        });
+    }
+
+    private Either<String, Configuration> decode(Manifest next, Map<String, byte[]> available) {
+        for (String hash : hashes(next)) {
+            byte[] content = available.get(hash);
+            if (!contents.containsKey(hash) && !ImageCodec.hash(content).equals(hash)) {
+                return Either.left("content of shard " + hash + " does not match its hash");
+            }
+        }
+        Either<String, ConfigurationBase> base =
+                next.base().equals(manifest.base())
+                        ? Either.right(current.base())
+                        : ImageCodec.decodeBase(available.get(next.base()));
+        if (base.isLeft()) {
+            return Either.left(base.getLeft());
+        }
+        Map<String, Map<String, AdapterSpec>> decoded = decodedShards();
+        List<Map<String, AdapterSpec>> shards = new ArrayList<>();
+        for (String hash : next.shards()) {
+            Map<String, AdapterSpec> known = decoded.get(hash);
+            Either<String, Map<String, AdapterSpec>> shard =
+                    known != null
+                            ? Either.right(known)
+                            : ImageCodec.decodeShard(available.get(hash));
+            if (shard.isLeft()) {
+                return Either.left(shard.getLeft());
+            }
+            shards.add(shard.get());
+        }
+        if (shards.isEmpty()) {
+            return Either.left("manifest " + next.number() + " names no adapter shard");
+        }
+        return Either.right(Configuration.of(next.number(), base.get(), shards));
+    }
+
+    private Map<String, Map<String, AdapterSpec>> decodedShards() {
+        Map<String, Map<String, AdapterSpec>> decoded = new HashMap<>();
+        for (int i = 0; i < manifest.shards().size(); i++) {
+            decoded.put(manifest.shards().get(i), current.shards().get(i));
+        }
+        return decoded;
+    }
+
+    private void apply(Manifest next, Configuration decoded, Map<String, byte[]> available) {
+        Set<String> kept = new HashSet<>(hashes(next));
+        available.keySet().retainAll(kept);
+        contents = Map.copyOf(available);
+        manifest = next;
+        current = decoded;
+    }
+
+    /**
+     * Returns the hashes of shards of {@code wanted} that neither the store nor {@code offered}
+     * holds.
+     */
+    public Set<String> missing(Manifest wanted, Set<String> offered) {
+        Set<String> missing = new HashSet<>(hashes(wanted));
+        missing.removeAll(contents.keySet());
+        missing.removeAll(offered);
+        return missing;
+    }
+
+    private static List<String> hashes(Manifest manifest) {
+        List<String> hashes = new ArrayList<>(manifest.shards());
+        if (!manifest.base().isEmpty()) {
+            hashes.add(manifest.base());
+        }
+        return hashes;
+    }
+
+    /** Returns the configuration in force. */
+    public Configuration current() {
+        return current;
+    }
+
+    /** Returns the manifest in force. */
+    public Manifest manifest() {
+        return manifest;
+    }
+
+    /** Returns the content of the shards in force by hash. */
+    public Map<String, byte[]> contents() {
+        return contents;
+    }
+
+    /** Returns how many older images have been ignored. */
+    public long staleReads() {
+        return staleReads;
+    }
+}
--- /dev/null
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/DurationJson.java
@@ -0,0 +1,46 @@
+package org.bronzehill.config;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+import java.io.IOException;
+import java.time.Duration;
+
+/** JSON form of durations in shards: whole milliseconds. */
+final class DurationJson {
+
+    private DurationJson() {}
+
+    /** Writes a duration in milliseconds. */
+    static final class Writer extends StdSerializer<Duration> {
+        private static final long serialVersionUID = 1L;
+
+        Writer() {
+            super(Duration.class);
+        }
+
+        @Override
+        public void serialize(Duration value, JsonGenerator out, SerializerProvider provider)
+                throws IOException {
+            out.writeNumber(value.toMillis());
+        }
+    }
+
+    /** Reads a duration in milliseconds. */
+    static final class Reader extends StdDeserializer<Duration> {
+        private static final long serialVersionUID = 1L;
+
+        Reader() {
+            super(Duration.class);
+        }
+
+        @Override
+        public Duration deserialize(JsonParser in, DeserializationContext context)
+                throws IOException {
+            return Duration.ofMillis(in.getLongValue());
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/ShardLayout.java
@@ -0,0 +1,40 @@
+package org.bronzehill.config;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32;
+
+/** Assignment of adapters to shards by a hash of their name. */
+public final class ShardLayout {
+
+    /**
+     * Number of shards. 90,000 adapters of about 200 bytes make shards of about 280 KB, well below
+     * the 1 MB that the configuration service allows.
+     */
+    public static final int SHARDS = 64;
+
+    private ShardLayout() {}
+
+    /** Returns the shard that holds the adapter {@code name}. */
+    public static int shardOf(String name, int shards) {
+        CRC32 crc = new CRC32();
+        crc.update(name.getBytes(StandardCharsets.UTF_8));
+        return (int) (crc.getValue() % shards);
+    }
+
+    /** Distributes adapters over {@link #SHARDS} shards. */
+    static List<Map<String, AdapterSpec>> split(Collection<AdapterSpec> adapters) {
+        List<Map<String, AdapterSpec>> shards = new ArrayList<>();
+        for (int i = 0; i < SHARDS; i++) {
+            shards.add(new LinkedHashMap<>());
+        }
+        for (AdapterSpec a : adapters) {
+            shards.get(shardOf(a.name(), SHARDS)).put(a.name(), a);
+        }
+        return shards;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/model/Provenance.java
@@ -0,0 +1,12 @@
+package org.bronzehill.core.model;
+
+/**
+ * What produced an answer.
+ *
+ * @param adapter empty for a plain service
+ * @param version 0 for a plain service or a request that was refused before it was resolved
+ * @param configurationNumber number under which the adapter version was resolved
+ * @param upstream empty if no upstream was involved
+ */
+public record Provenance(
+        String adapter, int version, long configurationNumber, String upstream, String entry) {}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/model/ServiceRequest.java
@@ -0,0 +1,21 @@
+package org.bronzehill.core.model;
+
+import java.time.Duration;
+
+/**
+ * A caller's call to a plain service on an application runner.
+ *
+ * @param token bearer token of the caller; never logged
+ * @param key idempotency key; empty if the caller sent none
+ * @param budget time left until the caller's deadline; null to use the deadline of the kind
+ */
+public record ServiceRequest(
+        String requestId,
+        String token,
+        String kind,
+        String service,
+        String operation,
+        String key,
+        Duration budget,
+        byte[] body,
+        String contentType) {}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/model/Upstream.java
@@ -0,0 +1,45 @@
+package org.bronzehill.core.model;
+
+import java.net.URI;
+import java.util.Set;
+
+/**
+ * An upstream as described by the published instance list.
+ *
+ * @param shape fixed properties of an engine
+ * @param checksFencing whether the engine refuses an order with an old fencing number
+ * @param services services offered by an application runner
+ */
+public record Upstream(
+        String id,
+        UpstreamKind kind,
+        URI uri,
+        String dataCentre,
+        String region,
+        ListedState state,
+        EngineShape shape,
+        boolean checksFencing,
+        Set<String> services) {
+
+    /**
+     * Fixed properties of an engine.
+     *
+     * @param baseModel name of the base model; empty for an application runner
+     * @param adapterSlots number of adapters held at once
+     * @param batchSize number of requests run at once
+     */
+    public record EngineShape(String baseModel, int adapterSlots, int batchSize) {
+
+        /** Shape of an upstream that is not an engine. */
+        public static final EngineShape NONE = new EngineShape("", 0, 0);
+    }
+
+    public Upstream {
+        services = Set.copyOf(services);
+    }
+
+    /** Returns whether the upstream may be given new work. */
+    public boolean acceptsWork() {
+        return state == ListedState.LIVE;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and values shared by all decision components. */
+package org.bronzehill.core.model;
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Input.java
@@ -0,0 +1,83 @@
+package org.bronzehill.core.node;
+
+import java.util.Map;
+import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.core.model.EngineReport;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.ModelRequest;
+import org.bronzehill.core.model.ServiceRequest;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Something that happened outside the decision core. */
+public sealed interface Input {
+
+    /** Time has passed; delivered every 50 ms. */
+    record Tick() implements Input {}
+
+    /** A peer's message arrived. */
+    record PeerReceived(Envelope envelope) implements Input {}
+
+    /** A message to the peer could not be written, or its connection broke. */
+    record PeerUnreachable(String instance) implements Input {}
+
+    /** The instance list was read. */
+    record InstanceListRead(InstanceList list) implements Input {}
+
+    /** The configuration service answered with a number and its shards. */
+    record ConfigurationRead(ConfigurationImage image) implements Input {}
+
+    /** The configuration service did not answer, or answered with an error. */
+    record ConfigurationReadFailed(String reason) implements Input {}
+
+    /** A caller asks for a model answer. */
+    record ModelRequested(ModelRequest request) implements Input {}
+
+    /** A caller calls a plain service. */
+    record ServiceRequested(ServiceRequest request) implements Input {}
+
+    /** The caller closed its connection before its answer was complete. */
+    record CallerGone(String requestId) implements Input {}
+
+    /**
+     * Chunks of the answer reached the origin; sent at the first chunk and then at most every 500
+     * ms.
+     */
+    record AnswerProgress(String requestId, int attempt, long chunks) implements Input {}
+
+    /** An engine's report was read. */
+    record EngineReported(EngineReport report) implements Input {}
+
+    /** An engine's report could not be read. */
+    record EngineReportFailed(String engine, String reason) implements Input {}
+
+    /** An order was answered. */
+    record OrderAnswered(long orderId, OrderOutcome outcome, long highestFencing)
+            implements Input {}
+
+    /** The first output of an attempt arrived. */
+    record AttemptStarted(long attemptId) implements Input {}
+
+    /** An attempt ended with a complete answer. */
+    record AttemptFinished(long attemptId, long chunks, int tokens) implements Input {}
+
+    /** An attempt failed after {@code chunks} chunks had been delivered. */
+    record AttemptFailed(long attemptId, FailureReason reason, long chunks, String detail)
+            implements Input {}
+
+    /** A plain service answered a call or a lookup. */
+    record ServiceAnswered(long callId, ServiceAnswer answer) implements Input {}
+
+    /** A call to or lookup at a plain service failed. */
+    record ServiceFailed(long callId, FailureReason reason, String detail) implements Input {}
+
+    /** An operator or the platform asked for a graceful shutdown. */
+    record DrainRequested() implements Input {}
+
+    /** The answer of a plain service. */
+    record ServiceAnswer(
+            int httpStatus, String contentType, byte[] body, Map<String, String> headers) {
+        public ServiceAnswer {
+            headers = Map.copyOf(headers);
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/result/RunState.java
@@ -0,0 +1,11 @@
+package org.bronzehill.core.result;
+
+/** Whether the request behind a result has produced an effect. */
+public enum RunState {
+    /** The request ran to its end. */
+    RUN,
+    /** The request has produced no effect on any instance or upstream, and will not. */
+    NOT_RUN,
+    /** The request may have produced its effect; a lookup at the plain service tells. */
+    MAY_HAVE_RUN
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/result/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered result codes returned to callers and operators. */
+package org.bronzehill.core.result;
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time source interface through which every component reads the clock. */
+package org.bronzehill.core.time;
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Package entry. */
+package org.bronzehill.entry;
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/package-info.java
@@ -0,0 +1,2 @@
+/** Package replay. */
+package org.bronzehill.replay;
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Package standin. */
+package org.bronzehill.standin;
