--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/PauseDetector.java
@@ -0,0 +1,31 @@
+package org.bronzehill.core.membership;
+
+import java.time.Duration;
+import org.bronzehill.core.time.TimeSource;
+
+/** Recognises from the gap between two ticks that the process did not run for some time. */
+public final class PauseDetector {
+
+    private final TimeSource time;
+    private final long limitNanos;
+    private long last;
+
+    private PauseDetector(TimeSource time, Duration limit) {
+        this.time = time;
+        this.limitNanos = limit.toNanos();
+        this.last = time.nanoTime();
+    }
+
+    /** Creates a detector that reports gaps above {@code limit}. */
+    public static PauseDetector create(TimeSource time, Duration limit) {
+        return new PauseDetector(time, limit);
+    }
+
+    /** Returns whether the time since the previous call exceeds the limit; called at every tick. */
+    public boolean pausedSinceLastTick() {
+        long now = time.nanoTime();
+        boolean paused = now - last > limitNanos;
+        last = now;
+        return paused;
+    }
+}
