--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/budget/PermitIssuer.java
@@ -0,0 +1,139 @@
+package org.bronzehill.core.budget;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.HandleUse;
+import org.bronzehill.protocol.generated.HolderHandover;
+import org.bronzehill.protocol.generated.PermitRequest;
+
+/** The budget holder's side: one queue for the whole region and the permits in use. */
+final class PermitIssuer {
+
+    static final long PERMIT_NANOS = 5_000_000_000L;
+
+    /** Clients repeat their requests every 2 s, so a request this old belongs to a dead one. */
+    private static final long STALE_NANOS = 10_000_000_000L;
+
+    private static final int MAX_QUEUE = 8192;
+
+    /** Deadlines closer together than one load (250 ms) count as equal; then the value decides. */
+    private static final long DEADLINE_STEP_NANOS = 250_000_000L;
+
+    private static final Comparator<Entry> ORDER =
+            Comparator.<Entry>comparingLong(e -> Math.floorDiv(e.deadline, DEADLINE_STEP_NANOS))
+                    .thenComparing(e -> -e.value)
+                    .thenComparingLong(e -> e.order);
+
+    private final TimeSource time;
+    private final Map<PermitKey, Entry> queue = new HashMap<>();
+    private final Map<PermitKey, Long> inUse = new HashMap<>();
+    private final RateBucket bucket;
+    private long epoch;
+    private long blockedUntil;
+    private long arrivals;
+
+    private record Entry(
+            PermitKey key, long deadline, double value, long order, long refreshedAt) {}
+
+    PermitIssuer(TimeSource time) {
+        this.time = time;
+        this.bucket = new RateBucket(time.nanoTime());
+    }
+
+    /** Returns the fencing number under which permits are issued; 0 when not the holder. */
+    long epoch() {
+        return epoch;
+    }
+
+    /**
+     * Starts an epoch with an empty bucket. Without a handover the predecessor may have used the
+     * whole in-flight bound, so nothing is issued until its permits have expired.
+     */
+    void start(long fencing, HolderHandover handover) {
+        long now = time.nanoTime();
+        if (epoch != fencing) {
+            stop();
+            epoch = fencing;
+            bucket.empty(now);
+            blockedUntil = now + PERMIT_NANOS;
+        }
+        if (handover != null) {
+            blockedUntil = now;
+            for (HandleUse h : handover.getHandlesList()) {
+                PermitKey key = PermitKey.parse(h.getHandle());
+                if (key != null) {
+                    inUse.put(key, now + PERMIT_NANOS);
+                }
+            }
+        }
+    }
+
+    void stop() {
+        epoch = 0;
+        queue.clear();
+        inUse.clear();
+    }
+
+    HolderHandover handover() {
+        HolderHandover.Builder b = HolderHandover.newBuilder();
+        expire(time.nanoTime());
+        inUse.keySet().forEach(k -> b.addHandlesBuilder().setHandle(k.toHandle()).setRunning(1));
+        return b.build();
+    }
+
+    boolean issued(PermitKey key) {
+        return inUse.containsKey(key);
+    }
+
+    /** Puts a request into the queue or changes it; returns false if the queue is full. */
+    boolean enqueue(PermitKey key, PermitRequest request) {
+        Entry old = queue.get(key);
+        if (old == null && queue.size() >= MAX_QUEUE) {
+            return false;
+        }
+        long now = time.nanoTime();
+        long deadline = now + request.getDeadlineMs() * 1_000_000;
+        long order = old == null ? arrivals++ : old.order;
+        queue.put(key, new Entry(key, deadline, request.getValue(), order, now));
+        return true;
+    }
+
+    /** Ends a request or a permit. */
+    void giveBack(PermitKey key, boolean used) {
+        queue.remove(key);
+        if (inUse.remove(key) != null && !used) {
+            bucket.giveBack();
+        }
+    }
+
+    private void expire(long now) {
+        inUse.values().removeIf(end -> now - end >= 0);
+        queue.values().removeIf(e -> now - e.refreshedAt >= STALE_NANOS);
+    }
+
+    /** Issues the permits that the rate and the in-flight bound allow now, best request first. */
+    List<PermitKey> issue(double perSecond, int inFlight, java.util.function.Predicate<String> up) {
+        long now = time.nanoTime();
+        expire(now);
+        bucket.refill(perSecond, now);
+        List<PermitKey> issued = new ArrayList<>();
+        while (now - blockedUntil >= 0 && inUse.size() < inFlight) {
+            Entry best =
+                    queue.values().stream()
+                            .filter(e -> up.test(e.key.client()))
+                            .min(ORDER)
+                            .orElse(null);
+            if (best == null || !bucket.take()) {
+                break;
+            }
+            queue.remove(best.key);
+            inUse.put(best.key, now + PERMIT_NANOS);
+            issued.add(best.key);
+        }
+        return issued;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/budget/PermitKey.java
@@ -0,0 +1,31 @@
+package org.bronzehill.core.budget;
+
+/**
+ * Names one load for which a permit is asked.
+ *
+ * @param client engine holder that asks
+ */
+record PermitKey(String client, long incarnation, String engine, long sequence) {
+
+    private static final String SEPARATOR = "|";
+
+    /** Returns the form in which a handover names the permit. */
+    String toHandle() {
+        return String.join(
+                SEPARATOR, client, Long.toString(incarnation), Long.toString(sequence), engine);
+    }
+
+    /** Parses {@link #toHandle}; returns {@code null} if the text has another form. */
+    static PermitKey parse(String handle) {
+        String[] parts = handle.split("\\|", 4);
+        if (parts.length < 4) {
+            return null;
+        }
+        try {
+            return new PermitKey(
+                    parts[0], Long.parseLong(parts[1]), parts[3], Long.parseLong(parts[2]));
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/budget/StoreBudget.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/budget/StoreBudget.java
@@ -5,23 +5,57 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.bronzehill.config.Configuration;
+import org.bronzehill.config.Limits;
+import org.bronzehill.core.budget.PermitClient.Held;
+import org.bronzehill.core.budget.PermitClient.Load;
 import org.bronzehill.core.lease.Lease;
 import org.bronzehill.core.lease.LeaseManager;
+import org.bronzehill.core.lease.Resources;
 import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.membership.PeerStatus;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.model.ListedInstance;
+import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.Signal;
 import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.Envelope;
 import org.bronzehill.protocol.generated.HolderHandover;
+import org.bronzehill.protocol.generated.PermitGrant;
 import org.bronzehill.protocol.generated.PermitRequest;
+import org.bronzehill.protocol.generated.PermitReturn;
 
-/** Permits for loads from the weight store of the region. */
+/**
+ * Permits for loads from the weight store of the region. The holder of the budget's lease orders
+ * the requests of all engine holders by deadline and value and issues permits at the store's rate.
+ */
 public final class StoreBudget {
 
+    private final LeaseManager leases;
+    private final Membership membership;
+    private final Supplier<Configuration> configuration;
     private final PermitListener listener;
-    private final List<PermitRequest> pending = new ArrayList<>();
+    private final String resource;
+    private final InstanceRef self;
+    private final PermitIssuer issuer;
+    private final PermitClient client;
+    private final List<Load> grantedHere = new ArrayList<>();
+    private long holderEpoch;
 
-    private StoreBudget(PermitListener listener) {
+    private StoreBudget(
+            LeaseManager leases,
+            Membership membership,
+            Supplier<Configuration> configuration,
+            TimeSource time,
+            PermitListener listener) {
+        this.leases = leases;
+        this.membership = membership;
+        this.configuration = configuration;
         this.listener = listener;
+        this.self = membership.self();
+        this.resource = Resources.store(self.region());
+        this.issuer = new PermitIssuer(time);
+        this.client = new PermitClient(time);
     }
 
     /** Creates the component; it has no permits and no requests. */
@@ -31,25 +65,203 @@
             Supplier<Configuration> configuration,
             TimeSource time,
             PermitListener listener) {
-        return new StoreBudget(listener);
+        return new StoreBudget(leases, membership, configuration, time, listener);
     }
 
     /** Grants the permits that are due and repeats requests that were not answered. */
     public void onTick(Effects out) {
-        List<PermitRequest> due = List.copyOf(pending);
-        pending.clear();
-        due.forEach(p -> listener.granted(p.getEngine(), p.getSequence(), out));
+        followLease();
+        sendDue(out);
+        issue(out);
+        Limits limits = configuration.get().limits();
+        int n = Math.max(1, published());
+        int share = Math.max(1, limits.storeInFlight() / n);
+        grantedHere.addAll(client.fallback(limits.storeLoadsPerSecond() / n, share));
+        deliver(out);
+    }
+
+    private void followLease() {
+        Option<Lease> lease = leases.lease(resource);
+        if (lease.isEmpty()) {
+            issuer.stop();
+        } else if (lease.get().fencing() != issuer.epoch()) {
+            issuer.start(lease.get().fencing(), null);
+        }
+    }
+
+    private void sendDue(Effects out) {
+        if (issuer.epoch() != 0) {
+            client.contact();
+            for (PermitRequest r : client.due(self.id(), issuer.epoch())) {
+                issuer.enqueue(ownKey(r.getEngine(), r.getSequence()), r);
+            }
+            return;
+        }
+        Option<String> holder = leases.holderOf(resource);
+        if (holder.isDefined() && !holder.get().equals(self.id())) {
+            for (PermitRequest r : client.due(holder.get(), holderEpoch)) {
+                send(holder.get(), Envelope.newBuilder().setPermitRequest(r), out);
+            }
+        }
+    }
+
+    private PermitKey ownKey(String engine, long sequence) {
+        return new PermitKey(self.id(), self.incarnation(), engine, sequence);
+    }
+
+    private void issue(Effects out) {
+        if (issuer.epoch() == 0 || !leases.holds(resource)) {
+            return;
+        }
+        Limits limits = configuration.get().limits();
+        double rate = limits.storeLoadsPerSecond() * reachableShare();
+        for (PermitKey key : issuer.issue(rate, limits.storeInFlight(), this::isUp)) {
+            out.add(new Effect.Measure(Signal.PERMITS_GRANTED, "", 1));
+            if (key.client().equals(self.id())) {
+                Load load = new Load(key.engine(), key.sequence());
+                if (client.waits(load)) {
+                    client.granted(load, self.id(), PermitIssuer.PERMIT_NANOS);
+                    grantedHere.add(load);
+                } else {
+                    issuer.giveBack(key, false);
+                }
+            } else {
+                sendGrant(key, out);
+            }
+        }
+    }
+
+    private void sendGrant(PermitKey key, Effects out) {
+        PermitGrant.Builder grant =
+                PermitGrant.newBuilder()
+                        .setEngine(key.engine())
+                        .setSequence(key.sequence())
+                        .setValidMs(PermitIssuer.PERMIT_NANOS / 1_000_000)
+                        .setEpoch(issuer.epoch());
+        send(key.client(), Envelope.newBuilder().setPermitGrant(grant), out);
+    }
+
+    private boolean isUp(String id) {
+        return id.equals(self.id())
+                || membership
+                        .peer(id)
+                        .exists(p -> p.status().isLive() || p.status() == PeerStatus.LEAVING);
+    }
+
+    private int published() {
+        int n = 0;
+        for (ListedInstance i : membership.list().instances()) {
+            n += i.ref().region().equals(self.region()) ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** The instances that are cut off may use their own shares, so these are not issued here. */
+    private double reachableShare() {
+        int reachable = 0;
+        for (ListedInstance i : membership.list().instances()) {
+            if (i.ref().region().equals(self.region()) && isUp(i.ref().id())) {
+                reachable++;
+            }
+        }
+        return (double) reachable / Math.max(1, published());
+    }
+
+    private void deliver(Effects out) {
+        List<Load> ready = List.copyOf(grantedHere);
+        grantedHere.clear();
+        ready.forEach(l -> listener.granted(l.engine(), l.sequence(), out));
     }
 
     /** Handles PermitRequest, PermitGrant and PermitReturn. */
-    public void onMessage(Envelope envelope, Effects out) {}
+    public void onMessage(Envelope envelope, Effects out) {
+        String from = envelope.getFrom();
+        switch (envelope.getBodyCase()) {
+            case PERMIT_REQUEST -> onRequest(envelope, envelope.getPermitRequest(), out);
+            case PERMIT_GRANT -> onGrant(from, envelope.getPermitGrant(), out);
+            case PERMIT_RETURN -> {
+                PermitReturn r = envelope.getPermitReturn();
+                issuer.giveBack(
+                        new PermitKey(
+                                from,
+                                envelope.getFromIncarnation(),
+                                r.getEngine(),
+                                r.getSequence()),
+                        r.getUsed());
+                issue(out);
+                deliver(out);
+            }
+            default -> {}
+        }
+    }
+
+    private void onRequest(Envelope envelope, PermitRequest request, Effects out) {
+        followLease();
+        String from = envelope.getFrom();
+        PermitKey key =
+                new PermitKey(
+                        from,
+                        envelope.getFromIncarnation(),
+                        request.getEngine(),
+                        request.getSequence());
+        if (issuer.epoch() == 0) {
+            String holder = leases.holderOf(resource).getOrElse("");
+            PermitGrant.Builder hint =
+                    PermitGrant.newBuilder()
+                            .setEngine(request.getEngine())
+                            .setSequence(request.getSequence())
+                            .setHolder(holder.equals(self.id()) ? "" : holder);
+            send(from, Envelope.newBuilder().setPermitGrant(hint), out);
+        } else if (issuer.issued(key)) {
+            sendGrant(key, out);
+        } else {
+            PermitGrant.Builder reply =
+                    PermitGrant.newBuilder()
+                            .setEngine(request.getEngine())
+                            .setSequence(request.getSequence())
+                            .setQueued(issuer.enqueue(key, request))
+                            .setEpoch(issuer.epoch());
+            send(from, Envelope.newBuilder().setPermitGrant(reply), out);
+            issue(out);
+            deliver(out);
+        }
+    }
+
+    private void onGrant(String from, PermitGrant grant, Effects out) {
+        if (grant.getEpoch() == 0) {
+            if (!grant.getHolder().isEmpty() && !grant.getHolder().equals(from)) {
+                leases.observeHolder(resource, grant.getHolder());
+            }
+            return;
+        }
+        client.contact();
+        holderEpoch = grant.getEpoch();
+        leases.observeHolder(resource, from);
+        if (grant.getValidMs() == 0) {
+            return;
+        }
+        Load load = new Load(grant.getEngine(), grant.getSequence());
+        if (client.waits(load)) {
+            client.granted(load, from, grant.getValidMs() * 1_000_000);
+            listener.granted(load.engine(), load.sequence(), out);
+        } else if (!client.holdsPermit(load)) {
+            sendReturn(from, load, false, out);
+        }
+    }
 
-    /** Starts the holder's side of the budget; called when its lease was obtained. */
-    public void acquired(Lease lease, Option<HolderHandover> handover, Effects out) {}
+    /**
+     * Starts the holder's side; called when the lease on the budget was obtained. Without this call
+     * the next tick starts it as if there were no handover.
+     */
+    public void acquired(Lease lease, Option<HolderHandover> handover, Effects out) {
+        if (lease.resource().equals(resource)) {
+            issuer.start(lease.fencing(), handover.getOrNull());
+        }
+    }
 
     /** Returns the permits in use, for the next holder of the budget at a planned stop. */
     public HolderHandover handover() {
-        return HolderHandover.getDefaultInstance();
+        return issuer.handover();
     }
 
     /**
@@ -57,16 +269,55 @@
      * sequence.
      */
     public void request(PermitRequest request, Effects out) {
-        pending.add(request);
+        client.request(request);
+        sendDue(out);
     }
 
     /** Gives up a request that is no longer needed. */
-    public void withdraw(String engine, long sequence, Effects out) {}
+    public void withdraw(String engine, long sequence, Effects out) {
+        Load load = new Load(engine, sequence);
+        if (client.withdraw(load)) {
+            if (issuer.epoch() != 0) {
+                issuer.giveBack(ownKey(engine, sequence), false);
+            } else {
+                leases.holderOf(resource)
+                        .filter(h -> !h.equals(self.id()))
+                        .forEach(h -> sendReturn(h, load, false, out));
+            }
+        } else {
+            finished(engine, sequence, false, out);
+        }
+    }
 
     /**
      * Returns a permit.
      *
      * @param used whether the load was started; the rate of an unused permit is given back
      */
-    public void finished(String engine, long sequence, boolean used, Effects out) {}
+    public void finished(String engine, long sequence, boolean used, Effects out) {
+        Load load = new Load(engine, sequence);
+        grantedHere.remove(load);
+        Held permit = client.finish(load);
+        if (permit == null || permit.issuer().isEmpty()) {
+            return;
+        }
+        if (permit.issuer().equals(self.id())) {
+            issuer.giveBack(ownKey(engine, sequence), used);
+        } else {
+            sendReturn(permit.issuer(), load, used, out);
+        }
+    }
+
+    private static void sendReturn(String to, Load load, boolean used, Effects out) {
+        PermitReturn.Builder r =
+                PermitReturn.newBuilder()
+                        .setEngine(load.engine())
+                        .setSequence(load.sequence())
+                        .setUsed(used);
+        send(to, Envelope.newBuilder().setPermitReturn(r), out);
+    }
+
+    private static void send(String to, Envelope.Builder body, Effects out) {
+        out.add(new Effect.SendPeer(to, body, false));
+    }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/GrantTable.java
@@ -0,0 +1,169 @@
+package org.bronzehill.core.lease;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.IntentRequest;
+import org.bronzehill.protocol.generated.LeaseAnswer;
+import org.bronzehill.protocol.generated.LeaseClaim;
+
+/** Grants that this instance has given as a grantor. */
+final class GrantTable {
+
+    static final long LEASE_NANOS = 2_000_000_000L;
+
+    /**
+     * A grantor without memory of earlier grants waits until they have expired. The margin covers
+     * differences in the speed of two clocks.
+     */
+    static final long HOLD_OFF_NANOS = LEASE_NANOS + 500_000_000L;
+
+    static final int MAX_INTENTS = 1024;
+
+    private final TimeSource time;
+    private final Map<String, Grant> grants = new HashMap<>();
+
+    GrantTable(TimeSource time) {
+        this.time = time;
+    }
+
+    private static final class Grant {
+        private Claimant holder;
+        private long fencing;
+        private long expires;
+        private long highest;
+        private long previous;
+        private long grantableFrom;
+        private long lastSequence;
+        private boolean historyKnown;
+        private final Set<String> intents = new LinkedHashSet<>();
+
+        private boolean taken(long now) {
+            return holder != null && expires - now > 0;
+        }
+    }
+
+    /** One process that asks for a grant. */
+    record Claimant(String id, long incarnation) {}
+
+    /** Keeps exactly the given resources; new ones are granted only after {@code holdOff}. */
+    void retain(Set<String> resources, long holdOff) {
+        grants.keySet().retainAll(resources);
+        for (String r : resources) {
+            grants.computeIfAbsent(
+                    r,
+                    k -> {
+                        Grant g = new Grant();
+                        g.grantableFrom = time.nanoTime() + holdOff;
+                        return g;
+                    });
+        }
+    }
+
+    LeaseAnswer claim(Claimant from, long sequence, LeaseClaim claim) {
+        LeaseAnswer.Builder answer =
+                LeaseAnswer.newBuilder()
+                        .setResource(claim.getResource())
+                        .setFencing(claim.getFencing());
+        Grant g = grants.get(claim.getResource());
+        long now = time.nanoTime();
+        if (g == null || now - g.grantableFrom < 0) {
+            return answer.setHighestFencing(g == null ? 0 : g.highest).build();
+        }
+        answer.setHighestFencing(g.highest);
+        boolean same = from.equals(g.holder);
+        if (!same && g.taken(now)) {
+            return answer.setHolder(g.holder.id())
+                    .setRemainingMs(Math.max(1, (g.expires - now) / 1_000_000))
+                    .build();
+        }
+        boolean renewal = same && claim.getFencing() == g.fencing;
+        if (!renewal && claim.getFencing() <= g.highest) {
+            return answer.build();
+        }
+        if (!renewal) {
+            start(g, from, claim.getFencing(), same);
+        }
+        g.expires = now + LEASE_NANOS;
+        syncIntents(g, sequence, claim);
+        return answer.setGranted(true)
+                .setHistoryUnknown(!g.historyKnown)
+                .setPreviousFencing(g.previous)
+                .addAllOpenIntents(g.intents)
+                .build();
+    }
+
+    private static void start(Grant g, Claimant from, long fencing, boolean same) {
+        if (!same) {
+            g.previous = g.fencing;
+        }
+        g.holder = from;
+        g.fencing = fencing;
+        g.highest = Math.max(g.highest, fencing);
+        g.lastSequence = 0;
+    }
+
+    /**
+     * Requests of one holder may arrive out of order over two connections; the later one counts.
+     */
+    private static void syncIntents(Grant g, long sequence, LeaseClaim claim) {
+        if (sequence < g.lastSequence) {
+            return;
+        }
+        g.lastSequence = sequence;
+        if (claim.getIntentsComplete()) {
+            g.intents.clear();
+            g.historyKnown = true;
+        }
+        for (String handle : claim.getOpenIntentsList()) {
+            if (g.intents.size() < MAX_INTENTS) {
+                g.intents.add(handle);
+            }
+        }
+    }
+
+    boolean intent(Claimant from, IntentRequest request) {
+        Grant g = grants.get(request.getResource());
+        if (g == null || !from.equals(g.holder) || g.fencing != request.getFencing()) {
+            return false;
+        }
+        if (request.getSequence() >= g.lastSequence) {
+            g.lastSequence = request.getSequence();
+            if (request.getFinished()) {
+                g.intents.remove(request.getHandle());
+            } else if (g.intents.size() < MAX_INTENTS) {
+                g.intents.add(request.getHandle());
+            }
+        }
+        return request.getFinished() != g.intents.contains(request.getHandle());
+    }
+
+    void release(Claimant from, LeaseClaim claim) {
+        Grant g = grants.get(claim.getResource());
+        if (g != null && from.equals(g.holder) && claim.getFencing() == g.fencing) {
+            g.holder = null;
+            g.expires = time.nanoTime();
+        }
+    }
+
+    /** Returns the holder of an unexpired grant, or {@code null}. */
+    String holder(String resource) {
+        Grant g = grants.get(resource);
+        return g != null && g.taken(time.nanoTime()) ? g.holder.id() : null;
+    }
+
+    /**
+     * Returns since when the resource could be granted to anybody; meaningless while it is held.
+     */
+    long freeSince(String resource) {
+        Grant g = grants.get(resource);
+        return g.expires == 0 ? g.grantableFrom : g.expires;
+    }
+
+    long highestFencing(String resource) {
+        Grant g = grants.get(resource);
+        return g == null ? 0 : g.highest;
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/Membership.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/Membership.java
@@ -1,71 +1,154 @@
 package org.bronzehill.core.membership;
 
 import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.InstanceRef;
-import org.bronzehill.core.model.ListedInstance;
-import org.bronzehill.core.model.ListedState;
+import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.Signal;
 import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.Ack;
 import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.Leaving;
+import org.bronzehill.protocol.generated.MemberUpdate;
 
-/** Table of the entry instances, seeded by the published instance list. */
+/** Table of the entry instances, seeded by the published instance list and kept by probes. */
 public final class Membership {
 
+    /**
+     * Gaps between ticks above this are taken as a pause of this process. The acks of that time may
+     * still wait in the input queue, so they must not count as missing.
+     */
+    private static final long GAP_NANOS = 150_000_000L;
+
+    private static final long NEVER = Long.MIN_VALUE;
+
     private final InstanceRef self;
-    private final Map<String, Peer> peers = new TreeMap<>();
+    private final TimeSource time;
+    private final MemberTable table;
+    private final Prober prober;
     private InstanceList list = InstanceList.EMPTY;
+    private long listConfirmedAt = NEVER;
+    private long lastTick;
+    private int reportedLive = -1;
 
-    private Membership(InstanceRef self) {
+    private Membership(InstanceRef self, TimeSource time, RandomGenerator random) {
         this.self = self;
+        this.time = time;
+        this.table = new MemberTable(self, time);
+        this.prober = new Prober(self, table, time, random);
+        this.lastTick = time.nanoTime();
     }
 
     /** Creates a table that knows only the instance itself. */
     public static Membership create(InstanceRef self, TimeSource time, RandomGenerator random) {
-        return new Membership(self);
+        return new Membership(self, time, random);
     }
 
     /** Sends the probes that are due and advances suspicions. */
-    public void onTick(Effects out) {}
+    public void onTick(Effects out) {
+        long now = time.nanoTime();
+        long gap = now - lastTick;
+        lastTick = now;
+        if (gap > GAP_NANOS) {
+            prober.creditPause(gap);
+            table.creditPause(gap);
+        }
+        prober.onTick(out);
+        table.expire(out);
+        int alive = table.live().size();
+        if (alive != reportedLive) {
+            reportedLive = alive;
+            out.add(new Effect.Measure(Signal.PEERS_ALIVE, "", alive));
+        }
+    }
 
     /** Takes over a version of the published instance list; older versions are ignored. */
     public void onInstanceList(InstanceList read, Effects out) {
         if (read.version() < list.version()) {
             return;
         }
-        list = read;
-        peers.clear();
-        for (ListedInstance i : read.instances()) {
-            if (!i.ref().id().equals(self.id())) {
-                PeerStatus s =
-                        i.state() == ListedState.LEAVING ? PeerStatus.LEAVING : PeerStatus.ALIVE;
-                peers.put(i.ref().id(), new Peer(i.ref(), s));
-            }
+        listConfirmedAt = time.nanoTime();
+        if (read.version() > list.version()) {
+            list = read;
+            table.applyList(read);
         }
     }
 
     /** Handles Ping, Ack, PingRequest and Leaving. */
-    public void onMessage(Envelope envelope, Effects out) {}
+    public void onMessage(Envelope envelope, Effects out) {
+        String from = envelope.getFrom();
+        Row row = table.row(from);
+        if (row != null && envelope.getFromIncarnation() < row.ref().incarnation()) {
+            tellReplaced(from, envelope, out);
+            return;
+        }
+        switch (envelope.getBodyCase()) {
+            case PING -> {
+                merge(envelope.getPing().getUpdatesList(), out);
+                prober.onPing(from, envelope.getPing(), out);
+            }
+            case ACK -> {
+                merge(envelope.getAck().getUpdatesList(), out);
+                long sentAt = prober.onAck(from, envelope.getAck(), out);
+                if (list.version() > 0 && envelope.getListVersion() <= list.version()) {
+                    listConfirmedAt = Math.max(listConfirmedAt, sentAt);
+                }
+            }
+            case PING_REQUEST -> {
+                merge(envelope.getPingRequest().getUpdatesList(), out);
+                prober.onPingRequest(from, envelope.getPingRequest(), out);
+            }
+            case LEAVING -> table.markLeaving(from, out);
+            default -> {}
+        }
+    }
+
+    private void merge(List<MemberUpdate> updates, Effects out) {
+        updates.forEach(u -> table.merge(u, out));
+    }
+
+    /** Tells an old process that another one has taken its id. */
+    private void tellReplaced(String from, Envelope envelope, Effects out) {
+        if (envelope.hasPing()) {
+            Ack.Builder ack = Ack.newBuilder().setSequence(envelope.getPing().getSequence());
+            ack.addUpdates(table.row(from).toUpdate());
+            Envelope.Builder body = Envelope.newBuilder().setAck(ack);
+            body.setToIncarnation(envelope.getFromIncarnation());
+            out.add(new Effect.SendPeer(from, body, false));
+        }
+    }
 
     /** Notes that a message to the instance could not be written. */
-    public void onUnreachable(String instance, Effects out) {}
+    public void onUnreachable(String instance, Effects out) {
+        prober.unreachable(instance, out);
+    }
 
     /** Announces the planned stop of this instance to all peers. */
-    public void leave(Effects out) {}
+    public void leave(Effects out) {
+        if (table.leaving()) {
+            return;
+        }
+        table.leave();
+        for (Peer p : table.peers()) {
+            if (p.status() != PeerStatus.DEAD) {
+                Envelope.Builder body =
+                        Envelope.newBuilder().setLeaving(Leaving.getDefaultInstance());
+                out.add(new Effect.SendPeer(p.id(), body, false));
+            }
+        }
+    }
 
     /** Returns the other instances, ordered by id. */
     public List<Peer> peers() {
-        return List.copyOf(peers.values());
+        return table.peers();
     }
 
     /** Returns another instance. */
     public Option<Peer> peer(String id) {
-        return Option.of(peers.get(id));
+        return Option.of(table.row(id)).map(r -> new Peer(r.ref(), r.status()));
     }
 
     /**
@@ -73,10 +156,7 @@
      * SLOW, and this instance unless it is leaving.
      */
     public List<InstanceRef> live() {
-        List<InstanceRef> live = new ArrayList<>();
-        live.add(self);
-        peers.values().stream().filter(p -> p.status().isLive()).forEach(p -> live.add(p.ref()));
-        return live;
+        return table.live();
     }
 
     /** Returns the published instance list read last. */
@@ -88,4 +168,22 @@
     public InstanceRef self() {
         return self;
     }
+
+    /** Returns whether this instance has announced its planned stop. */
+    public boolean leaving() {
+        return table.leaving();
+    }
+
+    /** Returns whether a later process runs under this instance's id, so that this one must end. */
+    public boolean superseded() {
+        return table.superseded();
+    }
+
+    /**
+     * Returns whether the instance list was read after the monotonic time {@code nanos}, or a peer
+     * that was probed after it named no newer version.
+     */
+    public boolean listConfirmedSince(long nanos) {
+        return listConfirmedAt != NEVER && listConfirmedAt - nanos >= 0;
+    }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/UpdateQueue.java
@@ -0,0 +1,43 @@
+package org.bronzehill.core.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Ids of the rows that changed and how often each change is still to be told. */
+final class UpdateQueue {
+
+    /** Factor of the retransmissions of SWIM; 3·log2(n) reaches all of n instances. */
+    private static final int FACTOR = 3;
+
+    private final Map<String, Integer> remaining = new LinkedHashMap<>();
+
+    /** Schedules the current state of a row to be told to others, in a fleet of {@code size}. */
+    void add(String id, int size) {
+        int log = Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, size));
+        remaining.put(id, FACTOR * log);
+    }
+
+    void remove(String id) {
+        remaining.remove(id);
+    }
+
+    /** Takes up to {@code limit} ids, those told least often first. */
+    List<String> take(int limit) {
+        if (remaining.isEmpty()) {
+            return List.of();
+        }
+        List<Map.Entry<String, Integer>> entries = new ArrayList<>(remaining.entrySet());
+        entries.sort(Comparator.comparing(e -> -e.getValue()));
+        List<String> taken = new ArrayList<>();
+        for (int i = 0; i < Math.min(limit, entries.size()); i++) {
+            taken.add(entries.get(i).getKey());
+        }
+        for (String id : taken) {
+            remaining.computeIfPresent(id, (k, left) -> left > 1 ? left - 1 : null);
+        }
+        return taken;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/spread/CatchUp.java
@@ -0,0 +1,84 @@
+package org.bronzehill.core.spread;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.membership.Peer;
+import org.bronzehill.core.membership.PeerStatus;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.ConfigurationPull;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Check of a starting or paused instance that no reachable peer knows a higher number. */
+final class CatchUp {
+
+    private static final long ANSWER_NANOS = 2_000_000_000L;
+
+    private final Membership membership;
+    private final TimeSource time;
+    private final Set<String> unanswered = new HashSet<>();
+    private boolean asked;
+    private boolean informed;
+    private boolean done;
+    private long askedAt;
+    private long highest;
+
+    CatchUp(Membership membership, TimeSource time) {
+        this.membership = membership;
+        this.time = time;
+    }
+
+    void restart() {
+        asked = false;
+        informed = false;
+        done = false;
+        unanswered.clear();
+    }
+
+    /** Asks every live peer for its number, once the instance list has named the peers. */
+    void onTick(long have, Effects out) {
+        if (!asked && membership.list().version() > 0) {
+            asked = true;
+            askedAt = time.nanoTime();
+            for (Peer p : membership.peers()) {
+                if (p.status() != PeerStatus.DEAD) {
+                    unanswered.add(p.id());
+                    ConfigurationPull.Builder pull =
+                            ConfigurationPull.newBuilder().setHaveNumber(have).setNumberOnly(true);
+                    Envelope.Builder body = Envelope.newBuilder().setConfigurationPull(pull);
+                    out.add(new Effect.SendPeer(p.id(), body, false));
+                }
+            }
+        }
+    }
+
+    /** Notes the answer of a peer to the question. */
+    void answered(String peer, long number) {
+        if (asked && unanswered.remove(peer)) {
+            informed |= number > 0;
+            highest = Math.max(highest, number);
+        }
+    }
+
+    void heard(long number) {
+        highest = Math.max(highest, number);
+    }
+
+    void serviceRead() {
+        informed = true;
+    }
+
+    boolean done(long number) {
+        if (!done) {
+            done =
+                    asked
+                            && informed
+                            && number > 0
+                            && number >= highest
+                            && (unanswered.isEmpty() || time.nanoTime() - askedAt >= ANSWER_NANOS);
+        }
+        return done;
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/spread/ConfigurationSpread.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/spread/ConfigurationSpread.java
@@ -1,25 +1,67 @@
 package org.bronzehill.core.spread;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.bronzehill.config.ConfigurationImage;
 import org.bronzehill.config.ConfigurationStore;
 import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.Signal;
 import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.ConfigurationPull;
+import org.bronzehill.protocol.generated.ConfigurationPush;
 import org.bronzehill.protocol.generated.Envelope;
+import org.jboss.logging.Logger;
 
-/** Brings the highest configuration number to every instance. */
+/**
+ * Brings the highest configuration number to every instance. A peer with a higher number is asked
+ * for the shards that changed; a peer with a lower number is told the own one.
+ */
 public final class ConfigurationSpread {
 
-    private static final Duration WATCH = Duration.ofSeconds(30);
+    private static final Logger LOG = Logger.getLogger(ConfigurationSpread.class);
 
+    /**
+     * Peers that are told of a new number at once. Four reach 98 of 100 instances within a few
+     * hops; the probes reach the others.
+     */
+    private static final int FANOUT = 4;
+
+    private static final long NOTICE_NANOS = 500_000_000L;
+    private static final long AGE_NANOS = 1_000_000_000L;
+    private static final int MAX_NOTICES = 1024;
+
+    private final Membership membership;
     private final ConfigurationStore store;
-    private boolean reading;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final ServiceReader reader;
+    private final CatchUp catchUp;
+    private final PullState pull;
+    private final Map<String, Long> noticed = new LinkedHashMap<>();
+    private long serviceAt;
+    private long ageReportedAt;
 
-    private ConfigurationSpread(ConfigurationStore store) {
+    private ConfigurationSpread(
+            Membership membership,
+            ConfigurationStore store,
+            TimeSource time,
+            RandomGenerator random) {
+        this.membership = membership;
         this.store = store;
+        this.time = time;
+        this.random = random;
+        this.reader = new ServiceReader(membership, time, random);
+        this.catchUp = new CatchUp(membership, time);
+        this.pull = new PullState(store);
+        this.serviceAt = time.nanoTime();
+        this.ageReportedAt = serviceAt;
     }
 
     /** Creates the component for an instance that has just started. */
@@ -28,43 +70,165 @@
             ConfigurationStore store,
             TimeSource time,
             RandomGenerator random) {
-        return new ConfigurationSpread(store);
+        return new ConfigurationSpread(membership, store, time, random);
     }
 
     /** Reads or watches the configuration service where that is this instance's task. */
     public void onTick(Effects out) {
-        if (!reading) {
-            reading = true;
-            long have = store.current().number();
-            out.add(new Effect.ReadConfiguration(have, have == 0 ? Duration.ZERO : WATCH));
+        long now = time.nanoTime();
+        noticed.values().removeIf(at -> now - at >= NOTICE_NANOS);
+        reader.onTick(number(), out);
+        catchUp.onTick(number(), out);
+        if (now - ageReportedAt >= AGE_NANOS) {
+            ageReportedAt = now;
+            double age = serviceAge().toMillis() / 1000.0;
+            out.add(new Effect.Measure(Signal.CONFIGURATION_AGE_SECONDS, "", age));
         }
     }
 
+    private long number() {
+        return store.current().number();
+    }
+
     /**
      * Compares the configuration number of any peer message with the own one, and handles
      * ConfigurationPull and ConfigurationPush.
      */
-    public void onEnvelope(Envelope envelope, Effects out) {}
+    public void onEnvelope(Envelope envelope, Effects out) {
+        String from = envelope.getFrom();
+        reader.heardPeer();
+        catchUp.heard(envelope.getConfigurationNumber());
+        if (envelope.hasConfigurationPull()) {
+            onPull(from, envelope.getConfigurationPull(), out);
+        } else if (envelope.hasConfigurationPush()) {
+            onPush(from, envelope.getConfigurationPush(), out);
+        } else if (envelope.getConfigurationNumber() < number() && !envelope.hasPing()) {
+            // The ack of a ping carries the number without a message of its own.
+            notice(from, out);
+        }
+        if (envelope.getConfigurationNumber() > number() && !pull.busy(time.nanoTime())) {
+            pullFrom(from, out);
+        }
+    }
+
+    private void onPull(String from, ConfigurationPull request, Effects out) {
+        if (request.getNumberOnly() || request.getHaveNumber() >= number()) {
+            sendNumber(from, out);
+        } else {
+            HashSet<String> have = new HashSet<>(request.getHaveShardsList());
+            send(from, ShardPacker.pack(store, have), out);
+        }
+    }
+
+    private void onPush(String from, ConfigurationPush push, Effects out) {
+        catchUp.heard(push.getNumber());
+        catchUp.answered(from, push.getNumber());
+        if (push.getManifest().isEmpty()) {
+            return;
+        }
+        pull.stop();
+        ConfigurationImage image = pull.receive(push);
+        if (image != null) {
+            offer(image, out);
+        } else if (push.getNumber() > number() && push.getMore() && push.getShardsCount() > 0) {
+            pullFrom(from, out);
+        }
+    }
+
+    private void pullFrom(String from, Effects out) {
+        ConfigurationPull request = pull.start(from, time.nanoTime());
+        Envelope.Builder body = Envelope.newBuilder().setConfigurationPull(request);
+        out.add(new Effect.SendPeer(from, body, false));
+    }
+
+    private void sendNumber(String to, Effects out) {
+        send(to, ConfigurationPush.newBuilder().setNumber(number()).build(), out);
+    }
+
+    /** Tells a peer the own number, at most once in half a second. */
+    private void notice(String to, Effects out) {
+        if (noticed.size() < MAX_NOTICES && !noticed.containsKey(to)) {
+            noticed.put(to, time.nanoTime());
+            sendNumber(to, out);
+        }
+    }
+
+    private static void send(String to, ConfigurationPush push, Effects out) {
+        Envelope.Builder body = Envelope.newBuilder().setConfigurationPush(push);
+        out.add(new Effect.SendPeer(to, body, false));
+    }
+
+    private void offer(ConfigurationImage image, Effects out) {
+        store.offer(image)
+                .peekLeft(
+                        reason -> {
+                            LOG.warnf("configuration %d refused: %s", image.number(), reason);
+                            pull.clear();
+                        })
+                .peek(offer -> offered(offer, image.number(), out));
+    }
+
+    private void offered(ConfigurationStore.Offer offer, long offered, Effects out) {
+        switch (offer) {
+            case ACCEPTED -> {
+                pull.clear();
+                out.add(new Effect.Measure(Signal.CONFIGURATION_NUMBER, "", number()));
+                List<InstanceRef> live = membership.live();
+                for (int i = 0; i < FANOUT && !live.isEmpty(); i++) {
+                    String peer = live.get(random.nextInt(live.size())).id();
+                    if (!peer.equals(membership.self().id())) {
+                        sendNumber(peer, out);
+                    }
+                }
+            }
+            case STALE ->
+                    out.add(new Effect.Measure(Signal.CONFIGURATION_STALE_READS, "", offered));
+            case INCOMPLETE -> reader.readSoon();
+            default -> {}
+        }
+    }
 
     /**
      * Takes over an answer of the configuration service. An answer "not modified" is delivered as
      * an image of the number that was asked for, without shards.
      */
     public void onRead(ConfigurationImage image, Effects out) {
-        reading = false;
-        store.offer(image);
+        reader.succeeded(image.number() < number());
+        if (image.number() >= number()) {
+            serviceAt = time.nanoTime();
+        }
+        catchUp.serviceRead();
+        offer(image, out);
     }
 
     /** Notes that the configuration service did not answer. */
     public void onReadFailed(String reason, Effects out) {
-        reading = false;
+        reader.failed();
     }
 
     /** Repeats the checks of a starting instance, after a pause. */
-    public void recheck(Effects out) {}
+    public void recheck(Effects out) {
+        catchUp.restart();
+        pull.clear();
+        reader.readSoon();
+        onTick(out);
+    }
 
-    /** Returns whether the number in force is the highest that the reachable peers know. */
+    /**
+     * Returns whether the number in force was checked since the start or the last pause: the
+     * service or a peer was read, and no live peer that answered within 2 s knows a higher number.
+     */
     public boolean caughtUp() {
-        return store.current().number() > 0;
+        return catchUp.done(number());
+    }
+
+    /** Returns the time since the service last confirmed the number in force or a higher one. */
+    public Duration serviceAge() {
+        return Duration.ofNanos(time.nanoTime() - serviceAt);
+    }
+
+    /** Returns whether this instance watches the service for its data centre. */
+    public boolean watching() {
+        return reader.isWatcher();
     }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/spread/PullState.java
@@ -0,0 +1,87 @@
+package org.bronzehill.core.spread;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.config.ConfigurationStore;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.Manifest;
+import org.bronzehill.protocol.generated.ConfigurationPull;
+import org.bronzehill.protocol.generated.ConfigurationPush;
+import org.bronzehill.protocol.generated.ConfigurationShard;
+
+/** A transfer of a newer configuration from one peer at a time, with the shards received so far. */
+final class PullState {
+
+    private static final long TIMEOUT_NANOS = 1_000_000_000L;
+
+    private final ConfigurationStore store;
+    private final Map<String, byte[]> staged = new HashMap<>();
+    private Manifest manifest;
+    private String source = "";
+    private long sentAt;
+
+    PullState(ConfigurationStore store) {
+        this.store = store;
+    }
+
+    /** Returns whether a pull is under way whose answer may still come. */
+    boolean busy(long now) {
+        return !source.isEmpty() && now - sentAt < TIMEOUT_NANOS;
+    }
+
+    ConfigurationPull start(String peer, long now) {
+        source = peer;
+        sentAt = now;
+        List<String> have = new ArrayList<>(store.contents().keySet());
+        for (String hash : staged.keySet()) {
+            if (!store.contents().containsKey(hash)) {
+                have.add(hash);
+            }
+        }
+        return ConfigurationPull.newBuilder()
+                .setHaveNumber(store.current().number())
+                .addAllHaveShards(have)
+                .build();
+    }
+
+    void stop() {
+        source = "";
+    }
+
+    /**
+     * Takes over a part of a configuration; returns the whole one when nothing is missing any more,
+     * or {@code null}. Parts that do not match their hash are dropped.
+     */
+    ConfigurationImage receive(ConfigurationPush push) {
+        Manifest next = ImageCodec.decodeManifest(push.getManifest().toByteArray()).getOrNull();
+        if (next == null || next.number() <= store.current().number()) {
+            return null;
+        }
+        if (manifest != null && next.number() < manifest.number()) {
+            return null;
+        }
+        manifest = next;
+        List<String> wanted = ShardPacker.hashes(next);
+        staged.keySet().retainAll(wanted);
+        for (ConfigurationShard s : push.getShardsList()) {
+            byte[] content = s.getContent().toByteArray();
+            if (wanted.contains(s.getHash()) && ImageCodec.hash(content).equals(s.getHash())) {
+                staged.put(s.getHash(), content);
+            }
+        }
+        if (!store.missing(next, staged.keySet()).isEmpty()) {
+            return null;
+        }
+        return new ConfigurationImage(next, staged);
+    }
+
+    /** Forgets the parts, after the configuration was taken over or found to be unusable. */
+    void clear() {
+        staged.clear();
+        manifest = null;
+        source = "";
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/spread/ShardPacker.java
@@ -0,0 +1,65 @@
+package org.bronzehill.core.spread;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.bronzehill.config.ConfigurationStore;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.Manifest;
+import org.bronzehill.protocol.generated.ConfigurationPush;
+import org.bronzehill.protocol.generated.ConfigurationShard;
+
+/** Chooses the shards that fit into one message; the receiver pulls again for the others. */
+final class ShardPacker {
+
+    /** Messages between instances are at most 1 MiB long; the rest is left for the envelope. */
+    static final int MAX_PUSH_BYTES = (1 << 20) - 8 * 1024;
+
+    private static final int SHARD_OVERHEAD = 100;
+
+    private ShardPacker() {}
+
+    /** Returns the next part of the configuration in force for a peer that has {@code have}. */
+    static ConfigurationPush pack(ConfigurationStore store, Set<String> have) {
+        Manifest manifest = store.manifest();
+        byte[] encoded = ImageCodec.encodeManifest(manifest);
+        ConfigurationPush.Builder push = ConfigurationPush.newBuilder();
+        push.setNumber(manifest.number()).setManifest(ByteString.copyFrom(encoded));
+        int room = MAX_PUSH_BYTES - encoded.length;
+        int used = 0;
+        for (String hash : hashes(manifest)) {
+            if (have.contains(hash)) {
+                continue;
+            }
+            byte[] content = store.contents().get(hash);
+            int size = content.length + SHARD_OVERHEAD;
+            if (used + size > room) {
+                push.setMore(true);
+                continue;
+            }
+            used += size;
+            push.addShards(
+                    ConfigurationShard.newBuilder()
+                            .setHash(hash)
+                            .setContent(ByteString.copyFrom(content)));
+        }
+        return push.build();
+    }
+
+    /** Returns the hashes of a manifest, each once. */
+    static List<String> hashes(Manifest manifest) {
+        Set<String> hashes = new HashSet<>();
+        List<String> ordered = new ArrayList<>();
+        if (!manifest.base().isEmpty() && hashes.add(manifest.base())) {
+            ordered.add(manifest.base());
+        }
+        for (String h : manifest.shards()) {
+            if (hashes.add(h)) {
+                ordered.add(h);
+            }
+        }
+        return ordered;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/cluster/VirtualNode.java
@@ -0,0 +1,239 @@
+package org.bronzehill.core.cluster;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.config.ConfigurationStore;
+import org.bronzehill.core.budget.StoreBudget;
+import org.bronzehill.core.lease.Lease;
+import org.bronzehill.core.lease.LeaseListener;
+import org.bronzehill.core.lease.LeaseManager;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.membership.PauseDetector;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.spread.ConfigurationSpread;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.HolderHandover;
+import org.bronzehill.protocol.generated.LeaseReply;
+
+/** One entry instance made of the four cluster components. */
+final class VirtualNode implements LeaseListener {
+
+    final VirtualCluster cluster;
+    final InstanceRef ref;
+    final Membership membership;
+    final LeaseManager leases;
+    final ConfigurationSpread spread;
+    final StoreBudget budget;
+    final List<Lease> acquired = new ArrayList<>();
+    final List<HolderHandover> handovers = new ArrayList<>();
+    final List<String> lost = new ArrayList<>();
+    final List<String> acknowledged = new ArrayList<>();
+    private final PauseDetector pauses;
+    private final Deque<Runnable> inbox = new ArrayDeque<>();
+    private final long skewMs;
+    ConfigurationStore store = ConfigurationStore.create();
+    boolean running = true;
+    boolean brokenGrantor;
+    boolean listFrozen;
+    long highestNumber;
+    private boolean paused;
+    long sentMessages;
+    long sentBytes;
+    long largestMessage;
+    long cpuNanos;
+
+    VirtualNode(VirtualCluster cluster, InstanceRef ref, long seed, long skewMs) {
+        this.cluster = cluster;
+        this.ref = ref;
+        this.skewMs = skewMs;
+        TimeSource time = new Clock();
+        SplittableRandom random = new SplittableRandom(seed);
+        membership = Membership.create(ref, time, random.split());
+        leases = LeaseManager.create(membership, () -> store.current(), time, this);
+        spread = ConfigurationSpread.create(membership, store, time, random.split());
+        budget =
+                StoreBudget.create(
+                        leases,
+                        membership,
+                        () -> store.current(),
+                        time,
+                        (engine, sequence, out) -> cluster.permitGranted(this, engine, sequence));
+        pauses = PauseDetector.create(time, Duration.ofSeconds(1));
+    }
+
+    private final class Clock implements TimeSource {
+        @Override
+        public Instant instant() {
+            return VirtualCluster.START.plusNanos(cluster.now()).plusMillis(skewMs);
+        }
+
+        @Override
+        public long nanoTime() {
+            return cluster.now();
+        }
+    }
+
+    String id() {
+        return ref.id();
+    }
+
+    /** Runs an input now, or after the pause if the process does not run. */
+    void run(Runnable input) {
+        if (!running) {
+            return;
+        }
+        if (paused) {
+            inbox.add(input);
+            return;
+        }
+        long start = System.nanoTime();
+        input.run();
+        cpuNanos += System.nanoTime() - start;
+        long number = store.current().number();
+        if (number < highestNumber) {
+            cluster.violations.add(id() + " went back to " + number + " from " + highestNumber);
+        }
+        highestNumber = number;
+    }
+
+    void pause(long nanos) {
+        paused = true;
+        cluster.after(nanos, this::resume);
+    }
+
+    private void resume() {
+        paused = false;
+        run(this::tick);
+        while (!inbox.isEmpty() && !paused) {
+            run(inbox.poll());
+        }
+    }
+
+    boolean paused() {
+        return paused;
+    }
+
+    void tick() {
+        if (pauses.pausedSinceLastTick()) {
+            leases.dropAll(this::carryOut);
+            spread.recheck(this::carryOut);
+        }
+        membership.onTick(this::carryOut);
+        leases.onTick(this::carryOut);
+        spread.onTick(this::carryOut);
+        budget.onTick(this::carryOut);
+    }
+
+    void listRead(InstanceList list) {
+        run(
+                () -> {
+                    membership.onInstanceList(list, this::carryOut);
+                    leases.onInstanceList(list, this::carryOut);
+                });
+    }
+
+    void read(ConfigurationImage image) {
+        run(() -> spread.onRead(image, this::carryOut));
+    }
+
+    void readFailed(String reason) {
+        run(() -> spread.onReadFailed(reason, this::carryOut));
+    }
+
+    void receive(Envelope e) {
+        run(() -> handle(e));
+    }
+
+    private void handle(Envelope e) {
+        if (e.getToIncarnation() != 0 && e.getToIncarnation() != ref.incarnation()) {
+            return;
+        }
+        spread.onEnvelope(e, this::carryOut);
+        switch (e.getBodyCase()) {
+            case PING, ACK, PING_REQUEST, LEAVING -> membership.onMessage(e, this::carryOut);
+            case LEASE_REQUEST -> {
+                if (brokenGrantor) {
+                    grantEverything(e);
+                } else {
+                    leases.onMessage(e, this::carryOut);
+                }
+            }
+            case LEASE_REPLY, LEASE_RELEASE, INTENT_REQUEST, INTENT_REPLY, HOLDER_HANDOVER ->
+                    leases.onMessage(e, this::carryOut);
+            case PERMIT_REQUEST, PERMIT_GRANT, PERMIT_RETURN -> budget.onMessage(e, this::carryOut);
+            default -> {}
+        }
+    }
+
+    /** Behaves as a grantor without memory, to show that the checks notice it. */
+    private void grantEverything(Envelope e) {
+        LeaseReply.Builder reply =
+                LeaseReply.newBuilder().setSequence(e.getLeaseRequest().getSequence());
+        e.getLeaseRequest()
+                .getClaimsList()
+                .forEach(
+                        c ->
+                                reply.addAnswersBuilder()
+                                        .setResource(c.getResource())
+                                        .setFencing(c.getFencing())
+                                        .setGranted(true));
+        carryOut(
+                new Effect.SendPeer(
+                        e.getFrom(), Envelope.newBuilder().setLeaseReply(reply), false));
+    }
+
+    Effects effects() {
+        return this::carryOut;
+    }
+
+    private void carryOut(Effect effect) {
+        if (effect instanceof Effect.SendPeer s) {
+            Envelope.Builder b = s.envelope().setFrom(id()).setFromIncarnation(ref.incarnation());
+            b.setTo(s.instance()).setListVersion(membership.list().version());
+            b.setConfigurationNumber(store.current().number());
+            if (b.getToIncarnation() == 0) {
+                b.setToIncarnation(
+                        membership
+                                .peer(s.instance())
+                                .map(p -> p.ref().incarnation())
+                                .getOrElse(0L));
+            }
+            Envelope e = b.build();
+            sentMessages++;
+            sentBytes += e.getSerializedSize();
+            largestMessage = Math.max(largestMessage, e.getSerializedSize());
+            cluster.send(e, s.fresh());
+        } else if (effect instanceof Effect.ReadConfiguration r) {
+            cluster.service.read(this, r.haveNumber(), r.maxWait());
+        }
+    }
+
+    @Override
+    public void acquired(Lease lease, Option<HolderHandover> handover, Effects out) {
+        acquired.add(lease);
+        handover.forEach(handovers::add);
+        budget.acquired(lease, handover, out);
+        cluster.acquired(this, lease);
+    }
+
+    @Override
+    public void lost(String resource, Effects out) {
+        lost.add(resource);
+    }
+
+    @Override
+    public void intentAcknowledged(String resource, String handle, Effects out) {
+        acknowledged.add(handle);
+    }
+}
