--- a/bronzehill-core/src/test/java/org/bronzehill/core/cluster/LeaseClusterTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/cluster/LeaseClusterTest.java
@@ -1,29 +1,310 @@
 package org.bronzehill.core.cluster;
 
+import static org.bronzehill.core.cluster.VirtualCluster.MS;
 import static org.bronzehill.core.cluster.VirtualCluster.SECOND;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.bronzehill.config.OwnershipScope;
+import org.bronzehill.core.lease.Lease;
+import org.bronzehill.core.lease.Resources;
+import org.bronzehill.core.model.ListedInstance;
+import org.bronzehill.core.model.ListedState;
+import org.bronzehill.protocol.generated.HolderHandover;
 import org.testng.annotations.Test;
 
 /** Leases of several instances under the failures of the design page. */
 public class LeaseClusterTest {
 
+    private static final String ENGINE = Resources.engine("e0");
+
     static VirtualCluster started(long seed, int instances, int engines, int dataCentres) {
         VirtualCluster c = new VirtualCluster(seed, instances, engines, dataCentres);
         c.service.publish(c.configuration(1));
         c.startAll();
-        c.checkLeases(5 * VirtualCluster.MS);
+        c.checkLeases(5 * MS);
         c.runFor(6 * SECOND);
         return c;
     }
 
+    private static void assertClean(VirtualCluster c) {
+        assertEquals(c.violations.toString(), "[]");
+    }
+
     /** Guards against a fleet that starts together and blocks itself with split votes. */
     @Test
     public void allResourcesAreHeldSoonAfterTheStartOfTheFleet() {
         for (int n : new int[] {1, 2, 3, 9}) {
             VirtualCluster c = started(n, n, 8, 3);
             assertEquals(c.unheld(), 0, "unheld with " + n + " instances");
-            assertEquals(c.violations.toString(), "[]");
+            assertClean(c);
+        }
+    }
+
+    /** Guards against leases that stay with a killed instance, or move with an old number. */
+    @Test
+    public void nextCandidateTakesOverFromKilledHolder() {
+        VirtualCluster c = started(11, 9, 8, 3);
+        VirtualNode old = c.holder(ENGINE);
+        long fencing = old.leases.lease(ENGINE).get().fencing();
+        c.kill(old.id());
+        c.runFor(7 * SECOND);
+        assertNotNull(c.holder(ENGINE));
+        assertTrue(c.holder(ENGINE).leases.lease(ENGINE).get().fencing() > fencing);
+        assertEquals(c.unheld(), 0);
+        assertClean(c);
+    }
+
+    /** Guards against a paused holder that still acts as one when it runs again. */
+    @Test
+    public void pausedHolderHoldsNothingWhenItWakes() {
+        VirtualCluster c = started(12, 9, 8, 3);
+        VirtualNode old = c.holder(ENGINE);
+        old.pause(8 * SECOND);
+        c.runFor(7900 * MS);
+        assertFalse(old.leases.holds(ENGINE));
+        assertNotEquals(c.holder(ENGINE).id(), old.id());
+        c.runFor(3 * SECOND);
+        assertTrue(old.lost.contains(ENGINE));
+        assertNotEquals(c.holder(ENGINE).id(), old.id());
+        assertTrue(old.spread.caughtUp());
+        assertClean(c);
+    }
+
+    /** Guards against two working sides of a partition that both hold a resource. */
+    @Test
+    public void onlyTheSideWithTheMajorityHoldsLeases() {
+        VirtualCluster c = started(13, 9, 8, 3);
+        Set<String> minority = Set.of("n000", "n001", "n002");
+        Set<String> majority = new TreeSet<>(c.nodes.keySet());
+        majority.removeAll(minority);
+        c.network.partition(minority, majority);
+        c.runFor(9 * SECOND);
+        for (String r : c.resources()) {
+            VirtualNode h = c.holder(r);
+            boolean possible = h != null && majority.contains(h.id());
+            assertTrue(possible, r + " is held by " + (h == null ? "nobody" : h.id()));
+        }
+        c.network.heal();
+        c.runFor(6 * SECOND);
+        assertEquals(c.unheld(), 0);
+        c.running().forEach(n -> assertEquals(n.membership.live().size(), 9, n.id()));
+        assertClean(c);
+    }
+
+    /** Guards against data centres that lose their own engines when they lose each other. */
+    @Test
+    public void cutOffDataCentreKeepsItsOwnEngines() {
+        VirtualCluster c = new VirtualCluster(14, 9, 9, 3);
+        c.scope = OwnershipScope.DATA_CENTRE;
+        c.service.publish(c.configuration(1));
+        c.startAll();
+        c.checkLeases(5 * MS);
+        c.runFor(6 * SECOND);
+        assertEquals(c.unheld(), 0);
+        Set<String> one = new TreeSet<>();
+        Set<String> rest = new TreeSet<>();
+        c.nodes.values().forEach(n -> (n.ref.dataCentre().equals("dc0") ? one : rest).add(n.id()));
+        c.network.partition(one, rest);
+        c.runFor(10 * SECOND);
+        for (int i = 0; i < 9; i++) {
+            VirtualNode h = c.holder(Resources.engine("e" + i));
+            assertNotNull(h, "engine e" + i);
+            assertEquals(h.ref.dataCentre(), "dc" + i % 3);
+        }
+        assertClean(c);
+    }
+
+    /** Guards against a holder that hears nothing, or is heard by nobody, and keeps its leases. */
+    @Test
+    public void holderWithOneWayLinksIsReplaced() {
+        for (boolean outgoing : new boolean[] {true, false}) {
+            VirtualCluster c = started(15, 9, 8, 3);
+            VirtualNode old = c.holder(ENGINE);
+            for (String other : c.nodes.keySet()) {
+                if (!other.equals(old.id())) {
+                    c.network.block(outgoing ? old.id() : other, outgoing ? other : old.id());
+                }
+            }
+            c.runFor(15 * SECOND);
+            assertNotNull(c.holder(ENGINE), "nobody holds it; outgoing links cut: " + outgoing);
+            assertNotEquals(c.holder(ENGINE).id(), old.id());
+            assertClean(c);
+        }
+    }
+
+    /** Guards against two majorities when one instance works with an older instance list. */
+    @Test
+    public void instanceWithOldListIsRefused() {
+        VirtualCluster c = started(16, 9, 8, 3);
+        VirtualNode lagging = c.holder(ENGINE);
+        lagging.listFrozen = true;
+        List<ListedInstance> shorter = new ArrayList<>(c.list.instances());
+        ListedInstance gone =
+                shorter.stream().filter(i -> !i.ref().id().equals(lagging.id())).findFirst().get();
+        shorter.remove(gone);
+        c.publishList(shorter);
+        c.runFor(8 * SECOND);
+        assertFalse(lagging.leases.holds(ENGINE));
+        assertNotNull(c.holder(ENGINE));
+        lagging.listFrozen = false;
+        c.runFor(3 * SECOND);
+        assertEquals(c.unheld(), 0);
+        assertClean(c);
+    }
+
+    /** Guards against a lease that is measured from the arrival of a delayed grant. */
+    @Test
+    public void delayedGrantsDoNotExtendALease() {
+        VirtualCluster c = started(17, 9, 8, 3);
+        c.network.minDelayNanos = 900 * MS;
+        c.network.maxDelayNanos = 2500 * MS;
+        c.runFor(30 * SECOND);
+        c.network.minDelayNanos = MS;
+        c.network.maxDelayNanos = 2 * MS;
+        c.runFor(10 * SECOND);
+        assertEquals(c.unheld(), 0);
+        assertClean(c);
+    }
+
+    /** Guards against fencing numbers that start again when no process remembers them. */
+    @Test
+    public void fencingGrowsOverARestartOfEverything() {
+        VirtualCluster c = started(18, 9, 8, 3);
+        c.nodes.keySet().forEach(c::kill);
+        c.runFor(1 * SECOND);
+        c.startAll();
+        c.runFor(8 * SECOND);
+        assertEquals(c.unheld(), 0);
+        assertClean(c);
+    }
+
+    /** Guards against an old number when an engine remembers more than all instances. */
+    @Test
+    public void fencingExceedsTheNumberThatTheEngineReports() {
+        VirtualCluster c = started(19, 3, 1, 1);
+        VirtualNode old = c.holder(ENGINE);
+        long reported = old.leases.lease(ENGINE).get().fencing() + 1_000_000_000L;
+        old.leases.observeFencing(ENGINE, reported);
+        assertFalse(old.leases.holds(ENGINE));
+        c.runFor(2 * SECOND);
+        assertTrue(c.holder(ENGINE).leases.lease(ENGINE).get().fencing() > reported);
+        assertClean(c);
+    }
+
+    /** Guards against a successor that uses a handle whose eviction may still arrive. */
+    @Test
+    public void successorLearnsOfOpenIntents() {
+        VirtualCluster c = started(20, 9, 8, 3);
+        VirtualNode old = c.holder(ENGINE);
+        c.runFor(61 * SECOND);
+        old.leases.announceIntent(ENGINE, "a@1#7", old.effects());
+        old.leases.announceIntent(ENGINE, "b@1#7", old.effects());
+        assertEquals(old.acknowledged, List.of());
+        c.runFor(20 * MS);
+        assertEquals(old.acknowledged, List.of("a@1#7", "b@1#7"));
+        old.leases.finishIntent(ENGINE, "b@1#7", old.effects());
+        c.runFor(20 * MS);
+        c.kill(old.id());
+        c.runFor(8 * SECOND);
+        Lease next = c.holder(ENGINE).leases.lease(ENGINE).get();
+        assertEquals(next.openIntents(), Set.of("a@1#7"));
+        assertTrue(next.historyKnown());
+    }
+
+    /** Guards against an eviction on the strength of a minority of the grantors. */
+    @Test
+    public void intentNeedsAMajority() {
+        VirtualCluster c = started(21, 9, 8, 3);
+        VirtualNode holder = c.holder(ENGINE);
+        c.filter = e -> !e.hasIntentRequest() || e.getTo().equals("n001");
+        holder.leases.announceIntent(ENGINE, "a@1#7", holder.effects());
+        c.runFor(SECOND);
+        assertEquals(holder.acknowledged, List.of());
+        c.filter = e -> true;
+        c.runFor(SECOND);
+        assertEquals(holder.acknowledged, List.of("a@1#7"));
+    }
+
+    /** Guards against a planned stop that loses what the holder knows or leaves a gap. */
+    @Test
+    public void releasedLeaseMovesWithItsHandover() {
+        VirtualCluster c = started(22, 9, 8, 3);
+        VirtualNode old = c.holder(ENGINE);
+        HolderHandover.Builder state = HolderHandover.newBuilder();
+        state.addHandlesBuilder().setHandle("a@1#7").setRunning(2);
+        state.addOpenIntents("b@1#7");
+        old.membership.leave(old.effects());
+        old.leases.release(ENGINE, state.build(), old.effects());
+        assertFalse(old.leases.holds(ENGINE));
+        c.runFor(400 * MS);
+        VirtualNode next = c.holder(ENGINE);
+        assertNotNull(next);
+        assertEquals(next.handovers.size(), 1);
+        assertEquals(next.handovers.get(0).getHandles(0).getHandle(), "a@1#7");
+        Lease lease = next.leases.lease(ENGINE).get();
+        assertTrue(lease.historyKnown());
+        assertEquals(lease.openIntents(), Set.of("b@1#7"));
+        assertClean(c);
+    }
+
+    /** Guards against a restarted grantor that grants again what it granted before. */
+    @Test
+    public void restartedGrantorsDoNotGrantTwice() {
+        VirtualCluster c = started(23, 3, 1, 1);
+        VirtualNode holder = c.holder(ENGINE);
+        holder.pause(1900 * MS);
+        for (int i = 0; i < 3; i++) {
+            if (!VirtualCluster.id(i).equals(holder.id())) {
+                c.kill(VirtualCluster.id(i));
+                c.start(i);
+            }
+        }
+        c.runFor(2500 * MS);
+        assertClean(c);
+        c.runFor(5 * SECOND);
+        assertEquals(c.unheld(), 0);
+    }
+
+    /** Guards against a lease on an engine that is no longer published. */
+    @Test
+    public void leaseEndsWithTheEngine() {
+        VirtualCluster c = started(24, 3, 2, 1);
+        VirtualNode holder = c.holder(ENGINE);
+        c.list =
+                new org.bronzehill.core.model.InstanceList(
+                        2, c.list.instances(), c.list.upstreams().subList(1, 2));
+        c.runFor(2 * SECOND);
+        assertNull(c.holder(ENGINE));
+        assertTrue(holder.lost.contains(ENGINE));
+    }
+
+    /** Guards against a leaving instance that is still a candidate. */
+    @Test
+    public void leavingInstanceObtainsNoLease() {
+        VirtualCluster c = started(25, 3, 8, 1);
+        VirtualNode leaving = c.holder(ENGINE);
+        List<ListedInstance> listed = new ArrayList<>();
+        for (ListedInstance i : c.list.instances()) {
+            boolean it = i.ref().id().equals(leaving.id());
+            listed.add(new ListedInstance(i.ref(), it ? ListedState.LEAVING : i.state()));
+        }
+        c.publishList(listed);
+        leaving.membership.leave(leaving.effects());
+        for (String r : leaving.leases.held()) {
+            leaving.leases.release(r, HolderHandover.getDefaultInstance(), leaving.effects());
         }
+        c.runFor(4 * SECOND);
+        assertEquals(leaving.leases.held(), Set.of());
+        assertEquals(c.unheld(), 0);
+        assertClean(c);
     }
 }
