--- a/bronzehill-core/src/main/java/org/bronzehill/core/budget/RateBucket.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/budget/RateBucket.java
@@ -3,8 +3,11 @@
 /** Token bucket whose rate may change between two refills. */
 final class RateBucket {
 
-    /** Ticks are 50 ms apart; a bucket that holds 100 ms of a high rate loses nothing to them. */
-    private static final double CAPACITY_SECONDS = 0.1;
+    /**
+     * Permits are issued in ticks of 50 ms. A bucket that holds this time's tokens besides the next
+     * whole one loses none of the rate to the ticks.
+     */
+    private static final double TICK_SECONDS = 0.1;
 
     private double tokens;
     private long refilledAt;
@@ -21,7 +24,7 @@
     void refill(double perSecond, long now) {
         double gained = perSecond * (now - refilledAt) / 1e9;
         refilledAt = now;
-        tokens = Math.min(Math.max(1, perSecond * CAPACITY_SECONDS), tokens + gained);
+        tokens = Math.min(1 + perSecond * TICK_SECONDS, tokens + gained);
     }
 
     boolean take() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/GrantTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/GrantTable.java
@@ -34,6 +34,7 @@
         private long fencing;
         private long expires;
         private long highest;
+        private long highestHeld;
         private long previous;
         private long grantableFrom;
         private long lastSequence;
@@ -80,12 +81,15 @@
                     .build();
         }
         boolean renewal = same && claim.getFencing() == g.fencing;
-        if (!renewal && claim.getFencing() <= g.highest) {
+        if (!renewal && claim.getFencing() <= g.highest && !renewsElsewhere(g, claim)) {
             return answer.build();
         }
         if (!renewal) {
             start(g, from, claim.getFencing(), same);
         }
+        if (claim.getHeld()) {
+            g.highestHeld = Math.max(g.highestHeld, claim.getFencing());
+        }
         g.expires = now + LEASE_NANOS;
         syncIntents(g, sequence, claim);
         return answer.setGranted(true)
@@ -95,6 +99,15 @@
                 .build();
     }
 
+    /**
+     * Returns whether the claim renews a lease that a majority of the others has granted, while
+     * this grantor's highest number comes from an attempt that obtained no majority, such as one
+     * during a partition. A late claim of an earlier epoch does not count.
+     */
+    private static boolean renewsElsewhere(Grant g, LeaseClaim claim) {
+        return claim.getHeld() && claim.getFencing() >= g.highestHeld;
+    }
+
     private static void start(Grant g, Claimant from, long fencing, boolean same) {
         if (!same) {
             g.previous = g.fencing;
@@ -129,6 +142,7 @@
         if (g == null || !from.equals(g.holder) || g.fencing != request.getFencing()) {
             return false;
         }
+        g.highestHeld = Math.max(g.highestHeld, request.getFencing());
         if (request.getSequence() >= g.lastSequence) {
             g.lastSequence = request.getSequence();
             if (request.getFinished()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseManager.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseManager.java
@@ -231,6 +231,12 @@
         }
     }
 
+    /** Returns whether this instance is one of the grantors of the resource. */
+    public boolean grants(String resource) {
+        GrantorSet set = index.of(resource);
+        return set != null && set.contains(membership.self().id());
+    }
+
     /** Returns whether enough grantors are live for any instance here to hold the resource. */
     public boolean majorityReachable(String resource) {
         GrantorSet set = index.of(resource);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseSeeker.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseSeeker.java
@@ -38,6 +38,10 @@
 
     private static final long GIVE_UP_NANOS = 1_000_000_000L;
     private static final long LOST_RACE_NANOS = 100_000_000L;
+
+    /** Leaves the own grant free for longer than a period of renewals of the other holder. */
+    private static final long BEATEN_NANOS = RENEW_NANOS + 100_000_000L;
+
     private static final long JITTER_MS = 400;
     private static final long HANDOVER_NANOS = 5_000_000_000L;
 
@@ -168,7 +172,7 @@
             return;
         }
         if (!handover && (t.hopeless() || t.countRound() > MAX_ROUNDS)) {
-            giveUp(t, now + (t.hopeless() ? LOST_RACE_NANOS : GIVE_UP_NANOS) + jitter(resource));
+            giveUp(t, now + quietTime(t) + jitter(resource));
             return;
         }
         if (handover) {
@@ -180,6 +184,13 @@
         t.nextClaim(now + (handover ? HANDOVER_RETRY_NANOS : RETRY_NANOS));
     }
 
+    private static long quietTime(Tenure t) {
+        if (t.beaten()) {
+            return BEATEN_NANOS;
+        }
+        return t.hopeless() ? LOST_RACE_NANOS : GIVE_UP_NANOS;
+    }
+
     /** Two candidates that lost against each other must not meet again. */
     private long jitter(String resource) {
         long h = RendezvousHash.weight(resource + attempts++, self);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/Tenure.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/Tenure.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -16,7 +17,7 @@
 
     private GrantorSet set;
     private final Map<String, Grant> grants = new HashMap<>();
-    private final Set<String> refusals = new HashSet<>();
+    private final Map<String, String> rivals = new HashMap<>();
     private final Map<String, Intent> intents = new LinkedHashMap<>();
     private long fencing;
     private long seenFencing;
@@ -109,7 +110,7 @@
         if (answer.getFencing() != fencing || !set.contains(grantor)) {
             return;
         }
-        refusals.remove(grantor);
+        rivals.remove(grantor);
         Grant old = grants.get(grantor);
         long latest = old == null ? grantUntil : Math.max(old.until(), grantUntil);
         grants.put(
@@ -126,13 +127,19 @@
         if (lease == null) {
             see(answer.getHighestFencing());
             if (!answer.getHolder().isEmpty()) {
-                refusals.add(grantor);
+                rivals.put(grantor, answer.getHolder());
             }
         }
     }
 
     boolean hopeless() {
-        return refusals.size() > set.grantors().size() - set.majority();
+        return rivals.size() > set.grantors().size() - set.majority();
+    }
+
+    /** Returns whether a majority has named the same other holder. */
+    boolean beaten() {
+        return rivals.values().stream()
+                .anyMatch(r -> Collections.frequency(rivals.values(), r) >= set.majority());
     }
 
     boolean hasMajority(long now) {
@@ -181,7 +188,7 @@
         fenced = false;
         acquiredAt = now;
         rounds = 0;
-        refusals.clear();
+        rivals.clear();
         return lease;
     }
 
@@ -191,7 +198,7 @@
         lease = null;
         fenced = false;
         grants.clear();
-        refusals.clear();
+        rivals.clear();
         intents.clear();
         rounds = 0;
         quietUntil = quiet;
@@ -202,7 +209,7 @@
         c.setResource(set.resource()).setFencing(fencing);
         if (lease != null) {
             boolean complete = lease.historyKnown() || now - acquiredAt >= historyNanos;
-            c.addAllOpenIntents(intents.keySet()).setIntentsComplete(complete);
+            c.addAllOpenIntents(intents.keySet()).setIntentsComplete(complete).setHeld(valid(now));
         }
         return c.build();
     }
