--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/crash/CrashRegistry.java
@@ -0,0 +1,192 @@
+package org.bronzehill.core.crash;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.Signal;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.CrashMark;
+import org.bronzehill.protocol.generated.CrashMarks;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Counts, by request fingerprint, how many upstreams went down while they ran the request. Each
+ * instance counts the crashes that it saw itself and tells its peers; the counts of all reporters
+ * add up.
+ */
+public final class CrashRegistry {
+
+    /** Number of crashes at which a request is refused. */
+    public static final int REFUSAL_THRESHOLD = 2;
+
+    /** Time after which a mark is forgotten if no further crash is seen. */
+    public static final Duration RETENTION = Duration.ofMinutes(10);
+
+    /** Largest number of fingerprints kept; the one marked least recently is dropped first. */
+    public static final int MAX_FINGERPRINTS = 4096;
+
+    private static final Duration RESEND_INTERVAL = Duration.ofSeconds(5);
+    private static final int MARKS_PER_MESSAGE = 256;
+
+    private final String self;
+    private final Supplier<? extends Collection<String>> peers;
+    private final TimeSource time;
+    private final Map<ByteString, Entry> entries = new LinkedHashMap<>();
+    private long nextResendNanos;
+
+    private CrashRegistry(
+            String self, Supplier<? extends Collection<String>> peers, TimeSource time) {
+        this.self = self;
+        this.peers = peers;
+        this.time = time;
+        this.nextResendNanos = time.nanoTime() + RESEND_INTERVAL.toNanos();
+    }
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param self id of this instance
+     * @param peers ids of the other live instances
+     */
+    public static CrashRegistry create(
+            String self, Supplier<? extends Collection<String>> peers, TimeSource time) {
+        return new CrashRegistry(self, peers, time);
+    }
+
+    /** Returns the number of crashes counted for a fingerprint. */
+    public int marks(byte[] fingerprint) {
+        Entry entry = entries.get(ByteString.copyFrom(fingerprint));
+        return entry == null || expired(entry) ? 0 : entry.total();
+    }
+
+    /** Returns whether requests with this fingerprint are refused. */
+    public boolean refuses(byte[] fingerprint) {
+        return marks(fingerprint) >= REFUSAL_THRESHOLD;
+    }
+
+    /** Marks the requests that were running on an upstream when it went down. */
+    public void crashed(Collection<byte[]> fingerprints, Effects out) {
+        if (fingerprints.isEmpty()) {
+            return;
+        }
+        List<CrashMark> marks = new ArrayList<>();
+        for (byte[] f : fingerprints) {
+            ByteString key = ByteString.copyFrom(f);
+            Entry entry = touch(key, time.nanoTime());
+            entry.counts.merge(self, 1, Integer::sum);
+            marks.add(mark(key, self, entry));
+        }
+        out.add(new Effect.Measure(Signal.CRASH_MARKS, "", marks.size()));
+        broadcast(marks, out);
+    }
+
+    /** Clears the marks of a request that has run to its end. */
+    public void completed(byte[] fingerprint, Effects out) {
+        ByteString key = ByteString.copyFrom(fingerprint);
+        if (entries.remove(key) != null) {
+            broadcast(
+                    List.of(CrashMark.newBuilder().setFingerprint(key).setCleared(true).build()),
+                    out);
+        }
+    }
+
+    /** Takes over the marks that a peer sent. */
+    public void onMessage(Envelope envelope, Effects out) {
+        for (CrashMark mark : envelope.getCrashMarks().getMarksList()) {
+            if (mark.getCleared()) {
+                entries.remove(mark.getFingerprint());
+                continue;
+            }
+            long marked = time.nanoTime() - Duration.ofMillis(mark.getAgeMs()).toNanos();
+            if (mark.getAgeMs() >= RETENTION.toMillis() || mark.getReporter().equals(self)) {
+                continue;
+            }
+            touch(mark.getFingerprint(), marked)
+                    .counts
+                    .merge(mark.getReporter(), mark.getCrashes(), Math::max);
+        }
+    }
+
+    /**
+     * Forgets old marks and repeats the known ones, so that instances that started later learn
+     * them.
+     */
+    public void onTick(Effects out) {
+        entries.values().removeIf(this::expired);
+        if (time.nanoTime() < nextResendNanos) {
+            return;
+        }
+        nextResendNanos = time.nanoTime() + RESEND_INTERVAL.toNanos();
+        List<CrashMark> marks = new ArrayList<>();
+        entries.forEach(
+                (key, entry) -> entry.counts.keySet().forEach(r -> marks.add(mark(key, r, entry))));
+        for (int from = 0; from < marks.size(); from += MARKS_PER_MESSAGE) {
+            broadcast(marks.subList(from, Math.min(marks.size(), from + MARKS_PER_MESSAGE)), out);
+        }
+    }
+
+    /** Returns the number of fingerprints kept. */
+    public int size() {
+        return entries.size();
+    }
+
+    private Entry touch(ByteString key, long markedNanos) {
+        Entry entry = entries.remove(key);
+        if (entry == null || expired(entry)) {
+            entry = new Entry(markedNanos);
+        }
+        entry.markedNanos = Math.max(entry.markedNanos, markedNanos);
+        entries.put(key, entry);
+        Iterator<ByteString> oldest = entries.keySet().iterator();
+        while (entries.size() > MAX_FINGERPRINTS) {
+            oldest.next();
+            oldest.remove();
+        }
+        return entry;
+    }
+
+    private CrashMark mark(ByteString key, String reporter, Entry entry) {
+        long age = Duration.ofNanos(time.nanoTime() - entry.markedNanos).toMillis();
+        return CrashMark.newBuilder()
+                .setFingerprint(key)
+                .setReporter(reporter)
+                .setCrashes(entry.counts.get(reporter))
+                .setAgeMs(Math.max(0, age))
+                .build();
+    }
+
+    private void broadcast(List<CrashMark> marks, Effects out) {
+        for (String peer : peers.get()) {
+            Envelope.Builder envelope =
+                    Envelope.newBuilder().setCrashMarks(CrashMarks.newBuilder().addAllMarks(marks));
+            out.add(new Effect.SendPeer(peer, envelope, false));
+        }
+    }
+
+    private boolean expired(Entry entry) {
+        return time.nanoTime() - entry.markedNanos >= RETENTION.toNanos();
+    }
+
+    /** Counts by reporter, and the time of the latest crash. */
+    private static final class Entry {
+        private final Map<String, Integer> counts = new HashMap<>();
+        private long markedNanos;
+
+        private Entry(long markedNanos) {
+            this.markedNanos = markedNanos;
+        }
+
+        private int total() {
+            return counts.values().stream().mapToInt(Integer::intValue).sum();
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/crash/package-info.java
@@ -0,0 +1,2 @@
+/** Recognition of requests that crash the upstreams that run them. */
+package org.bronzehill.core.crash;
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActAnswer.java
@@ -0,0 +1,14 @@
+package org.bronzehill.core.onceonly;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * Answer of the plain service to a once-only act.
+ *
+ * @param upstream application runner that ran the act
+ */
+public record ActAnswer(int httpStatus, String contentType, ByteString body, String upstream) {
+
+    /** Answer of a request that has none. */
+    public static final ActAnswer NONE = new ActAnswer(0, "", ByteString.EMPTY, "");
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActCoordinator.java
@@ -0,0 +1,293 @@
+package org.bronzehill.core.onceonly;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.IdSequence;
+import org.bronzehill.core.node.Input.ServiceAnswer;
+import org.bronzehill.core.onceonly.ActExecution.Waiter;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.result.RunState;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.ActClaimRecord;
+import org.bronzehill.protocol.generated.ActForward;
+import org.bronzehill.protocol.generated.ActStatus;
+import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.ServiceCall;
+
+/**
+ * Runs once-only acts at most once. Requests are forwarded to the act's coordinator, which claims
+ * the act at a majority of its witnesses before it calls the plain service. "Not run" is reported
+ * only when every instance that was given the request has promised not to execute it.
+ */
+public final class ActCoordinator {
+
+    /** Time after which a coordinator that has not answered is passed over for the next one. */
+    private static final Duration FORWARD_TIMEOUT = Duration.ofSeconds(1);
+
+    private static final Duration REPLY_MARGIN = Duration.ofMillis(20);
+
+    private final ActPeers peers;
+    private final TimeSource time;
+    private final ActListener listener;
+    private final WitnessHistory history;
+    private final ActWitness witness;
+    private final ActExecutor executor;
+    private final Map<String, Pending> pending = new LinkedHashMap<>();
+
+    private ActCoordinator(ActPeers peers, TimeSource time, IdSequence ids, ActListener listener) {
+        this.peers = peers;
+        this.time = time;
+        this.listener = listener;
+        ClaimTable claims = new ClaimTable(time);
+        this.history = new WitnessHistory(peers, claims, time);
+        this.witness = new ActWitness(peers, claims, history);
+        this.executor = new ActExecutor(peers, witness, time, ids, this::onExecuted);
+    }
+
+    /** Creates a coordinator that knows no claims yet. */
+    public static ActCoordinator create(
+            ActPeers peers, TimeSource time, IdSequence ids, ActListener listener) {
+        return new ActCoordinator(peers, time, ids, listener);
+    }
+
+    /** Accepts a request from a caller of this instance. */
+    public void submit(ActRequest request, Effects out) {
+        String coordinator = WitnessSets.coordinator(request.scopedKey(), peers.live());
+        if (coordinator.isEmpty() || peers.listVersion() == 0) {
+            listener.ended(request.requestId(), ActResult.of(ResultCode.NOT_READY), out);
+            return;
+        }
+        if (peers.runners(request.service()).isEmpty()) {
+            listener.ended(request.requestId(), ActResult.of(ResultCode.NO_UPSTREAM), out);
+            return;
+        }
+        Pending entry = new Pending(request, time.nanoTime() + request.budget().toNanos());
+        pending.put(request.requestId(), entry);
+        give(entry, coordinator, out);
+    }
+
+    private void give(Pending entry, String coordinator, Effects out) {
+        ActRequest request = entry.request;
+        entry.given.add(coordinator);
+        entry.undecided.add(coordinator);
+        entry.givenNanos = time.nanoTime();
+        entry.latest = coordinator;
+        if (coordinator.equals(peers.selfId())) {
+            executor.submit(
+                    withBudget(request, entry.remaining(time)),
+                    new Waiter(peers.selfId(), request.requestId()),
+                    out);
+            return;
+        }
+        ServiceCall.Builder call =
+                ServiceCall.newBuilder()
+                        .setRequestId(request.requestId())
+                        .setMember(request.member())
+                        .setKind(request.kind())
+                        .setService(request.service())
+                        .setOperation(request.operation())
+                        .setBody(request.body())
+                        .setContentType(request.contentType())
+                        .setDeadlineMs(Math.max(1, entry.remaining(time).toMillis()));
+        ActForward.Builder forward = ActForward.newBuilder().setKey(request.key()).setCall(call);
+        out.add(
+                new Effect.SendPeer(
+                        coordinator, Envelope.newBuilder().setActForward(forward), false));
+    }
+
+    private static ActRequest withBudget(ActRequest r, Duration budget) {
+        return new ActRequest(
+                r.requestId(),
+                r.key(),
+                r.member(),
+                r.kind(),
+                r.service(),
+                r.operation(),
+                r.body(),
+                r.contentType(),
+                budget);
+    }
+
+    /** Handles the messages of the once-only protocol. */
+    public void onMessage(Envelope envelope, Effects out) {
+        history.observeListVersion(envelope.getListVersion());
+        switch (envelope.getBodyCase()) {
+            case ACT_FORWARD -> onForward(envelope, out);
+            case ACT_CLAIM -> witness.onClaim(envelope, out);
+            case ACT_CLAIM_REPLY -> executor.onClaimReply(envelope, out);
+            case ACT_QUERY -> executor.onQuery(envelope, out);
+            case ACT_STATUS -> onStatus(envelope, out);
+            case ACT_HANDOVER -> history.onHandover(envelope);
+            case ACT_COPY_REQUEST -> history.onCopyRequest(envelope, out);
+            default -> {}
+        }
+    }
+
+    private void onForward(Envelope envelope, Effects out) {
+        ServiceCall call = envelope.getActForward().getCall();
+        ActRequest request =
+                new ActRequest(
+                        call.getRequestId(),
+                        envelope.getActForward().getKey(),
+                        call.getMember(),
+                        call.getKind(),
+                        call.getService(),
+                        call.getOperation(),
+                        call.getBody(),
+                        call.getContentType(),
+                        Duration.ofMillis(call.getDeadlineMs()));
+        executor.submit(request, new Waiter(envelope.getFrom(), call.getRequestId()), out);
+    }
+
+    private void onExecuted(Waiter waiter, ActResult result, Effects out) {
+        if (waiter.origin().equals(peers.selfId())) {
+            decide(waiter.requestId(), peers.selfId(), result, out);
+            return;
+        }
+        ActAnswer answer = result.answer();
+        ActClaimRecord.Builder claim =
+                ActClaimRecord.newBuilder()
+                        .setHttpStatus(answer.httpStatus())
+                        .setContentType(answer.contentType())
+                        .setAnswer(answer.body())
+                        .setUpstream(answer.upstream());
+        ActStatus.Builder status =
+                ActStatus.newBuilder()
+                        .setRequestId(waiter.requestId())
+                        .setResultCode(result.code().number())
+                        .setClaim(claim);
+        out.add(
+                new Effect.SendPeer(
+                        waiter.origin(), Envelope.newBuilder().setActStatus(status), false));
+    }
+
+    private void onStatus(Envelope envelope, Effects out) {
+        ActStatus status = envelope.getActStatus();
+        ActClaimRecord claim = status.getClaim();
+        if (status.getRequestId().isEmpty()) {
+            witness.onEnded(claim);
+            executor.onTold(claim, out);
+            return;
+        }
+        ActAnswer answer =
+                new ActAnswer(
+                        claim.getHttpStatus(),
+                        claim.getContentType(),
+                        claim.getAnswer(),
+                        claim.getUpstream());
+        ActResult result = new ActResult(ResultCode.ofNumber(status.getResultCode()), answer);
+        decide(status.getRequestId(), envelope.getFrom(), result, out);
+    }
+
+    private void decide(String requestId, String coordinator, ActResult result, Effects out) {
+        Pending entry = pending.get(requestId);
+        if (entry == null) {
+            return;
+        }
+        if (result.code().runState() == RunState.NOT_RUN) {
+            entry.undecided.remove(coordinator);
+            entry.refusal = result;
+            if (!entry.undecided.isEmpty()) {
+                return;
+            }
+        }
+        pending.remove(requestId);
+        listener.ended(requestId, result, out);
+    }
+
+    /** Handles the answer to a call or lookup that this component asked for. */
+    public void onServiceAnswered(long callId, ServiceAnswer answer, Effects out) {
+        executor.onServiceAnswered(callId, answer, out);
+    }
+
+    /** Handles the failure of a call or lookup that this component asked for. */
+    public void onServiceFailed(long callId, FailureReason reason, Effects out) {
+        executor.onServiceFailed(callId, reason, out);
+    }
+
+    /** Passes requests on that wait for a peer that can no longer be reached. */
+    public void onUnreachable(String instance, Effects out) {
+        for (Pending entry : new ArrayList<>(pending.values())) {
+            if (instance.equals(entry.latest)) {
+                passOn(entry, out);
+            }
+        }
+    }
+
+    private void passOn(Pending entry, Effects out) {
+        List<String> untried = new ArrayList<>(peers.live());
+        untried.removeAll(entry.given);
+        String next = WitnessSets.coordinator(entry.request.scopedKey(), untried);
+        if (!next.isEmpty()) {
+            give(entry, next, out);
+        } else {
+            entry.givenNanos = time.nanoTime();
+        }
+    }
+
+    /** Sends what is due, and ends requests whose deadline has come. */
+    public void onTick(Effects out) {
+        history.onTick(out);
+        witness.claims().expire();
+        executor.onTick(out);
+        long now = time.nanoTime();
+        for (Pending entry : new ArrayList<>(pending.values())) {
+            if (entry.deadlineNanos - REPLY_MARGIN.toNanos() <= now) {
+                pending.remove(entry.request.requestId());
+                ResultCode code = ResultCode.ACT_MAY_HAVE_RUN;
+                listener.ended(entry.request.requestId(), ActResult.of(code), out);
+            } else if (!peers.selfId().equals(entry.latest)
+                    && now - entry.givenNanos >= FORWARD_TIMEOUT.toNanos()) {
+                passOn(entry, out);
+            }
+        }
+    }
+
+    /** Gives this instance's claims to the instances that stay. */
+    public void handOver(Effects out) {
+        history.handOver(out);
+    }
+
+    /** Returns the number of acts and requests that have not ended here. */
+    public int inFlight() {
+        return executor.inFlight() + pending.size();
+    }
+
+    /** Returns the number of claims kept for the resend window. */
+    public int claims() {
+        return witness.claims().size();
+    }
+
+    /** A request of a caller of this instance. */
+    private static final class Pending {
+        private final ActRequest request;
+        private final long deadlineNanos;
+
+        /** Coordinators to which the request was given. */
+        private final Set<String> given = new HashSet<>();
+
+        /** Coordinators that have not promised that they will not execute the act. */
+        private final Set<String> undecided = new HashSet<>();
+
+        private String latest = "";
+        private long givenNanos;
+        private ActResult refusal;
+
+        private Pending(ActRequest request, long deadlineNanos) {
+            this.request = request;
+            this.deadlineNanos = deadlineNanos;
+        }
+
+        private Duration remaining(TimeSource time) {
+            return Duration.ofNanos(Math.max(0, deadlineNanos - time.nanoTime()));
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecution.java
@@ -0,0 +1,143 @@
+package org.bronzehill.core.onceonly;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.protocol.generated.ActClaimRecord;
+import org.bronzehill.protocol.generated.ActState;
+
+/** State of one act at its coordinator. */
+final class ActExecution {
+
+    /** Steps of an act at its coordinator. */
+    enum Phase {
+        /** Waits for a majority of the witnesses. */
+        CLAIMING,
+        /** Asks the executor whose claim stands in the way. */
+        ASKING,
+        /** Holds the claim and looks the act up before calling the runner. */
+        CHECKING,
+        /** The call is with the runner. */
+        RUNNING,
+        /** Looks the act up because it may have run. */
+        RESOLVING,
+        DONE,
+        /** This attempt will never be executed. */
+        ABANDONED,
+        MAY_HAVE_RUN;
+
+        boolean isEnded() {
+            return this == DONE || this == ABANDONED || this == MAY_HAVE_RUN;
+        }
+    }
+
+    /**
+     * A request that waits for the act.
+     *
+     * @param origin instance that forwarded the request; this instance for its own callers
+     */
+    record Waiter(String origin, String requestId) {}
+
+    private final ActRequest request;
+    private final ByteString digest;
+    private final List<Waiter> waiters = new ArrayList<>();
+    private final Set<String> accepted = new HashSet<>();
+    private final Map<Long, String> lookups = new HashMap<>();
+
+    Phase phase = Phase.CLAIMING;
+    int attempt;
+    long startedNanos;
+    long expiryNanos;
+    long nextSendNanos;
+    long callId;
+    String runner = "";
+    ActClaimRecord standing;
+    ActClaimRecord replaces;
+    ActAnswer answer = ActAnswer.NONE;
+
+    /** Whether the answer was found or told rather than received from this attempt's call. */
+    boolean answerIsEarlier;
+
+    /** Whether a call to a runner was started in the present attempt. */
+    boolean called;
+
+    /** Version of the instance list under which the present claims were sent. */
+    long claimListVersion;
+
+    ActExecution(ActRequest request) {
+        this.request = request;
+        this.digest = request.digest();
+    }
+
+    String key() {
+        return request.scopedKey();
+    }
+
+    ActRequest request() {
+        return request;
+    }
+
+    ByteString digest() {
+        return digest;
+    }
+
+    List<Waiter> waiters() {
+        return waiters;
+    }
+
+    /** Instances that accepted the present attempt. */
+    Set<String> accepted() {
+        return accepted;
+    }
+
+    /** Runners asked by the present lookup, by call id. */
+    Map<Long, String> lookups() {
+        return lookups;
+    }
+
+    /** Starts a further attempt. */
+    void begin(long nowNanos, long attemptExpiryNanos) {
+        attempt++;
+        phase = Phase.CLAIMING;
+        accepted.clear();
+        lookups.clear();
+        standing = null;
+        called = false;
+        startedNanos = nowNanos;
+        expiryNanos = attemptExpiryNanos;
+        nextSendNanos = nowNanos;
+    }
+
+    /** Returns the state of the present attempt that other instances are told. */
+    ActState told() {
+        return switch (phase) {
+            case DONE -> ActState.ACT_STATE_DONE;
+            case CLAIMING, CHECKING -> ActState.ACT_STATE_CLAIMING;
+            case RUNNING -> ActState.ACT_STATE_RUNNING;
+            case ABANDONED, ASKING -> ActState.ACT_STATE_ABANDONED;
+            case RESOLVING -> called ? ActState.ACT_STATE_RUNNING : ActState.ACT_STATE_ABANDONED;
+            case MAY_HAVE_RUN ->
+                    called ? ActState.ACT_STATE_MAY_HAVE_RUN : ActState.ACT_STATE_ABANDONED;
+        };
+    }
+
+    /** Returns the claim of the present attempt as told to others. */
+    ActClaimRecord record(String executor, long incarnation) {
+        return ActClaimRecord.newBuilder()
+                .setKey(key())
+                .setExecutor(executor)
+                .setExecutorIncarnation(incarnation)
+                .setAttempt(attempt)
+                .setState(told())
+                .setDigest(digest)
+                .setHttpStatus(answer.httpStatus())
+                .setContentType(answer.contentType())
+                .setAnswer(answer.body())
+                .setUpstream(answer.upstream())
+                .build();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecutor.java
@@ -0,0 +1,437 @@
+package org.bronzehill.core.onceonly;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.model.RendezvousHash;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.IdSequence;
+import org.bronzehill.core.node.Input.ServiceAnswer;
+import org.bronzehill.core.node.Signal;
+import org.bronzehill.core.onceonly.ActExecution.Phase;
+import org.bronzehill.core.onceonly.ActExecution.Waiter;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.ActClaimRecord;
+import org.bronzehill.protocol.generated.ActClaimReply;
+import org.bronzehill.protocol.generated.ActQuery;
+import org.bronzehill.protocol.generated.ActState;
+import org.bronzehill.protocol.generated.ActStatus;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Carries acts through claim, lookup and call at their coordinator. An attempt calls the runner
+ * only after a majority of the witnesses accepted exactly this attempt of this incarnation, and an
+ * attempt that has been reported as abandoned is never executed later.
+ */
+final class ActExecutor {
+
+    /** Receives the result of the act for each request that waits for it. */
+    @FunctionalInterface
+    interface ResultListener {
+        void ended(Waiter waiter, ActResult result, Effects out);
+    }
+
+    /**
+     * Longer than the witnesses' retention, so that an executor never forgets a claim that stands.
+     */
+    private static final Duration RETENTION = ClaimTable.RETENTION.plusMinutes(1);
+
+    private static final Duration RESEND_INTERVAL = Duration.ofMillis(150);
+    private static final Duration LOOKUP_LIMIT = Duration.ofMillis(500);
+
+    /** Time reserved at the end of a caller's budget for the result to reach the caller. */
+    private static final Duration REPLY_MARGIN = Duration.ofMillis(50);
+
+    private final ActPeers peers;
+    private final ClaimSender claims;
+    private final TimeSource time;
+    private final IdSequence ids;
+    private final ResultListener listener;
+    private final Map<String, ActExecution> executions = new LinkedHashMap<>();
+    private final Map<Long, ActExecution> calls = new LinkedHashMap<>();
+
+    ActExecutor(
+            ActPeers peers,
+            ActWitness witness,
+            TimeSource time,
+            IdSequence ids,
+            ResultListener listener) {
+        this.peers = peers;
+        this.claims = new ClaimSender(peers, witness);
+        this.time = time;
+        this.ids = ids;
+        this.listener = listener;
+    }
+
+    void submit(ActRequest request, Waiter waiter, Effects out) {
+        ActExecution act = executions.get(request.scopedKey());
+        if (act == null) {
+            if (executions.size() >= ClaimTable.MAX_CLAIMS) {
+                listener.ended(waiter, ActResult.of(ResultCode.TABLE_FULL), out);
+                return;
+            }
+            act = new ActExecution(request);
+            executions.put(act.key(), act);
+            act.waiters().add(waiter);
+            claim(act, request, out);
+            return;
+        }
+        if (!act.digest().equals(request.digest())) {
+            listener.ended(waiter, ActResult.of(ResultCode.KEY_REUSED), out);
+            return;
+        }
+        if (act.phase == Phase.DONE) {
+            listener.ended(waiter, result(act, false), out);
+            return;
+        }
+        act.waiters().add(waiter);
+        if (act.phase == Phase.ABANDONED) {
+            claim(act, request, out);
+        } else if (act.phase == Phase.MAY_HAVE_RUN) {
+            act.startedNanos = time.nanoTime();
+            act.expiryNanos = expiry(request);
+            resolve(act, out);
+        }
+    }
+
+    private void claim(ActExecution act, ActRequest request, Effects out) {
+        act.begin(time.nanoTime(), expiry(request));
+        out.add(new Effect.Measure(Signal.ACTS_CLAIMED, request.kind(), 1));
+        sendClaims(act, out);
+    }
+
+    private long expiry(ActRequest request) {
+        Duration budget = request.budget().minus(REPLY_MARGIN);
+        Duration bound = WitnessHistory.FLIGHT_BOUND;
+        return time.nanoTime() + (budget.compareTo(bound) < 0 ? budget : bound).toNanos();
+    }
+
+    private void sendClaims(ActExecution act, Effects out) {
+        act.nextSendNanos = time.nanoTime() + RESEND_INTERVAL.toNanos();
+        for (ActClaimReply reply : claims.send(act, out)) {
+            onReply(act, reply, peers.selfId());
+        }
+        checkMajority(act, out);
+    }
+
+    void onClaimReply(Envelope envelope, Effects out) {
+        ActClaimReply reply = envelope.getActClaimReply();
+        ActExecution act = executions.get(reply.getKey());
+        if (act == null
+                || act.phase != Phase.CLAIMING
+                || act.attempt != reply.getAttempt()
+                || envelope.getListVersion() != act.claimListVersion) {
+            return;
+        }
+        onReply(act, reply, envelope.getFrom());
+        checkMajority(act, out);
+    }
+
+    private static void onReply(ActExecution act, ActClaimReply reply, String witness) {
+        if (reply.getAccepted()) {
+            act.accepted().add(witness);
+        } else if (reply.hasStanding()) {
+            act.standing = reply.getStanding();
+        }
+    }
+
+    private void checkMajority(ActExecution act, Effects out) {
+        if (act.phase != Phase.CLAIMING) {
+            return;
+        }
+        if (act.standing != null && act.standing.getState() == ActState.ACT_STATE_DONE) {
+            finishFromClaim(act, act.standing, out);
+        } else if (claims.hasMajority(act)) {
+            act.phase = Phase.CHECKING;
+            lookUp(act, out);
+        }
+    }
+
+    private void finishFromClaim(ActExecution act, ActClaimRecord claim, Effects out) {
+        if (!claim.getDigest().equals(act.digest())) {
+            end(act, Phase.ABANDONED, ResultCode.KEY_REUSED, out);
+        } else if (claim.getHttpStatus() == 0) {
+            resolve(act, out);
+        } else {
+            act.answerIsEarlier = true;
+            act.answer =
+                    new ActAnswer(
+                            claim.getHttpStatus(),
+                            claim.getContentType(),
+                            claim.getAnswer(),
+                            claim.getUpstream());
+            end(act, Phase.DONE, ResultCode.RECORDED_ANSWER, out);
+        }
+    }
+
+    private void resolve(ActExecution act, Effects out) {
+        act.phase = Phase.RESOLVING;
+        lookUp(act, out);
+    }
+
+    private void lookUp(ActExecution act, Effects out) {
+        act.lookups().keySet().forEach(calls::remove);
+        act.lookups().clear();
+        act.nextSendNanos = time.nanoTime() + LOOKUP_LIMIT.toNanos();
+        ActRequest request = act.request();
+        for (Upstream runner : peers.runners(request.service())) {
+            long id = ids.next();
+            act.lookups().put(id, runner.id());
+            calls.put(id, act);
+            out.add(
+                    new Effect.LookupAct(
+                            id, runner.id(), request.service(), act.key(), LOOKUP_LIMIT));
+        }
+        if (act.lookups().isEmpty()) {
+            onNothingFound(act, out);
+        }
+    }
+
+    void onServiceAnswered(long callId, ServiceAnswer answer, Effects out) {
+        ActExecution act = calls.remove(callId);
+        if (act == null || act.phase == Phase.DONE) {
+            return;
+        }
+        String lookedUpAt = act.lookups().remove(callId);
+        if (lookedUpAt == null) {
+            onCallAnswered(act, callId, answer, out);
+        } else if (answer.httpStatus() == 200) {
+            act.answerIsEarlier = true;
+            act.answer = ClaimSender.answer(answer, lookedUpAt);
+            end(act, Phase.DONE, ResultCode.RECORDED_ANSWER, out);
+        } else if (act.lookups().isEmpty()) {
+            onNothingFound(act, out);
+        }
+    }
+
+    private void onCallAnswered(ActExecution act, long callId, ServiceAnswer answer, Effects out) {
+        if (callId != act.callId) {
+            return;
+        }
+        if (answer.httpStatus() >= 500) {
+            resolve(act, out);
+        } else {
+            act.answer = ClaimSender.answer(answer, act.runner);
+            end(act, Phase.DONE, ResultCode.OK, out);
+        }
+    }
+
+    void onServiceFailed(long callId, FailureReason reason, Effects out) {
+        ActExecution act = calls.remove(callId);
+        if (act == null || act.phase == Phase.DONE) {
+            return;
+        }
+        if (act.lookups().remove(callId) != null) {
+            if (act.lookups().isEmpty()) {
+                onNothingFound(act, out);
+            }
+        } else if (callId == act.callId && act.phase == Phase.RUNNING) {
+            if (!reason.provesNotRun()) {
+                resolve(act, out);
+            } else {
+                act.called = false;
+                end(act, Phase.ABANDONED, ResultCode.NO_UPSTREAM, out);
+            }
+        }
+    }
+
+    private void onNothingFound(ActExecution act, Effects out) {
+        if (act.phase == Phase.CHECKING) {
+            call(act, out);
+        }
+        // While resolving, the effect may still be on its way; the next tick repeats the lookup.
+    }
+
+    private void call(ActExecution act, Effects out) {
+        ActRequest request = act.request();
+        List<Upstream> runners = peers.runners(request.service());
+        if (runners.isEmpty()) {
+            end(act, Phase.ABANDONED, ResultCode.NO_UPSTREAM, out);
+            return;
+        }
+        long remaining = act.expiryNanos - time.nanoTime();
+        if (remaining <= 0) {
+            end(act, Phase.ABANDONED, ResultCode.DEADLINE_HOPELESS, out);
+            return;
+        }
+        act.phase = Phase.RUNNING;
+        act.called = true;
+        act.runner = RendezvousHash.rank(act.key(), runners, Upstream::id).get(0).id();
+        act.callId = ids.next();
+        calls.put(act.callId, act);
+        out.add(
+                new Effect.CallService(
+                        act.callId,
+                        act.runner,
+                        request.service(),
+                        request.operation(),
+                        act.key(),
+                        request.body().toByteArray(),
+                        request.contentType(),
+                        request.requestId(),
+                        Duration.ofNanos(remaining)));
+    }
+
+    private void ask(ActExecution act, Effects out) {
+        ActClaimRecord standing = act.standing;
+        act.phase = Phase.ASKING;
+        act.nextSendNanos = time.nanoTime() + RESEND_INTERVAL.toNanos();
+        boolean alive =
+                peers.liveIncarnation(standing.getExecutor()) == standing.getExecutorIncarnation()
+                        && !standing.getExecutor().equals(peers.selfId());
+        if (!alive) {
+            resolve(act, out);
+            return;
+        }
+        ActQuery.Builder query =
+                ActQuery.newBuilder()
+                        .setKey(act.key())
+                        .setIncarnation(standing.getExecutorIncarnation())
+                        .setAttempt(standing.getAttempt());
+        out.add(
+                new Effect.SendPeer(
+                        standing.getExecutor(), Envelope.newBuilder().setActQuery(query), false));
+    }
+
+    void onQuery(Envelope envelope, Effects out) {
+        ActQuery query = envelope.getActQuery();
+        ActExecution act = executions.get(query.getKey());
+        ActClaimRecord.Builder told =
+                ActClaimRecord.newBuilder()
+                        .setKey(query.getKey())
+                        .setExecutor(peers.selfId())
+                        .setExecutorIncarnation(query.getIncarnation())
+                        .setAttempt(query.getAttempt())
+                        .setState(ActState.ACT_STATE_UNKNOWN);
+        if (act != null && query.getIncarnation() == peers.selfIncarnation()) {
+            if (act.attempt == query.getAttempt() || act.phase == Phase.DONE) {
+                told =
+                        act.record(peers.selfId(), peers.selfIncarnation()).toBuilder()
+                                .setAttempt(query.getAttempt());
+            } else if (act.attempt > query.getAttempt()) {
+                told.setState(ActState.ACT_STATE_ABANDONED);
+            }
+        }
+        Envelope.Builder reply =
+                Envelope.newBuilder().setActStatus(ActStatus.newBuilder().setClaim(told));
+        out.add(new Effect.SendPeer(envelope.getFrom(), reply, false));
+    }
+
+    /** Handles the answer of a standing executor to a query. */
+    void onTold(ActClaimRecord told, Effects out) {
+        ActExecution act = executions.get(told.getKey());
+        if (act == null
+                || act.phase != Phase.ASKING
+                || told.getAttempt() != act.standing.getAttempt()
+                || !told.getExecutor().equals(act.standing.getExecutor())) {
+            return;
+        }
+        switch (told.getState()) {
+            case ACT_STATE_DONE -> finishFromClaim(act, told, out);
+            case ACT_STATE_ABANDONED -> {
+                act.replaces = act.standing;
+                long expiry = act.expiryNanos;
+                act.begin(time.nanoTime(), expiry);
+                sendClaims(act, out);
+            }
+            case ACT_STATE_CLAIMING, ACT_STATE_RUNNING -> {}
+            default -> resolve(act, out);
+        }
+    }
+
+    void onTick(Effects out) {
+        long now = time.nanoTime();
+        for (ActExecution act : new ArrayList<>(executions.values())) {
+            if (act.phase.isEnded()) {
+                continue;
+            }
+            if (now >= act.expiryNanos) {
+                expire(act, out);
+            } else if (now >= act.nextSendNanos) {
+                proceed(act, out);
+            }
+        }
+        Iterator<ActExecution> oldest = executions.values().iterator();
+        while (oldest.hasNext()) {
+            ActExecution act = oldest.next();
+            boolean old = now - act.startedNanos >= RETENTION.toNanos();
+            if (!old) {
+                break;
+            }
+            if (act.phase.isEnded()) {
+                calls.remove(act.callId);
+                oldest.remove();
+            }
+        }
+    }
+
+    private void proceed(ActExecution act, Effects out) {
+        switch (act.phase) {
+            case CLAIMING -> {
+                if (act.standing != null) {
+                    ask(act, out);
+                } else {
+                    sendClaims(act, out);
+                }
+            }
+            case ASKING -> ask(act, out);
+            case CHECKING -> call(act, out);
+            case RESOLVING -> lookUp(act, out);
+            default -> {}
+        }
+    }
+
+    private void expire(ActExecution act, Effects out) {
+        switch (act.phase) {
+            case CLAIMING -> end(act, Phase.ABANDONED, ResultCode.NO_WITNESSES, out);
+            case CHECKING -> end(act, Phase.ABANDONED, ResultCode.DEADLINE_HOPELESS, out);
+            case RUNNING -> {
+                if (time.nanoTime() >= act.expiryNanos + LOOKUP_LIMIT.toNanos()) {
+                    end(act, Phase.MAY_HAVE_RUN, ResultCode.ACT_MAY_HAVE_RUN, out);
+                }
+            }
+            default -> end(act, Phase.MAY_HAVE_RUN, ResultCode.ACT_MAY_HAVE_RUN, out);
+        }
+    }
+
+    private void end(ActExecution act, Phase phase, ResultCode code, Effects out) {
+        act.phase = phase;
+        act.lookups().keySet().forEach(calls::remove);
+        act.lookups().clear();
+        claims.tellEnded(act, out);
+        List<Waiter> waiters = List.copyOf(act.waiters());
+        act.waiters().clear();
+        boolean first = true;
+        for (Waiter w : waiters) {
+            ActResult result = phase == Phase.DONE ? result(act, first) : ActResult.of(code);
+            Signal signal = code == ResultCode.ACT_MAY_HAVE_RUN ? Signal.ACTS_MAY_HAVE_RUN : null;
+            if (signal != null) {
+                out.add(new Effect.Measure(signal, act.request().kind(), 1));
+            }
+            listener.ended(w, result, out);
+            first = false;
+        }
+    }
+
+    private static ActResult result(ActExecution act, boolean first) {
+        ResultCode code;
+        if (act.answer.httpStatus() >= 400) {
+            code = ResultCode.UPSTREAM_REJECTED;
+        } else {
+            code = first && !act.answerIsEarlier ? ResultCode.OK : ResultCode.RECORDED_ANSWER;
+        }
+        return new ActResult(code, act.answer);
+    }
+
+    /** Returns the number of acts that have not ended. */
+    int inFlight() {
+        return (int) executions.values().stream().filter(a -> !a.phase.isEnded()).count();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActRequest.java
@@ -0,0 +1,45 @@
+package org.bronzehill.core.onceonly;
+
+import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+
+/**
+ * A once-only act that a caller asks for.
+ *
+ * @param key idempotency key chosen by the caller
+ * @param budget time left until the caller's deadline
+ */
+public record ActRequest(
+        String requestId,
+        String key,
+        String member,
+        String kind,
+        String service,
+        String operation,
+        ByteString body,
+        String contentType,
+        Duration budget) {
+
+    /** Returns the key under which the fleet and the plain service know the act. */
+    public String scopedKey() {
+        return member + ':' + key;
+    }
+
+    /** Returns a hash by which a key used again for a different act is recognised. */
+    public ByteString digest() {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            sha.update(service.getBytes(StandardCharsets.UTF_8));
+            sha.update((byte) 0);
+            sha.update(operation.getBytes(StandardCharsets.UTF_8));
+            sha.update((byte) 0);
+            sha.update(body.asReadOnlyByteBuffer());
+            return ByteString.copyFrom(sha.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform provides SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActWitness.java
@@ -0,0 +1,88 @@
+package org.bronzehill.core.onceonly;
+
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.protocol.generated.ActClaim;
+import org.bronzehill.protocol.generated.ActClaimRecord;
+import org.bronzehill.protocol.generated.ActClaimReply;
+import org.bronzehill.protocol.generated.ActState;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Votes on claims. A witness keeps one claim for each key and replaces it only by a later attempt
+ * of the same executor, or when the standing executor has promised never to execute exactly that
+ * attempt.
+ */
+final class ActWitness {
+
+    private final ActPeers peers;
+    private final ClaimTable claims;
+    private final WitnessHistory history;
+
+    ActWitness(ActPeers peers, ClaimTable claims, WitnessHistory history) {
+        this.peers = peers;
+        this.claims = claims;
+        this.history = history;
+    }
+
+    void onClaim(Envelope envelope, Effects out) {
+        ActClaim claim = envelope.getActClaim();
+        ActClaimReply.Builder reply = vote(claim, envelope.getListVersion());
+        out.add(
+                new Effect.SendPeer(
+                        envelope.getFrom(), Envelope.newBuilder().setActClaimReply(reply), false));
+    }
+
+    /** Decides on a claim made under the given version of the instance list. */
+    ActClaimReply.Builder vote(ActClaim request, long claimListVersion) {
+        ActClaimRecord claim = request.getClaim();
+        ActClaimReply.Builder reply =
+                ActClaimReply.newBuilder().setKey(claim.getKey()).setAttempt(claim.getAttempt());
+        ActClaimRecord standing = claims.find(claim.getKey());
+        if (standing != null && !mayReplace(standing, request)) {
+            return reply.setStanding(standing);
+        }
+        boolean sameList =
+                claimListVersion == peers.listVersion()
+                        && claimListVersion >= history.highestListVersion();
+        if (!sameList || !history.mayVote(claim.getKey())) {
+            return reply.setAbstained(true);
+        }
+        if (standing == null && !claims.hasRoom()) {
+            return reply.setAbstained(true);
+        }
+        claims.put(claim);
+        return reply.setAccepted(true);
+    }
+
+    private static boolean mayReplace(ActClaimRecord standing, ActClaim request) {
+        ActClaimRecord claim = request.getClaim();
+        if (sameExecutor(standing, claim)) {
+            return claim.getAttempt() >= standing.getAttempt()
+                    && standing.getState() != ActState.ACT_STATE_DONE;
+        }
+        return standing.getState() == ActState.ACT_STATE_ABANDONED
+                || request.getReplacesExecutor().equals(standing.getExecutor())
+                        && request.getReplacesIncarnation() == standing.getExecutorIncarnation()
+                        && request.getReplacesAttempt() == standing.getAttempt();
+    }
+
+    private static boolean sameExecutor(ActClaimRecord a, ActClaimRecord b) {
+        return a.getExecutor().equals(b.getExecutor())
+                && a.getExecutorIncarnation() == b.getExecutorIncarnation();
+    }
+
+    /** Records how an attempt ended, as told by its executor. */
+    void onEnded(ActClaimRecord ended) {
+        ActClaimRecord standing = claims.find(ended.getKey());
+        if (standing != null
+                && sameExecutor(standing, ended)
+                && standing.getAttempt() == ended.getAttempt()) {
+            claims.put(ended);
+        }
+    }
+
+    ClaimTable claims() {
+        return claims;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ClaimSender.java
@@ -0,0 +1,98 @@
+package org.bronzehill.core.onceonly;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.Input.ServiceAnswer;
+import org.bronzehill.protocol.generated.ActClaim;
+import org.bronzehill.protocol.generated.ActClaimRecord;
+import org.bronzehill.protocol.generated.ActClaimReply;
+import org.bronzehill.protocol.generated.ActStatus;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Sends an executor's claims, and later the outcome, to the witnesses of an act. */
+final class ClaimSender {
+
+    /**
+     * Largest answer that witnesses record; a larger one is found by lookup at the plain service.
+     */
+    private static final int MAX_RECORDED_ANSWER_BYTES = 4096;
+
+    private final ActPeers peers;
+    private final ActWitness self;
+
+    ClaimSender(ActPeers peers, ActWitness self) {
+        this.peers = peers;
+        this.self = self;
+    }
+
+    /**
+     * Sends the claim to every witness that has not accepted it, and returns this instance's own
+     * vote if it is a witness.
+     */
+    List<ActClaimReply> send(ActExecution act, Effects out) {
+        if (act.claimListVersion != peers.listVersion()) {
+            act.accepted().clear();
+            act.claimListVersion = peers.listVersion();
+        }
+        ActClaim.Builder claim =
+                ActClaim.newBuilder().setClaim(act.record(peers.selfId(), peers.selfIncarnation()));
+        if (act.replaces != null) {
+            claim.setReplacesExecutor(act.replaces.getExecutor())
+                    .setReplacesIncarnation(act.replaces.getExecutorIncarnation())
+                    .setReplacesAttempt(act.replaces.getAttempt());
+        }
+        List<ActClaimReply> own = new ArrayList<>();
+        for (String witness : WitnessSets.witnesses(act.key(), peers.listed())) {
+            if (act.accepted().contains(witness)) {
+                continue;
+            }
+            if (witness.equals(peers.selfId())) {
+                own.add(self.vote(claim.build(), act.claimListVersion).build());
+            } else {
+                Envelope.Builder envelope = Envelope.newBuilder().setActClaim(claim.clone());
+                out.add(new Effect.SendPeer(witness, envelope, false));
+            }
+        }
+        return own;
+    }
+
+    /**
+     * Returns whether a majority of the witnesses under the current list has accepted the attempt.
+     */
+    boolean hasMajority(ActExecution act) {
+        if (act.claimListVersion != peers.listVersion()) {
+            return false;
+        }
+        List<String> witnesses = WitnessSets.witnesses(act.key(), peers.listed());
+        long accepted = witnesses.stream().filter(act.accepted()::contains).count();
+        return !witnesses.isEmpty() && accepted >= WitnessSets.quorum(witnesses.size());
+    }
+
+    /** Tells the witnesses how the attempt ended, so that a later coordinator finds it. */
+    void tellEnded(ActExecution act, Effects out) {
+        ActClaimRecord record = act.record(peers.selfId(), peers.selfIncarnation());
+        if (record.getAnswer().size() > MAX_RECORDED_ANSWER_BYTES) {
+            record = record.toBuilder().setHttpStatus(0).setAnswer(ByteString.EMPTY).build();
+        }
+        for (String witness : WitnessSets.witnesses(act.key(), peers.listed())) {
+            if (witness.equals(peers.selfId())) {
+                self.onEnded(record);
+            } else {
+                Envelope.Builder envelope =
+                        Envelope.newBuilder().setActStatus(ActStatus.newBuilder().setClaim(record));
+                out.add(new Effect.SendPeer(witness, envelope, false));
+            }
+        }
+    }
+
+    static ActAnswer answer(ServiceAnswer answer, String upstream) {
+        return new ActAnswer(
+                answer.httpStatus(),
+                answer.contentType(),
+                ByteString.copyFrom(answer.body()),
+                upstream);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/WitnessHistory.java
@@ -0,0 +1,236 @@
+package org.bronzehill.core.onceonly;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.ActClaimRecord;
+import org.bronzehill.protocol.generated.ActCopyRequest;
+import org.bronzehill.protocol.generated.ActHandover;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Tracks for which keys this instance knows all earlier claims. After a start, and after each
+ * change of the published instances, it copies claims from the others; until a majority of a key's
+ * former witnesses have sent theirs, it abstains from votes on that key.
+ */
+final class WitnessHistory {
+
+    /**
+     * Longest time that an act can be in flight. When so many former witnesses have lost their
+     * memory that no majority can be copied, a witness votes again after this time.
+     */
+    static final Duration FLIGHT_BOUND = Duration.ofSeconds(10);
+
+    private static final Duration RETRY_INTERVAL = Duration.ofMillis(300);
+    private static final int CLAIMS_PER_MESSAGE = 500;
+    private static final int MAX_FORMER_LISTS = 16;
+
+    private final ActPeers peers;
+    private final ClaimTable claims;
+    private final TimeSource time;
+    private final long startNanos;
+    private final Set<String> copiedFrom = new HashSet<>();
+    private final Set<String> handedOver = new HashSet<>();
+    private List<String> current = List.of();
+
+    /** Lists since the last one whose claims were all known, which is the first element. */
+    private final List<List<String>> former = new ArrayList<>();
+
+    /**
+     * Whether this instance itself was a witness with full knowledge under the first former list.
+     */
+    private boolean knewFirst;
+
+    private long changedNanos;
+    private long nextRequestNanos;
+    private long sequence;
+    private long highestListVersion;
+
+    WitnessHistory(ActPeers peers, ClaimTable claims, TimeSource time) {
+        this.peers = peers;
+        this.claims = claims;
+        this.time = time;
+        this.startNanos = time.nanoTime();
+        this.changedNanos = startNanos;
+    }
+
+    long highestListVersion() {
+        return highestListVersion;
+    }
+
+    /**
+     * Notes a version that a peer has read; claims under older versions get no vote from then on.
+     */
+    void observeListVersion(long version) {
+        highestListVersion = Math.max(highestListVersion, version);
+    }
+
+    /** Returns whether this witness knows every claim that a majority has accepted for the key. */
+    boolean mayVote(String key) {
+        if (current.isEmpty() || !WitnessSets.witnesses(key, current).contains(peers.selfId())) {
+            return false;
+        }
+        return flightBoundPassed()
+                || IntStream.range(0, former.size()).allMatch(i -> knowsClaims(key, i));
+    }
+
+    private boolean knowsClaims(String key, int formerIndex) {
+        List<String> witnesses = WitnessSets.witnesses(key, former.get(formerIndex));
+        boolean self = witnesses.contains(peers.selfId());
+        if (formerIndex == 0 && knewFirst && self) {
+            return true;
+        }
+        long copied =
+                witnesses.stream()
+                        .filter(w -> copiedFrom.contains(w) || handedOver.contains(w))
+                        .count();
+        int n = witnesses.size();
+        int intersecting = n - WitnessSets.quorum(n) + 1;
+        // All but one, because an instance may have skipped a version of the list that differed in
+        // one more.
+        int others = self ? n - 1 : n;
+        return copied >= Math.max(intersecting, others - 1);
+    }
+
+    private boolean flightBoundPassed() {
+        return Duration.ofNanos(time.nanoTime() - changedNanos).compareTo(FLIGHT_BOUND) >= 0;
+    }
+
+    void onTick(Effects out) {
+        List<String> listed = peers.listed();
+        observeListVersion(peers.listVersion());
+        if (!listed.isEmpty() && !listed.equals(current)) {
+            onListChange(listed);
+        }
+        if (current.isEmpty() || complete() || time.nanoTime() < nextRequestNanos) {
+            return;
+        }
+        nextRequestNanos = time.nanoTime() + RETRY_INTERVAL.toNanos();
+        sequence++;
+        for (String peer : sources()) {
+            if (!copiedFrom.contains(peer)) {
+                Envelope.Builder request =
+                        Envelope.newBuilder()
+                                .setActCopyRequest(
+                                        ActCopyRequest.newBuilder().setSequence(sequence));
+                out.add(new Effect.SendPeer(peer, request, false));
+            }
+        }
+    }
+
+    private void onListChange(List<String> listed) {
+        if (current.isEmpty()) {
+            former.add(List.copyOf(listed));
+        } else if (complete()) {
+            knewFirst = true;
+            former.clear();
+            former.add(current);
+        } else {
+            former.add(current);
+        }
+        if (former.size() > MAX_FORMER_LISTS) {
+            former.remove(1);
+        }
+        current = List.copyOf(listed);
+        copiedFrom.clear();
+        changedNanos = time.nanoTime();
+        nextRequestNanos = 0;
+    }
+
+    private boolean complete() {
+        return flightBoundPassed() || copiedFrom.containsAll(sources());
+    }
+
+    private Set<String> sources() {
+        Set<String> sources = new LinkedHashSet<>();
+        former.forEach(sources::addAll);
+        sources.remove(peers.selfId());
+        return sources;
+    }
+
+    /** Sends a peer the claims for which it is a witness. */
+    void onCopyRequest(Envelope envelope, Effects out) {
+        observeListVersion(envelope.getListVersion());
+        String requester = envelope.getFrom();
+        send(requester, envelope.getActCopyRequest().getSequence(), claimsFor(requester), out);
+    }
+
+    /** Sends every other instance the claims that it needs when this instance leaves. */
+    void handOver(Effects out) {
+        List<String> remaining =
+                peers.listed().stream().filter(i -> !i.equals(peers.selfId())).toList();
+        for (String peer : remaining) {
+            List<ActClaimRecord> needed =
+                    claims.export().stream()
+                            .filter(
+                                    c ->
+                                            WitnessSets.witnesses(c.getKey(), remaining)
+                                                    .contains(peer))
+                            .toList();
+            send(peer, 0, needed, out);
+        }
+    }
+
+    private List<ActClaimRecord> claimsFor(String requester) {
+        List<String> listed = peers.listed();
+        List<String> withRequester = new ArrayList<>(listed);
+        if (!withRequester.contains(requester)) {
+            withRequester.add(requester);
+        }
+        return claims.export().stream()
+                .filter(c -> WitnessSets.witnesses(c.getKey(), withRequester).contains(requester))
+                .toList();
+    }
+
+    private void send(String peer, long copySequence, List<ActClaimRecord> records, Effects out) {
+        int from = 0;
+        do {
+            int to = Math.min(records.size(), from + CLAIMS_PER_MESSAGE);
+            ActHandover.Builder handover =
+                    ActHandover.newBuilder()
+                            .addAllClaims(records.subList(from, to))
+                            .setMore(to < records.size())
+                            .setSequence(copySequence)
+                            .setAbstaining(!knowsOwnHistory());
+            out.add(
+                    new Effect.SendPeer(
+                            peer, Envelope.newBuilder().setActHandover(handover), false));
+            from = to;
+        } while (from < records.size());
+    }
+
+    private boolean knowsOwnHistory() {
+        Duration sinceStart = Duration.ofNanos(time.nanoTime() - startNanos);
+        if (knewFirst || sinceStart.compareTo(FLIGHT_BOUND) >= 0) {
+            return true;
+        }
+        int others = sources().size();
+        return others > 1 && copiedFrom.size() >= others - 1;
+    }
+
+    /** Stores the claims that a peer sent; an abstaining peer does not count towards a majority. */
+    void onHandover(Envelope envelope) {
+        ActHandover handover = envelope.getActHandover();
+        for (ActClaimRecord c : handover.getClaimsList()) {
+            ActClaimRecord known = claims.find(c.getKey());
+            if (known == null || known.getAttempt() < c.getAttempt()) {
+                claims.put(c);
+            }
+        }
+        if (handover.getMore() || handover.getAbstaining()) {
+            return;
+        }
+        if (handover.getSequence() == 0) {
+            handedOver.add(envelope.getFrom());
+        } else {
+            copiedFrom.add(envelope.getFrom());
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/package-info.java
@@ -0,0 +1,2 @@
+/** At-most-once execution of once-only acts without shared storage. */
+package org.bronzehill.core.onceonly;
