--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreStatus.java
@@ -0,0 +1,75 @@
+package org.bronzehill.core.node;
+
+import java.time.Duration;
+import java.util.List;
+import org.bronzehill.config.Limits;
+
+/** Immutable view of the state of a decision core. */
+public record CoreStatus(
+        String instance,
+        long incarnation,
+        Phase phase,
+        String reason,
+        ConfigurationView configuration,
+        List<PeerView> peers,
+        List<UpstreamView> upstreams,
+        Counts counts) {
+
+    public CoreStatus {
+        peers = List.copyOf(peers);
+        upstreams = List.copyOf(upstreams);
+    }
+
+    /** Phase of the instance's life. */
+    public enum Phase {
+        /** Not ready yet, or re-checking after a pause. */
+        CHECKING,
+        /** Ready for requests. */
+        READY,
+        /** Finishing requests before a planned stop. */
+        DRAINING,
+        /** The planned stop has finished. */
+        DRAINED
+    }
+
+    /**
+     * Configuration in force.
+     *
+     * @param age time since the number was last confirmed by the service or a peer; null before the
+     *     first confirmation
+     */
+    public record ConfigurationView(
+            long number, Duration age, long staleReads, long adapters, Limits limits) {}
+
+    /** A peer as this instance sees it. */
+    public record PeerView(
+            String id, long incarnation, String address, String dataCentre, String status) {}
+
+    /**
+     * An upstream as this instance sees it.
+     *
+     * @param holder instance that is believed to hold the lease; empty if unknown or not an engine
+     * @param fencing fencing number of this instance's own lease; 0 if it is not the holder
+     */
+    public record UpstreamView(
+            String id,
+            String kind,
+            String state,
+            String dataCentre,
+            String holder,
+            long fencing,
+            int running,
+            int queued,
+            List<AdapterView> adapters) {
+        public UpstreamView {
+            adapters = List.copyOf(adapters);
+        }
+    }
+
+    /** An adapter on an engine. */
+    public record AdapterView(
+            String adapter, int version, boolean loading, int running, int waiting) {}
+
+    /** Sizes of the bounded tables. */
+    public record Counts(int openRequests, int dispatched, int acts, long listVersion) {}
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
@@ -90,6 +90,8 @@
     /**
      * Ends a caller's request.
      *
+     * @param attempt attempt whose chunks make up the answer; 0 if no attempt was made. If the
+     *     caller received chunks of another attempt, the answer is truncated.
      * @param chunks number of chunks that the caller must have received; -1 if the body is given
      *     here
      * @param body answer of a plain service; empty for a model answer that was relayed in chunks
@@ -97,6 +99,7 @@
      */
     record Answer(
             String requestId,
+            int attempt,
             ResultCode code,
             Provenance provenance,
             long chunks,
@@ -106,6 +109,12 @@
             String detail)
             implements Effect {}
 
+    /**
+     * Stops the relay of an attempt's chunks to the caller. Chunks of it that arrive later are
+     * dropped. If chunks of it have been relayed already, an {@link Input.AnswerProgress} tells.
+     */
+    record AbandonAttempt(String requestId, int attempt) implements Effect {}
+
     /** Raises or lowers the readiness signal for the balancer. */
     record SetReady(boolean ready, String reason) implements Effect {}
 
