--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
@@ -67,6 +67,13 @@
      */
     record AttemptLimits(Duration deadline, Duration silence, int priority) {}
 
+    /**
+     * Names what an attempt will run on; precedes its {@link StartAttempt}. The program sends it to
+     * the origin as the first chunk, number 0, so that the caller's headers are known before the
+     * answer is complete.
+     */
+    record DescribeAttempt(long attemptId, Provenance provenance) implements Effect {}
+
     /** Cancels an attempt at its engine. */
     record CancelAttempt(long attemptId) implements Effect {}
 
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP endpoints for callers and operators. */
+package org.bronzehill.entry.http;
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLink.java
@@ -0,0 +1,187 @@
+package org.bronzehill.entry.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Outgoing link to one peer. Messages are written in the order in which they were queued; a message
+ * that was handed to a connection that broke is lost. All state but the counter belongs to one
+ * event loop.
+ */
+final class PeerLink {
+
+    /** A peer in the same region answers a connection attempt within a few milliseconds. */
+    private static final int CONNECT_TIMEOUT_MS = 250;
+
+    private final String instance;
+    private final EventLoop loop;
+    private final Supplier<Optional<InetSocketAddress>> address;
+    private final PeerListener listener;
+    private final int capacity;
+    private final AtomicInteger queued = new AtomicInteger();
+    private final Queue<Envelope> queue = new ArrayDeque<>();
+    private Channel channel;
+    private boolean connecting;
+    private boolean closed;
+
+    PeerLink(
+            String instance,
+            EventLoop loop,
+            Supplier<Optional<InetSocketAddress>> address,
+            PeerListener listener,
+            int capacity) {
+        this.instance = instance;
+        this.loop = loop;
+        this.address = address;
+        this.listener = listener;
+        this.capacity = capacity;
+    }
+
+    boolean send(Envelope envelope, boolean fresh) {
+        if (queued.incrementAndGet() > capacity) {
+            queued.decrementAndGet();
+            return false;
+        }
+        loop.execute(() -> enqueue(envelope, fresh));
+        return true;
+    }
+
+    int queued() {
+        return queued.get();
+    }
+
+    void close() {
+        loop.execute(
+                () -> {
+                    closed = true;
+                    dropQueue();
+                    closeChannel();
+                });
+    }
+
+    private void enqueue(Envelope envelope, boolean fresh) {
+        if (closed) {
+            queued.decrementAndGet();
+            return;
+        }
+        queue.add(envelope);
+        if (fresh) {
+            closeChannel();
+        }
+        flush();
+    }
+
+    private void flush() {
+        if (channel == null) {
+            connect();
+            return;
+        }
+        boolean written = false;
+        while (!queue.isEmpty() && channel.isWritable()) {
+            channel.write(queue.remove()).addListener(f -> queued.decrementAndGet());
+            written = true;
+        }
+        if (written) {
+            channel.flush();
+        }
+    }
+
+    private void connect() {
+        Optional<InetSocketAddress> target = address.get();
+        if (connecting || queue.isEmpty()) {
+            return;
+        }
+        if (target.isEmpty()) {
+            fail();
+            return;
+        }
+        connecting = true;
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(1 << 18, 1 << 20))
+                .handler(new Initializer())
+                .connect(target.get())
+                .addListener((ChannelFuture f) -> connected(f));
+    }
+
+    private void connected(ChannelFuture future) {
+        connecting = false;
+        if (closed) {
+            future.channel().close();
+        } else if (future.isSuccess()) {
+            channel = future.channel();
+            flush();
+        } else {
+            fail();
+        }
+    }
+
+    private void fail() {
+        dropQueue();
+        listener.unreachable(instance);
+    }
+
+    private void dropQueue() {
+        queued.addAndGet(-queue.size());
+        queue.clear();
+    }
+
+    private void closeChannel() {
+        Channel old = channel;
+        channel = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel newChannel) {
+            PeerFrames.install(newChannel.pipeline());
+            newChannel.pipeline().addLast(new Watcher());
+        }
+    }
+
+    /** Notices a broken connection and resumes writing when the socket accepts data again. */
+    private final class Watcher extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (context.channel() == channel) {
+                channel = null;
+                dropQueue();
+                listener.unreachable(instance);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (context.channel() == channel && channel.isWritable()) {
+                flush();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLinks.java
@@ -0,0 +1,86 @@
+package org.bronzehill.entry.peer;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Outgoing links to all peers. */
+public final class PeerLinks implements AutoCloseable {
+
+    private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+    private final EventLoopGroup loops;
+    private final PeerAddresses addresses;
+    private final PeerListener listener;
+    private final int capacity;
+
+    private PeerLinks(
+            EventLoopGroup loops, PeerAddresses addresses, PeerListener listener, int capacity) {
+        this.loops = loops;
+        this.addresses = addresses;
+        this.listener = listener;
+        this.capacity = capacity;
+    }
+
+    /**
+     * Creates the links.
+     *
+     * @param capacity most messages that wait for one link
+     */
+    public static PeerLinks create(
+            EventLoopGroup loops, PeerAddresses addresses, PeerListener listener, int capacity) {
+        return new PeerLinks(loops, addresses, listener, capacity);
+    }
+
+    /**
+     * Queues a message for an instance; false if its address is unknown or its queue is full.
+     *
+     * @param fresh whether to close the open connection and use a new one
+     */
+    public boolean send(String instance, Envelope envelope, boolean fresh) {
+        Optional<PeerLink> link = link(instance);
+        return link.isPresent() && link.get().send(envelope, fresh);
+    }
+
+    private Optional<PeerLink> link(String instance) {
+        PeerLink known = links.get(instance);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        if (addresses.of(instance).isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                links.computeIfAbsent(
+                        instance,
+                        i ->
+                                new PeerLink(
+                                        i,
+                                        loops.next(),
+                                        () -> addresses.of(i),
+                                        listener,
+                                        capacity)));
+    }
+
+    /** Closes the links to instances that have no address any more. */
+    public void closeRemoved() {
+        links.forEach(
+                (id, link) -> {
+                    if (addresses.of(id).isEmpty() && links.remove(id, link)) {
+                        link.close();
+                    }
+                });
+    }
+
+    /** Returns the number of messages that wait, over all links. */
+    public int queued() {
+        return links.values().stream().mapToInt(PeerLink::queued).sum();
+    }
+
+    @Override
+    public void close() {
+        links.values().forEach(PeerLink::close);
+        links.clear();
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/AnswerSink.java
@@ -0,0 +1,201 @@
+package org.bronzehill.entry.relay;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.result.ResultCode;
+
+/**
+ * Receives the chunks and the end of one request's answer. The answer is made of the chunks of one
+ * attempt in sequence; any gap, and any difference between the number of chunks sent and received,
+ * makes it truncated. Thread-safe: chunks arrive on event loops and the end on the core thread.
+ */
+abstract class AnswerSink {
+
+    /** Progress is reported at the first chunk and then at most this often. */
+    private static final long PROGRESS_INTERVAL_NANOS = 500_000_000L;
+
+    /** A request has few attempts; the bound only keeps the set small whatever is received. */
+    private static final int MAX_DISCARDED = 16;
+
+    private final RequestInfo info;
+    private final RelayListener listener;
+    private final Set<Integer> discarded = new HashSet<>();
+    private Provenance provenance;
+    private int relayed;
+    private long received;
+    private long reportedNanos;
+    private boolean ended;
+
+    AnswerSink(RequestInfo info, RelayListener listener) {
+        this.info = info;
+        this.listener = listener;
+    }
+
+    /** Starts the answer; what produces it is known. */
+    abstract void onHead(Provenance source);
+
+    /** Adds a chunk to the answer; false if the caller does not take it. */
+    abstract boolean onData(byte[] data);
+
+    /** Ends the answer. */
+    abstract void onEnd(Effect.Answer answer);
+
+    final RequestInfo info() {
+        return info;
+    }
+
+    final synchronized boolean isEnded() {
+        return ended;
+    }
+
+    final void chunk(int attempt, long sequence, byte[] data) {
+        boolean progress = false;
+        ResultCode failure = null;
+        long count;
+        synchronized (this) {
+            if (ended || discarded.contains(attempt) || (relayed != 0 && relayed != attempt)) {
+                return;
+            }
+            if (relayed == 0 && sequence != 0) {
+                discard(attempt);
+                return;
+            }
+            if (sequence != received) {
+                failure = ResultCode.TRUNCATED;
+            } else {
+                failure = accept(attempt, data);
+                progress = failure == null && isProgressDue();
+            }
+            count = received;
+        }
+        if (failure != null) {
+            fail(failure);
+        } else if (progress) {
+            listener.progress(info.requestId(), attempt, count);
+        }
+    }
+
+    private ResultCode accept(int attempt, byte[] data) {
+        if (received == 0) {
+            Provenance source = ChunkHead.decode(data);
+            if (source == null) {
+                return ResultCode.TRUNCATED;
+            }
+            relayed = attempt;
+            provenance = source;
+            onHead(source);
+        } else if (!onData(data)) {
+            return ResultCode.SILENT_CONNECTION;
+        }
+        received++;
+        return null;
+    }
+
+    private boolean isProgressDue() {
+        long now = System.nanoTime();
+        if (received > 1 && now - reportedNanos < PROGRESS_INTERVAL_NANOS) {
+            return false;
+        }
+        reportedNanos = now;
+        return true;
+    }
+
+    /** Drops further chunks of an attempt; tells the core if some have been relayed already. */
+    final void abandon(int attempt) {
+        long count;
+        synchronized (this) {
+            if (ended) {
+                return;
+            }
+            if (relayed != attempt) {
+                discard(attempt);
+                return;
+            }
+            count = received;
+        }
+        listener.progress(info.requestId(), attempt, count);
+    }
+
+    private void discard(int attempt) {
+        if (discarded.size() < MAX_DISCARDED) {
+            discarded.add(attempt);
+        }
+    }
+
+    /** Ends the answer as the core decided, or as truncated if chunks are missing. */
+    final void answer(Effect.Answer answer) {
+        Effect.Answer actual;
+        synchronized (this) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            boolean relay = answer.code().isSuccess() && answer.chunks() >= 0;
+            boolean whole = !relay || (relayed == answer.attempt() && received == answer.chunks());
+            actual = whole ? answer : truncated(answer);
+            onEnd(actual);
+        }
+        tell(actual);
+    }
+
+    private Effect.Answer truncated(Effect.Answer answer) {
+        return with(
+                answer,
+                ResultCode.TRUNCATED,
+                "received " + received + " of " + answer.chunks() + " chunks");
+    }
+
+    private static Effect.Answer with(Effect.Answer answer, ResultCode code, String detail) {
+        return new Effect.Answer(
+                answer.requestId(),
+                answer.attempt(),
+                code,
+                answer.provenance(),
+                answer.chunks(),
+                null,
+                answer.retryAfter(),
+                answer.loadStall(),
+                detail);
+    }
+
+    /** Ends the answer for a reason found here rather than in the core. */
+    final void fail(ResultCode code) {
+        Effect.Answer end;
+        synchronized (this) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            end =
+                    new Effect.Answer(
+                            info.requestId(),
+                            relayed,
+                            code,
+                            provenance,
+                            received,
+                            null,
+                            Duration.ZERO,
+                            Duration.ZERO,
+                            "");
+            onEnd(end);
+        }
+        listener.callerGone(info.requestId());
+        tell(end);
+    }
+
+    private void tell(Effect.Answer end) {
+        Provenance known = end.provenance() != null ? end.provenance() : provenance;
+        listener.ended(
+                new RequestOutcome(
+                        info,
+                        end.code(),
+                        known,
+                        end.attempt(),
+                        end.chunks(),
+                        end.loadStall(),
+                        end.detail()));
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/CollectSink.java
@@ -0,0 +1,54 @@
+package org.bronzehill.entry.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.core.node.Effect;
+
+/** Collects an answer and hands it over when it is complete. */
+final class CollectSink extends AnswerSink {
+
+    /** Largest collected answer; 32,000 tokens take about 200 KB. */
+    private static final int MAX_BYTES = 4 << 20;
+
+    private final CompletableFuture<Reply> reply;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Provenance provenance;
+
+    CollectSink(RequestInfo info, RelayListener listener, CompletableFuture<Reply> reply) {
+        super(info, listener);
+        this.reply = reply;
+    }
+
+    @Override
+    void onHead(Provenance source) {
+        provenance = source;
+    }
+
+    @Override
+    boolean onData(byte[] data) {
+        if (body.size() + data.length > MAX_BYTES) {
+            return false;
+        }
+        body.writeBytes(data);
+        return true;
+    }
+
+    @Override
+    void onEnd(Effect.Answer answer) {
+        if (answer.code().isSuccess() && answer.body() == null) {
+            reply.complete(
+                    new Reply(
+                            answer.code().httpStatus(),
+                            "application/json",
+                            Map.of(),
+                            answer.provenance() != null ? answer.provenance() : provenance,
+                            answer.code(),
+                            body.toByteArray(),
+                            null));
+        } else {
+            reply.complete(Replies.of(info(), answer));
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/RequestOutcome.java
@@ -0,0 +1,15 @@
+package org.bronzehill.entry.relay;
+
+import java.time.Duration;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.core.result.ResultCode;
+
+/** How a caller's request ended, as told to the caller. */
+public record RequestOutcome(
+        RequestInfo request,
+        ResultCode code,
+        Provenance provenance,
+        int attempt,
+        long chunks,
+        Duration loadStall,
+        String detail) {}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/SinkTable.java
@@ -0,0 +1,89 @@
+package org.bronzehill.entry.relay;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.result.ResultCode;
+
+/** The answers in progress of this instance's own callers, by request id. */
+public final class SinkTable {
+
+    private final ConcurrentHashMap<String, AnswerSink> sinks = new ConcurrentHashMap<>();
+    private final AtomicInteger size = new AtomicInteger();
+    private final RelayListener listener;
+    private final int capacity;
+
+    private SinkTable(RelayListener listener, int capacity) {
+        this.listener = listener;
+        this.capacity = capacity;
+    }
+
+    /** Creates a table for at most {@code capacity} answers at once. */
+    public static SinkTable create(RelayListener listener, int capacity) {
+        return new SinkTable(listener, capacity);
+    }
+
+    /** Opens an answer that completes {@code reply}; false if the table is full. */
+    public boolean open(RequestInfo info, boolean stream, CompletableFuture<Reply> reply) {
+        if (size.incrementAndGet() > capacity) {
+            size.decrementAndGet();
+            return false;
+        }
+        AnswerSink sink =
+                stream
+                        ? new StreamSink(info, listener, reply)
+                        : new CollectSink(info, listener, reply);
+        if (sinks.putIfAbsent(info.requestId(), sink) != null) {
+            size.decrementAndGet();
+            return false;
+        }
+        return true;
+    }
+
+    /** Relays one chunk of an attempt. */
+    public void chunk(String requestId, int attempt, long sequence, byte[] data) {
+        AnswerSink sink = sinks.get(requestId);
+        if (sink != null) {
+            sink.chunk(attempt, sequence, data);
+            removeEnded(requestId, sink);
+        }
+    }
+
+    /** Stops the relay of an attempt. */
+    public void abandon(String requestId, int attempt) {
+        AnswerSink sink = sinks.get(requestId);
+        if (sink != null) {
+            sink.abandon(attempt);
+        }
+    }
+
+    /** Ends an answer as the core decided. */
+    public void answer(Effect.Answer answer) {
+        AnswerSink sink = sinks.get(answer.requestId());
+        if (sink != null) {
+            sink.answer(answer);
+            removeEnded(answer.requestId(), sink);
+        }
+    }
+
+    /** Ends an answer whose caller has closed its connection. */
+    public void callerGone(String requestId) {
+        AnswerSink sink = sinks.get(requestId);
+        if (sink != null) {
+            sink.fail(ResultCode.CANCELLED);
+            removeEnded(requestId, sink);
+        }
+    }
+
+    private void removeEnded(String requestId, AnswerSink sink) {
+        if (sink.isEnded() && sinks.remove(requestId, sink)) {
+            size.decrementAndGet();
+        }
+    }
+
+    /** Returns the number of answers in progress. */
+    public int size() {
+        return size.get();
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the program, given in flags and environment variables. */
+package org.bronzehill.entry.settings;
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Audit records, logs, metrics and spans. */
+package org.bronzehill.entry.telemetry;
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/BodyCollector.java
@@ -0,0 +1,68 @@
+package org.bronzehill.entry.upstream;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.bronzehill.core.node.FailureReason;
+
+/** Collects a whole answer of bounded size. */
+final class BodyCollector implements HttpListener {
+
+    /** The platform's values are at most 1 MB; reports of large engines stay below 4 MB. */
+    private static final int MAX_BYTES = 8 << 20;
+
+    /** A complete answer. */
+    record Whole(int status, Map<String, String> headers, byte[] body) {
+        Whole {
+            headers = Map.copyOf(headers);
+        }
+    }
+
+    private final Consumer<Whole> onWhole;
+    private final BiConsumer<FailureReason, String> onFailed;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Map<String, String> headers = Map.of();
+    private int status;
+    private boolean tooLarge;
+
+    private BodyCollector(Consumer<Whole> onWhole, BiConsumer<FailureReason, String> onFailed) {
+        this.onWhole = onWhole;
+        this.onFailed = onFailed;
+    }
+
+    static BodyCollector create(
+            Consumer<Whole> onWhole, BiConsumer<FailureReason, String> onFailed) {
+        return new BodyCollector(onWhole, onFailed);
+    }
+
+    @Override
+    public void onHead(int newStatus, Map<String, String> newHeaders) {
+        status = newStatus;
+        headers = newHeaders;
+    }
+
+    @Override
+    public void onData(byte[] data) {
+        if (body.size() + data.length > MAX_BYTES) {
+            tooLarge = true;
+        } else {
+            body.writeBytes(data);
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        if (tooLarge) {
+            onFailed.accept(
+                    FailureReason.BROKEN, "answer is larger than " + MAX_BYTES + " bytes");
+        } else {
+            onWhole.accept(new Whole(status, headers, body.toByteArray()));
+        }
+    }
+
+    @Override
+    public void onFailure(FailureReason reason, String detail) {
+        onFailed.accept(reason, detail);
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineAttempt.java
@@ -0,0 +1,150 @@
+package org.bronzehill.entry.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.Input;
+
+/** Relays the answer of one attempt to its origin and tells the core how it ended. */
+final class EngineAttempt implements HttpListener {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_ERROR_BYTES = 4096;
+    private static final String DONE = "[DONE]";
+
+    private final Effect.StartAttempt start;
+    private final byte[] head;
+    private final ChunkTarget target;
+    private final InputSink inputs;
+    private final EventParser events = new EventParser(this::event);
+    private final ByteArrayOutputStream error = new ByteArrayOutputStream();
+    private HttpExchange exchange;
+    private int status;
+    private long chunks;
+    private int tokens;
+    private boolean done;
+    private boolean ended;
+
+    EngineAttempt(
+            Effect.StartAttempt start, byte[] head, ChunkTarget target, InputSink inputs) {
+        this.start = start;
+        this.head = head;
+        this.target = target;
+        this.inputs = inputs;
+    }
+
+    void bind(HttpExchange newExchange) {
+        exchange = newExchange;
+    }
+
+    @Override
+    public void onHead(int newStatus, Map<String, String> headers) {
+        status = newStatus;
+    }
+
+    @Override
+    public void onData(byte[] data) {
+        if (ended) {
+            return;
+        }
+        if (status != 200) {
+            if (error.size() < MAX_ERROR_BYTES) {
+                error.write(data, 0, Math.min(data.length, MAX_ERROR_BYTES - error.size()));
+            }
+        } else if (start.stream()) {
+            if (!events.add(data)) {
+                fail(FailureReason.BROKEN, "an event exceeds the size bound");
+            }
+        } else {
+            relay(data);
+        }
+    }
+
+    private void event(byte[] data) {
+        if (ended || done) {
+            return;
+        }
+        if (data.length == DONE.length()
+                && DONE.equals(new String(data, StandardCharsets.US_ASCII))) {
+            done = true;
+        } else {
+            tokens++;
+            relay(data);
+        }
+    }
+
+    private void relay(byte[] data) {
+        if (chunks == 0) {
+            send(head);
+            inputs.accept(new Input.AttemptStarted(start.attemptId()));
+        }
+        send(data);
+    }
+
+    private void send(byte[] data) {
+        if (!ended && target.chunk(chunks, data)) {
+            chunks++;
+        } else {
+            fail(FailureReason.BROKEN, "the origin takes no more chunks");
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        if (ended) {
+            return;
+        }
+        if (status != 200) {
+            fail(reasonOfStatus(), "status " + status + ": " + error.toString(StandardCharsets.UTF_8));
+        } else if (start.stream() && !done) {
+            fail(FailureReason.BROKEN, "the stream ended without [DONE]");
+        } else {
+            ended = true;
+            inputs.accept(new Input.AttemptFinished(start.attemptId(), chunks, tokens));
+        }
+    }
+
+    private FailureReason reasonOfStatus() {
+        if (status == 404 && "unknown_handle".equals(errorCode())) {
+            return FailureReason.REFUSED;
+        }
+        // Only the unknown handle is promised to mean that nothing ran.
+        boolean rejected = status >= 400 && status < 500 && status != 429;
+        return rejected ? FailureReason.REJECTED : FailureReason.BROKEN;
+    }
+
+    /** The code is either at the top of the answer or in the error object of the OpenAI form. */
+    private String errorCode() {
+        try {
+            JsonNode root = MAPPER.readTree(error.toByteArray());
+            JsonNode inner = root.path("error");
+            return inner.isObject() ? inner.path("code").asText() : inner.asText(code(root));
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static String code(JsonNode root) {
+        return root.path("code").asText();
+    }
+
+    private void fail(FailureReason reason, String detail) {
+        if (!ended) {
+            ended = true;
+            inputs.accept(new Input.AttemptFailed(start.attemptId(), reason, chunks, detail));
+            if (exchange != null) {
+                exchange.cancel();
+            }
+        }
+    }
+
+    @Override
+    public void onFailure(FailureReason reason, String detail) {
+        fail(reason, detail);
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineClient.java
@@ -0,0 +1,202 @@
+package org.bronzehill.entry.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.node.OrderKind;
+import org.bronzehill.core.node.OrderOutcome;
+
+/** Client of the engines: attempts, orders and reports. */
+public final class EngineClient {
+
+    /** The holder reads a report every 250 ms; a late one is of no use after a few more. */
+    private static final Duration REPORT_DEADLINE = Duration.ofSeconds(1);
+
+    /** A load takes 250 ms, and proportionally longer when many adapters are in flight. */
+    private static final Duration ORDER_DEADLINE = Duration.ofSeconds(10);
+
+    private static final Duration CANCEL_DEADLINE = Duration.ofSeconds(1);
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final EventLoopGroup loops;
+    private final UpstreamUris uris;
+    private final InputSink inputs;
+    private final Map<Long, Running> running = new ConcurrentHashMap<>();
+
+    private record Running(HttpExchange exchange, String engine, String requestId) {}
+
+    private EngineClient(EventLoopGroup loops, UpstreamUris uris, InputSink inputs) {
+        this.loops = loops;
+        this.uris = uris;
+        this.inputs = inputs;
+    }
+
+    /** Creates a client that reports to the core through {@code inputs}. */
+    public static EngineClient create(EventLoopGroup loops, UpstreamUris uris, InputSink inputs) {
+        return new EngineClient(loops, uris, inputs);
+    }
+
+    /** Starts an attempt whose chunks go to {@code target}. */
+    public void start(
+            Effect.StartAttempt start, byte[] head, String traceparent, ChunkTarget target) {
+        long id = start.attemptId();
+        if (uris.of(start.engine()).isEmpty()) {
+            inputs.accept(
+                    new Input.AttemptFailed(id, FailureReason.NOT_SENT, 0, "unknown engine"));
+            return;
+        }
+        byte[] body;
+        try {
+            body = rewrite(start);
+        } catch (IOException e) {
+            inputs.accept(
+                    new Input.AttemptFailed(id, FailureReason.NOT_SENT, 0, "malformed body"));
+            return;
+        }
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Content-Type", "application/json");
+        headers.put("X-Request-Id", start.requestId());
+        if (!traceparent.isEmpty()) {
+            headers.put("traceparent", traceparent);
+        }
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        uris.of(start.engine()).get().resolve("/v1/chat/completions"),
+                        headers,
+                        body,
+                        start.limits().silence(),
+                        start.limits().deadline());
+        EngineAttempt attempt =
+                new EngineAttempt(
+                        start,
+                        head,
+                        target,
+                        input -> {
+                            if (!(input instanceof Input.AttemptStarted)) {
+                                running.remove(id);
+                            }
+                            inputs.accept(input);
+                        });
+        HttpExchange exchange = HttpExchange.prepare(call, attempt, loops.next());
+        attempt.bind(exchange);
+        running.put(id, new Running(exchange, start.engine(), start.requestId()));
+        exchange.begin();
+    }
+
+    private static byte[] rewrite(Effect.StartAttempt start) throws IOException {
+        JsonNode body = MAPPER.readTree(start.body());
+        if (!(body instanceof ObjectNode object)) {
+            throw new IOException("the body is not a JSON object");
+        }
+        object.put("model", start.handle());
+        object.put("stream", start.stream());
+        object.put("priority", start.limits().priority());
+        return MAPPER.writeValueAsBytes(object);
+    }
+
+    /** Cancels an attempt; the engine is told as well, because it may not notice a closed socket. */
+    public void cancel(long attemptId) {
+        Running attempt = running.get(attemptId);
+        if (attempt == null) {
+            return;
+        }
+        attempt.exchange().cancel();
+        uris.of(attempt.engine())
+                .ifPresent(
+                        uri ->
+                                call(
+                                        new HttpCall(
+                                                "POST",
+                                                uri.resolve(
+                                                        "/v1/requests/"
+                                                                + attempt.requestId()
+                                                                + "/cancel"),
+                                                Map.of(),
+                                                new byte[0],
+                                                CANCEL_DEADLINE,
+                                                CANCEL_DEADLINE),
+                                        BodyCollector.create(whole -> {}, (r, d) -> {})));
+    }
+
+    /** Reads the report of an engine. */
+    public void readReport(String engine) {
+        if (uris.of(engine).isEmpty()) {
+            inputs.accept(new Input.EngineReportFailed(engine, "unknown engine"));
+            return;
+        }
+        call(
+                HttpCall.get(uris.of(engine).get().resolve("/v1/report"), REPORT_DEADLINE),
+                BodyCollector.create(
+                        whole -> inputs.accept(ReportParser.parse(engine, whole)),
+                        (reason, detail) ->
+                                inputs.accept(new Input.EngineReportFailed(engine, detail))));
+    }
+
+    /** Gives an order. */
+    public void order(Effect.OrderEngine order) {
+        if (uris.of(order.engine()).isEmpty()) {
+            inputs.accept(new Input.OrderAnswered(order.orderId(), OrderOutcome.UNKNOWN, 0));
+            return;
+        }
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        uris.of(order.engine()).get().resolve(path(order.kind())),
+                        Map.of(
+                                "Content-Type",
+                                "application/json",
+                                "X-Fencing-Number",
+                                String.valueOf(order.fencing())),
+                        body(order).toString().getBytes(StandardCharsets.UTF_8),
+                        ORDER_DEADLINE,
+                        ORDER_DEADLINE);
+        call(
+                call,
+                BodyCollector.create(
+                        whole -> inputs.accept(OrderAnswers.of(order.orderId(), whole)),
+                        (reason, detail) ->
+                                inputs.accept(
+                                        new Input.OrderAnswered(
+                                                order.orderId(), OrderOutcome.UNKNOWN, 0))));
+    }
+
+    private static String path(OrderKind kind) {
+        return switch (kind) {
+            case LOAD -> "/v1/load_lora_adapter";
+            case EVICT -> "/v1/unload_lora_adapter";
+            case SET_ROLE -> "/v1/role";
+        };
+    }
+
+    private static ObjectNode body(Effect.OrderEngine order) {
+        ObjectNode body = MAPPER.createObjectNode();
+        switch (order.kind()) {
+            case LOAD -> body.put("lora_name", order.handle()).put("lora_path", order.weights());
+            case EVICT -> body.put("lora_name", order.handle());
+            case SET_ROLE -> body.put("role", order.role());
+            default -> throw new IllegalArgumentException("unknown order " + order.kind());
+        }
+        return body;
+    }
+
+    private void call(HttpCall call, HttpListener listener) {
+        HttpExchange.prepare(call, listener, loops.next()).begin();
+    }
+
+    /** Returns the number of attempts that run through this client. */
+    public int running() {
+        return running.size();
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EventParser.java
@@ -0,0 +1,68 @@
+package org.bronzehill.entry.upstream;
+
+import java.io.ByteArrayOutputStream;
+import java.util.function.Consumer;
+
+/** Splits a body of server-sent events into the data of its events. */
+final class EventParser {
+
+    /** One event carries one token or a few; the bound only limits what a faulty engine can cause. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
+    private static final byte[] PREFIX = {'d', 'a', 't', 'a', ':'};
+
+    private final Consumer<byte[]> onEvent;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream event = new ByteArrayOutputStream();
+
+    EventParser(Consumer<byte[]> onEvent) {
+        this.onEvent = onEvent;
+    }
+
+    /** Adds received bytes; false if an event exceeds the bound. */
+    boolean add(byte[] data) {
+        for (byte b : data) {
+            if (b == '\n') {
+                endLine();
+            } else if (b != '\r') {
+                line.write(b);
+            }
+            if (line.size() + event.size() > MAX_EVENT_BYTES) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void endLine() {
+        byte[] text = line.toByteArray();
+        line.reset();
+        if (text.length == 0) {
+            if (event.size() > 0) {
+                onEvent.accept(event.toByteArray());
+                event.reset();
+            }
+        } else if (startsWithPrefix(text)) {
+            int start = PREFIX.length;
+            if (start < text.length && text[start] == ' ') {
+                start++;
+            }
+            if (event.size() > 0) {
+                event.write('\n');
+            }
+            event.write(text, start, text.length - start);
+        }
+    }
+
+    private static boolean startsWithPrefix(byte[] text) {
+        if (text.length < PREFIX.length) {
+            return false;
+        }
+        for (int i = 0; i < PREFIX.length; i++) {
+            if (text[i] != PREFIX[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
