--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
@@ -67,6 +67,13 @@
      */
     record AttemptLimits(Duration deadline, Duration silence, int priority) {}
 
+    /**
+     * Names what an attempt will run on; precedes its {@link StartAttempt}. The program sends it to
+     * the origin as the first chunk, number 0, so that the caller's headers are known before the
+     * answer is complete.
+     */
+    record DescribeAttempt(long attemptId, Provenance provenance) implements Effect {}
+
     /** Cancels an attempt at its engine. */
     record CancelAttempt(long attemptId) implements Effect {}
 
@@ -90,6 +97,8 @@
     /**
      * Ends a caller's request.
      *
+     * @param attempt attempt whose chunks make up the answer; 0 if no attempt was made. If the
+     *     caller received chunks of another attempt, the answer is truncated.
      * @param chunks number of chunks that the caller must have received; -1 if the body is given
      *     here
      * @param body answer of a plain service; empty for a model answer that was relayed in chunks
@@ -97,6 +106,7 @@
      */
     record Answer(
             String requestId,
+            int attempt,
             ResultCode code,
             Provenance provenance,
             long chunks,
@@ -106,6 +116,12 @@
             String detail)
             implements Effect {}
 
+    /**
+     * Stops the relay of an attempt's chunks to the caller. Chunks of it that arrive later are
+     * dropped. If chunks of it have been relayed already, an {@link Input.AnswerProgress} tells.
+     */
+    record AbandonAttempt(String requestId, int attempt) implements Effect {}
+
     /** Raises or lowers the readiness signal for the balancer. */
     record SetReady(boolean ready, String reason) implements Effect {}
 
