--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/admission/Entitlement.java
@@ -0,0 +1,60 @@
+package org.bronzehill.core.admission;
+
+import io.vavr.control.Either;
+import org.bronzehill.config.AdapterSpec;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.KindSpec;
+import org.bronzehill.config.MemberSpec;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.result.ResultCode;
+
+/**
+ * What a caller is entitled to under one configuration.
+ *
+ * @param weights location of the weights of the adapter version
+ */
+public record Entitlement(
+        MemberSpec member,
+        KindSpec kind,
+        AdapterSpec adapter,
+        AdapterVersion version,
+        String weights,
+        long configurationNumber) {
+
+    /** Resolves the adapter version for a caller and checks that the caller may use it. */
+    public static Either<ResultCode, Entitlement> resolve(
+            Configuration configuration,
+            String memberName,
+            String caller,
+            String kindName,
+            String adapterName) {
+        MemberSpec member = configuration.member(memberName).getOrNull();
+        if (member == null || !member.callers().containsValue(caller)) {
+            return Either.left(ResultCode.UNAUTHENTICATED);
+        }
+        KindSpec kind = configuration.kind(kindName).getOrNull();
+        if (kind == null) {
+            return Either.left(ResultCode.UNKNOWN_KIND);
+        }
+        AdapterSpec adapter = configuration.adapter(adapterName).getOrNull();
+        if (adapter == null) {
+            return Either.left(ResultCode.UNKNOWN_ADAPTER);
+        }
+        int version = adapter.versionFor(kindName);
+        String weights = adapter.versions().get(version);
+        if (!member.kinds().contains(kindName)
+                || !member.groups().contains(adapter.group())
+                || !kind.isModelRequest()
+                || weights == null) {
+            return Either.left(ResultCode.NOT_ENTITLED);
+        }
+        return Either.right(
+                new Entitlement(
+                        member,
+                        kind,
+                        adapter,
+                        new AdapterVersion(adapterName, version),
+                        weights,
+                        configuration.number()));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/admission/FairQueue.java
@@ -0,0 +1,218 @@
+package org.bronzehill.core.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.bronzehill.config.Urgency;
+
+/**
+ * Queue ordered by urgency class, between members by weighted service, and inside a member by
+ * earliest deadline.
+ *
+ * <p>Each member has a virtual time that grows by {@code weight / share} with each unit of service.
+ * The member with the lowest virtual time is served first. A member that becomes active again
+ * starts at the lowest virtual time of the active members: the share it did not use was lent to the
+ * others and is not owed back, but from now on it is served first until it has caught up.
+ *
+ * @param <T> type of the queued items
+ */
+public final class FairQueue<T> {
+
+    /** Accounts of idle members are dropped beyond this count. */
+    private static final int MAX_ACCOUNTS = 1024;
+
+    private static final double MIN_SHARE = 1e-3;
+
+    private final Map<Urgency, Map<String, TreeSet<Entry<T>>>> classes =
+            new EnumMap<>(Urgency.class);
+    private final Map<Urgency, Integer> sizes = new EnumMap<>(Urgency.class);
+    private final Map<String, Account> accounts = new HashMap<>();
+    private final List<String> order = new ArrayList<>();
+    private long sequence;
+    private int size;
+    private double virtualNow;
+
+    private FairQueue() {
+        for (Urgency u : Urgency.values()) {
+            classes.put(u, new HashMap<>());
+            sizes.put(u, 0);
+        }
+    }
+
+    /** Creates an empty queue. */
+    public static <T> FairQueue<T> create() {
+        return new FairQueue<>();
+    }
+
+    /** Adds an item and returns its entry, which identifies it in {@link #remove}. */
+    public Entry<T> add(T item, Urgency urgency, String member, double share, long deadlineNanos) {
+        Account account = account(member, share);
+        if (account.queued == 0) {
+            account.virtualTime = Math.max(account.virtualTime, activeFloor());
+        }
+        account.queued++;
+        Entry<T> entry = new Entry<>(item, urgency, member, deadlineNanos, sequence++);
+        classes.get(urgency).computeIfAbsent(member, m -> new TreeSet<>(Entry.ORDER)).add(entry);
+        sizes.merge(urgency, 1, Integer::sum);
+        size++;
+        return entry;
+    }
+
+    /** Removes an entry; returns false if it was not in the queue. */
+    public boolean remove(Entry<T> entry) {
+        Map<String, TreeSet<Entry<T>>> members = classes.get(entry.urgency());
+        TreeSet<Entry<T>> entries = members.get(entry.member());
+        if (entries == null || !entries.remove(entry)) {
+            return false;
+        }
+        if (entries.isEmpty()) {
+            members.remove(entry.member());
+        }
+        Account account = accounts.get(entry.member());
+        account.queued--;
+        virtualNow = Math.max(virtualNow, Math.min(account.virtualTime, activeFloor()));
+        sizes.merge(entry.urgency(), -1, Integer::sum);
+        size--;
+        return true;
+    }
+
+    /** Returns the first entry whose item is ready, or null; the entry stays in the queue. */
+    public Entry<T> first(Predicate<T> ready) {
+        for (Urgency u : Urgency.values()) {
+            if (sizes.get(u) == 0) {
+                continue;
+            }
+            Map<String, TreeSet<Entry<T>>> members = classes.get(u);
+            order.clear();
+            order.addAll(members.keySet());
+            order.sort(
+                    Comparator.<String>comparingDouble(m -> accounts.get(m).virtualTime)
+                            .thenComparing(Comparator.naturalOrder()));
+            for (String member : order) {
+                for (Entry<T> e : members.get(member)) {
+                    if (ready.test(e.item())) {
+                        return e;
+                    }
+                }
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Returns the entry to give up in favour of a new item of {@code member}, or null. It is the
+     * latest item of the least urgent class of a member that holds more than its share of the
+     * queue, or an item of a less urgent class.
+     */
+    public Entry<T> displaceableFor(String member, double share, Urgency urgency) {
+        double shares = 0;
+        boolean known = false;
+        for (Map.Entry<String, Account> a : accounts.entrySet()) {
+            if (a.getValue().queued > 0) {
+                shares += a.getValue().share;
+                known |= a.getKey().equals(member);
+            }
+        }
+        shares += known ? 0 : Math.max(MIN_SHARE, share);
+        Account own = accounts.get(member);
+        double ownRatio = (own == null ? 1 : own.queued + 1) / Math.max(MIN_SHARE, share);
+        Urgency[] urgencies = Urgency.values();
+        for (int i = urgencies.length - 1; i >= urgency.ordinal(); i--) {
+            Entry<T> best = null;
+            double bestRatio = urgencies[i] == urgency ? ownRatio : 0;
+            for (Map.Entry<String, TreeSet<Entry<T>>> m : classes.get(urgencies[i]).entrySet()) {
+                Account a = accounts.get(m.getKey());
+                double ratio = a.queued / a.share;
+                boolean overShare = urgencies[i] != urgency || a.queued > size * a.share / shares;
+                if (overShare && ratio > bestRatio) {
+                    bestRatio = ratio;
+                    best = m.getValue().last();
+                }
+            }
+            if (best != null) {
+                return best;
+            }
+        }
+        return null;
+    }
+
+    /** Charges service to a member; a negative weight takes back a charge. */
+    public void charge(String member, double share, double weight) {
+        Account account = account(member, share);
+        account.virtualTime += weight / account.share;
+    }
+
+    /** Calls {@code action} with every item, which must not change the queue. */
+    public void forEach(Consumer<T> action) {
+        for (Map<String, TreeSet<Entry<T>>> members : classes.values()) {
+            for (TreeSet<Entry<T>> entries : members.values()) {
+                for (Entry<T> e : entries) {
+                    action.accept(e.item());
+                }
+            }
+        }
+    }
+
+    /** Returns the number of queued items. */
+    public int size() {
+        return size;
+    }
+
+    /** Returns the number of queued items of the class and of all more urgent ones. */
+    public int sizeUpTo(Urgency urgency) {
+        int sum = 0;
+        for (Urgency u : Urgency.values()) {
+            sum += u.ordinal() <= urgency.ordinal() ? sizes.get(u) : 0;
+        }
+        return sum;
+    }
+
+    private Account account(String member, double share) {
+        Account account = accounts.get(member);
+        if (account == null) {
+            if (accounts.size() >= MAX_ACCOUNTS) {
+                accounts.values().removeIf(a -> a.queued == 0);
+            }
+            account = new Account(activeFloor());
+            accounts.put(member, account);
+        }
+        account.share = Math.max(MIN_SHARE, share);
+        return account;
+    }
+
+    /** Returns the lowest virtual time of the members that wait, or the last one known. */
+    private double activeFloor() {
+        double floor = Double.MAX_VALUE;
+        for (Account a : accounts.values()) {
+            if (a.queued > 0) {
+                floor = Math.min(floor, a.virtualTime);
+            }
+        }
+        return floor == Double.MAX_VALUE ? virtualNow : floor;
+    }
+
+    private static final class Account {
+        private double virtualTime;
+        private double share;
+        private int queued;
+
+        Account(double virtualTime) {
+            this.virtualTime = virtualTime;
+        }
+    }
+
+    /** A queued item with its place in the order. */
+    public record Entry<T>(
+            T item, Urgency urgency, String member, long deadlineNanos, long sequence) {
+
+        private static final Comparator<Entry<?>> ORDER =
+                Comparator.<Entry<?>>comparingLong(Entry::deadlineNanos)
+                        .thenComparingLong(Entry::sequence);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/admission/OverloadPolicy.java
@@ -0,0 +1,76 @@
+package org.bronzehill.core.admission;
+
+import java.time.Duration;
+import org.bronzehill.config.Urgency;
+import org.bronzehill.core.time.TimeSource;
+
+/**
+ * Decides which urgency classes are refused under overload. Classes are shed from the least urgent
+ * one, a step at a time, and admitted again with hysteresis. The most urgent class is never shed.
+ *
+ * <p>The level depends on the present pressure only and falls with time alone, so that no overload
+ * outlives its cause.
+ */
+public final class OverloadPolicy {
+
+    /** Pressure above which one more class is shed; 1 is the limit of the guarded resource. */
+    private static final double HIGH = 0.8;
+
+    /** Pressure below which a class is admitted again; half of {@link #HIGH} avoids oscillation. */
+    private static final double LOW = 0.4;
+
+    private static final long RAISE_NANOS = Duration.ofMillis(250).toNanos();
+    private static final long LOWER_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final int MAX_LEVEL = Urgency.values().length - 1;
+
+    private final TimeSource time;
+    private int level;
+    private long highSince = -1;
+    private long lowSince = -1;
+
+    private OverloadPolicy(TimeSource time) {
+        this.time = time;
+    }
+
+    /** Creates a policy that admits every class. */
+    public static OverloadPolicy create(TimeSource time) {
+        return new OverloadPolicy(time);
+    }
+
+    /**
+     * Notes the present pressure; to be called on every tick, also when there is no traffic.
+     *
+     * @return whether the level has changed
+     */
+    public boolean update(double pressure) {
+        long now = time.nanoTime();
+        highSince = pressure > HIGH ? (highSince < 0 ? now : highSince) : -1;
+        lowSince = pressure < LOW ? (lowSince < 0 ? now : lowSince) : -1;
+        if (highSince >= 0 && now - highSince >= RAISE_NANOS && level < MAX_LEVEL) {
+            level++;
+            highSince = now;
+            return true;
+        }
+        if (lowSince >= 0 && now - lowSince >= LOWER_NANOS && level > 0) {
+            level--;
+            lowSince = now;
+            return true;
+        }
+        return false;
+    }
+
+    /** Returns whether requests of the class are refused now. */
+    public boolean sheds(Urgency urgency) {
+        return urgency.ordinal() > MAX_LEVEL - level;
+    }
+
+    /** Returns the number of classes that are shed. */
+    public int level() {
+        return level;
+    }
+
+    /** Returns how long a caller of a shed class should wait before it sends again. */
+    public Duration retryAfter() {
+        return Duration.ofNanos(LOWER_NANOS * Math.max(1, level));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/LeaseGuard.java
@@ -0,0 +1,19 @@
+package org.bronzehill.core.engine;
+
+import org.bronzehill.core.node.Effects;
+
+/** The part of the lease manager that a scheduler needs. */
+public interface LeaseGuard {
+
+    /** Returns whether this instance holds the lease of the resource at this moment. */
+    boolean holds(String resource);
+
+    /** Asks the grantors to record that the handle is about to be evicted. */
+    void announceIntent(String resource, String handle, Effects out);
+
+    /** Tells the grantors that the handle is no longer on the engine. */
+    void finishIntent(String resource, String handle, Effects out);
+
+    /** Notes a fencing number that the engine reported. */
+    void observeFencing(String resource, long fencing);
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/SchedulerContext.java
@@ -0,0 +1,17 @@
+package org.bronzehill.core.engine;
+
+import java.util.function.Supplier;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.core.node.IdSequence;
+import org.bronzehill.core.time.TimeSource;
+
+/** What the schedulers of one entry instance share. */
+public record SchedulerContext(
+        LeaseGuard leases,
+        StorePermits permits,
+        Supplier<Configuration> configuration,
+        TimeSource time,
+        IdSequence ids,
+        CrashHistory crashes,
+        PlacementView placement,
+        EngineRequestListener listener) {}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/StorePermits.java
@@ -0,0 +1,17 @@
+package org.bronzehill.core.engine;
+
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.protocol.generated.PermitRequest;
+
+/** The part of the store budget that a scheduler needs. */
+public interface StorePermits {
+
+    /** Asks for a permit, or replaces the deadline and value of an earlier request. */
+    void request(PermitRequest request, Effects out);
+
+    /** Takes back a request that has not been granted. */
+    void withdraw(String engine, long sequence, Effects out);
+
+    /** Returns a granted permit; {@code used} tells whether the store was read. */
+    void finished(String engine, long sequence, boolean used, Effects out);
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/RouteCandidate.java
@@ -0,0 +1,19 @@
+package org.bronzehill.core.placement;
+
+/**
+ * An engine that was considered for a request; all times in seconds, a lower score is better.
+ *
+ * @param stall expected load stall
+ * @param lackOfBatchGain share of the batch that would stay empty
+ * @param queueDelay expected time in the engine's queue
+ * @param note why the engine was chosen or passed over
+ */
+public record RouteCandidate(
+        String engine,
+        String holder,
+        double score,
+        double stall,
+        double lackOfBatchGain,
+        double queueDelay,
+        boolean prefixCached,
+        String note) {}
