Test once-only acts under random faults; correct the request named by a re-claimed act

Change: an attempt names the request that caused it. Random schedules of crashes, restarts, pauses, partitions, drops, delays, lost answers and lagging list changes check at-most-once and 'not run'; a fleet whose instances ignore each other shows that the check fails. CrashRegistry is tested.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActCoordinator.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActCoordinator.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.FailureReason;
@@ -52,6 +53,12 @@
         this.executor = new ActExecutor(peers, witness, time, ids, this::onExecuted);
     }
 
+    /** Creates a coordinator that reads the fleet from the membership table. */
+    public static ActCoordinator create(
+            Membership membership, TimeSource time, IdSequence ids, ActListener listener) {
+        return create(new MembershipActPeers(membership), time, ids, listener);
+    }
+
     /** Creates a coordinator that knows no claims yet. */
     public static ActCoordinator create(
             ActPeers peers, TimeSource time, IdSequence ids, ActListener listener) {
@@ -194,7 +201,6 @@
         }
         if (result.code().runState() == RunState.NOT_RUN) {
             entry.undecided.remove(coordinator);
-            entry.refusal = result;
             if (!entry.undecided.isEmpty()) {
                 return;
             }
@@ -279,7 +285,6 @@
 
         private String latest = "";
         private long givenNanos;
-        private ActResult refusal;
 
         private Pending(ActRequest request, long deadlineNanos) {
             this.request = request;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecution.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecution.java
@@ -42,7 +42,9 @@
      */
     record Waiter(String origin, String requestId) {}
 
-    private final ActRequest request;
+    /** Request on whose behalf the present attempt is made. */
+    private ActRequest request;
+
     private final ByteString digest;
     private final List<Waiter> waiters = new ArrayList<>();
     private final Set<String> accepted = new HashSet<>();
@@ -99,8 +101,9 @@
         return lookups;
     }
 
-    /** Starts a further attempt. */
-    void begin(long nowNanos, long attemptExpiryNanos) {
+    /** Starts a further attempt on behalf of a request for the same act. */
+    void begin(ActRequest cause, long nowNanos, long attemptExpiryNanos) {
+        request = cause;
         attempt++;
         phase = Phase.CLAIMING;
         accepted.clear();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecutor.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecutor.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.model.Upstream;
 import org.bronzehill.core.node.Effect;
@@ -55,7 +58,8 @@
     private final IdSequence ids;
     private final ResultListener listener;
     private final Map<String, ActExecution> executions = new LinkedHashMap<>();
-    private final Map<Long, ActExecution> calls = new LinkedHashMap<>();
+    private final Set<ActExecution> active = new LinkedHashSet<>();
+    private final Map<Long, ActExecution> calls = new HashMap<>();
 
     ActExecutor(
             ActPeers peers,
@@ -102,7 +106,8 @@
     }
 
     private void claim(ActExecution act, ActRequest request, Effects out) {
-        act.begin(time.nanoTime(), expiry(request));
+        act.begin(request, time.nanoTime(), expiry(request));
+        active.add(act);
         out.add(new Effect.Measure(Signal.ACTS_CLAIMED, request.kind(), 1));
         sendClaims(act, out);
     }
@@ -173,6 +178,7 @@
 
     private void resolve(ActExecution act, Effects out) {
         act.phase = Phase.RESOLVING;
+        active.add(act);
         lookUp(act, out);
     }
 
@@ -276,7 +282,14 @@
                         request.body().toByteArray(),
                         request.contentType(),
                         request.requestId(),
-                        Duration.ofNanos(remaining)));
+                        callLimit(Duration.ofNanos(remaining))));
+    }
+
+    /** Leaves time for a lookup when the call is not answered. */
+    private static Duration callLimit(Duration remaining) {
+        Duration half = remaining.dividedBy(2);
+        Duration reduced = remaining.minus(LOOKUP_LIMIT);
+        return reduced.compareTo(half) > 0 ? reduced : half;
     }
 
     private void ask(ActExecution act, Effects out) {
@@ -338,7 +351,7 @@
             case ACT_STATE_ABANDONED -> {
                 act.replaces = act.standing;
                 long expiry = act.expiryNanos;
-                act.begin(time.nanoTime(), expiry);
+                act.begin(act.request(), time.nanoTime(), expiry);
                 sendClaims(act, out);
             }
             case ACT_STATE_CLAIMING, ACT_STATE_RUNNING -> {}
@@ -348,10 +361,7 @@
 
     void onTick(Effects out) {
         long now = time.nanoTime();
-        for (ActExecution act : new ArrayList<>(executions.values())) {
-            if (act.phase.isEnded()) {
-                continue;
-            }
+        for (ActExecution act : new ArrayList<>(active)) {
             if (now >= act.expiryNanos) {
                 expire(act, out);
             } else if (now >= act.nextSendNanos) {
@@ -403,6 +413,7 @@
 
     private void end(ActExecution act, Phase phase, ResultCode code, Effects out) {
         act.phase = phase;
+        active.remove(act);
         act.lookups().keySet().forEach(calls::remove);
         act.lookups().clear();
         claims.tellEnded(act, out);
@@ -420,6 +431,15 @@
         }
     }
 
+    private static void measure(ActExecution act, ActResult result, Effects out) {
+        String kind = act.request().kind();
+        if (result.code() == ResultCode.ACT_MAY_HAVE_RUN) {
+            out.add(new Effect.Measure(Signal.ACTS_MAY_HAVE_RUN, kind, 1));
+        } else if (result.code() == ResultCode.RECORDED_ANSWER) {
+            out.add(new Effect.Measure(Signal.ACTS_RECORDED_ANSWERS, kind, 1));
+        }
+    }
+
     private static ActResult result(ActExecution act, boolean first) {
         ResultCode code;
         if (act.answer.httpStatus() >= 400) {
@@ -432,6 +452,6 @@
 
     /** Returns the number of acts that have not ended. */
     int inFlight() {
-        return (int) executions.values().stream().filter(a -> !a.phase.isEnded()).count();
+        return active.size();
     }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/MembershipActPeers.java
@@ -0,0 +1,65 @@
+package org.bronzehill.core.onceonly;
+
+import java.util.List;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.model.UpstreamKind;
+
+/** View of the fleet taken from the membership table and the published instance list. */
+final class MembershipActPeers implements ActPeers {
+
+    private final Membership membership;
+
+    MembershipActPeers(Membership membership) {
+        this.membership = membership;
+    }
+
+    @Override
+    public String selfId() {
+        return membership.self().id();
+    }
+
+    @Override
+    public long selfIncarnation() {
+        return membership.self().incarnation();
+    }
+
+    @Override
+    public long listVersion() {
+        return membership.list().version();
+    }
+
+    @Override
+    public List<String> listed() {
+        return membership.list().instances().stream()
+                .filter(i -> i.ref().region().equals(membership.self().region()))
+                .map(i -> i.ref().id())
+                .sorted()
+                .toList();
+    }
+
+    @Override
+    public List<String> live() {
+        List<String> listed = listed();
+        return membership.live().stream().map(InstanceRef::id).filter(listed::contains).toList();
+    }
+
+    @Override
+    public long liveIncarnation(String instance) {
+        return membership.live().stream()
+                .filter(i -> i.id().equals(instance))
+                .mapToLong(InstanceRef::incarnation)
+                .findFirst()
+                .orElse(0);
+    }
+
+    @Override
+    public List<Upstream> runners(String service) {
+        return membership.list().upstreams().stream()
+                .filter(u -> u.kind() == UpstreamKind.APPLICATION_RUNNER)
+                .filter(u -> u.services().contains(service) && u.acceptsWork())
+                .filter(u -> u.region().equals(membership.self().region()))
+                .toList();
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/WitnessHistory.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/WitnessHistory.java
@@ -104,7 +104,7 @@
     }
 
     void onTick(Effects out) {
-        List<String> listed = peers.listed();
+        List<String> listed = peers.listed().stream().sorted().toList();
         observeListVersion(peers.listVersion());
         if (!listed.isEmpty() && !listed.equals(current)) {
             onListChange(listed);
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/crash/CrashRegistryTest.java
@@ -0,0 +1,92 @@
+package org.bronzehill.core.crash;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.ManualTimeSource;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Recognition of requests that crash upstreams, across instances. */
+public class CrashRegistryTest {
+
+    private final byte[] culprit = "culprit".getBytes(StandardCharsets.UTF_8);
+    private final byte[] other = "look-alike".getBytes(StandardCharsets.UTF_8);
+    private ManualTimeSource time;
+    private CrashRegistry a;
+    private CrashRegistry b;
+
+    @BeforeMethod
+    public void createRegistries() {
+        time = ManualTimeSource.startingAt(Instant.EPOCH);
+        a = CrashRegistry.create("a", () -> List.of("b"), time);
+        b = CrashRegistry.create("b", () -> List.of("a"), time);
+    }
+
+    private void link(
+            CrashRegistry from, CrashRegistry to, java.util.function.Consumer<Effects> call) {
+        List<Effect> effects = new ArrayList<>();
+        call.accept(effects::add);
+        for (Effect e : effects) {
+            if (e instanceof Effect.SendPeer send) {
+                to.onMessage(send.envelope().build(), x -> {});
+            }
+        }
+    }
+
+    @Test(description = "guards against crashes counted separately by each instance")
+    public void countsOfDifferentInstancesAddUp() {
+        link(a, b, out -> a.crashed(List.of(culprit), out));
+        assertFalse(b.refuses(culprit));
+        link(b, a, out -> b.crashed(List.of(culprit), out));
+
+        assertTrue(a.refuses(culprit));
+        assertTrue(b.refuses(culprit));
+    }
+
+    @Test(description = "guards against a repeated message that counts as a further crash")
+    public void repeatedMarksCountOnce() {
+        link(a, b, out -> a.crashed(List.of(culprit), out));
+        for (int i = 0; i < 3; i++) {
+            time.advance(Duration.ofSeconds(6));
+            link(a, b, a::onTick);
+        }
+        assertEquals(b.marks(culprit), 1);
+    }
+
+    @Test(description = "guards against condemning requests that only ran beside the culprit")
+    public void completedRunClearsTheMarkEverywhere() {
+        link(a, b, out -> a.crashed(List.of(culprit, other), out));
+        link(b, a, out -> b.completed(other, out));
+
+        assertEquals(a.marks(other), 0);
+        assertEquals(a.marks(culprit), 1);
+    }
+
+    @Test(description = "guards against marks that are never forgotten")
+    public void marksAreForgottenInTime() {
+        a.crashed(List.of(culprit), e -> {});
+        a.crashed(List.of(culprit), e -> {});
+        time.advance(CrashRegistry.RETENTION);
+
+        assertFalse(a.refuses(culprit));
+        a.onTick(e -> {});
+        assertEquals(a.size(), 0);
+    }
+
+    @Test(description = "guards against a table that grows without bound")
+    public void keepsABoundedNumberOfFingerprints() {
+        for (int i = 0; i < CrashRegistry.MAX_FINGERPRINTS + 10; i++) {
+            a.crashed(List.of(("f" + i).getBytes(StandardCharsets.UTF_8)), e -> {});
+        }
+        assertEquals(a.size(), CrashRegistry.MAX_FINGERPRINTS);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/onceonly/ActFleet.java
@@ -0,0 +1,305 @@
+package org.bronzehill.core.onceonly;
+
+import com.google.protobuf.ByteString;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.bronzehill.core.model.ListedState;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.model.UpstreamKind;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.IdSequence;
+import org.bronzehill.core.node.Input.ServiceAnswer;
+import org.bronzehill.core.time.ManualTimeSource;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Several coordinators on virtual time, joined by a message link that delays, drops and partitions.
+ */
+final class ActFleet {
+
+    static final String SERVICE = "pickups";
+    private static final Duration STEP = Duration.ofMillis(10);
+
+    private record Event(long atNanos, long order, Runnable action) {}
+
+    /** One incarnation of an instance. */
+    final class Node implements ActPeers {
+        final String id;
+        final long incarnation;
+        final ActCoordinator coordinator;
+        final Map<String, ActResult> results = new TreeMap<>();
+        boolean running = true;
+        boolean paused;
+        private long seenVersion = listVersion;
+
+        private Node(String id, long incarnation) {
+            this.id = id;
+            this.incarnation = incarnation;
+            this.coordinator =
+                    ActCoordinator.create(
+                            this,
+                            time,
+                            IdSequence.create(),
+                            (requestId, result, out) -> {
+                                if (results.put(requestId, result) != null) {
+                                    violations.add(requestId + " ended twice");
+                                }
+                            });
+        }
+
+        @Override
+        public String selfId() {
+            return id;
+        }
+
+        @Override
+        public long selfIncarnation() {
+            return incarnation;
+        }
+
+        @Override
+        public long listVersion() {
+            return seenVersion;
+        }
+
+        @Override
+        public List<String> listed() {
+            return alone ? List.of(id) : lists.get(seenVersion);
+        }
+
+        @Override
+        public List<String> live() {
+            return nodes.values().stream()
+                    .filter(n -> !alone || n == this)
+                    .filter(n -> n.running && linked(id, n.id))
+                    .map(n -> n.id)
+                    .toList();
+        }
+
+        @Override
+        public long liveIncarnation(String instance) {
+            Node n = nodes.get(instance);
+            return n != null && n.running && linked(id, instance) ? n.incarnation : 0;
+        }
+
+        @Override
+        public List<Upstream> runners(String service) {
+            return List.of(RUNNER);
+        }
+
+        void submit(String requestId, String key, Duration budget) {
+            coordinator.submit(request(requestId, key, budget), e -> carryOut(this, e));
+        }
+
+        private void tick() {
+            if (running && !paused) {
+                coordinator.onTick(e -> carryOut(this, e));
+            }
+        }
+    }
+
+    private static final Upstream RUNNER =
+            new Upstream(
+                    "runner-1",
+                    UpstreamKind.APPLICATION_RUNNER,
+                    URI.create("http://127.0.0.1:1"),
+                    "dc1",
+                    "r1",
+                    ListedState.LIVE,
+                    Upstream.EngineShape.NONE,
+                    false,
+                    Set.of(SERVICE));
+
+    final ManualTimeSource time = ManualTimeSource.startingAt(Instant.EPOCH);
+    final Map<String, Node> nodes = new TreeMap<>();
+    final Set<String> listed = new TreeSet<>();
+    final Map<String, Integer> executions = new HashMap<>();
+    final Map<String, Set<String>> executedRequests = new HashMap<>();
+    final List<String> violations = new ArrayList<>();
+    final Random random;
+
+    /** When set, every instance believes that it is the only one; the checks must then fail. */
+    boolean alone;
+
+    private final Map<Long, List<String>> lists = new HashMap<>();
+    private long listVersion = 1;
+    double dropRate;
+    double lostAnswerRate;
+    int maxDelayMs = 3;
+    private final Set<String> cut = new HashSet<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::order));
+    private long incarnations = 1;
+    private long order;
+
+    ActFleet(int size, long seed) {
+        random = new Random(seed);
+        for (int i = 0; i < size; i++) {
+            listed.add("entry-" + i);
+        }
+        lists.put(listVersion, List.copyOf(listed));
+        listed.forEach(this::start);
+    }
+
+    /**
+     * Publishes the present content of {@link #listed}; each instance reads it within the given
+     * lag.
+     */
+    void publishList(Duration lag) {
+        long version = ++listVersion;
+        lists.put(version, List.copyOf(listed));
+        for (Node n : nodes.values()) {
+            int delay = lag.isZero() ? 0 : random.nextInt((int) lag.toMillis());
+            later(delay, () -> n.seenVersion = Math.max(n.seenVersion, version));
+        }
+    }
+
+    static ActRequest request(String requestId, String key, Duration budget) {
+        return new ActRequest(
+                requestId,
+                key,
+                "creamery",
+                "pickup-confirmation",
+                SERVICE,
+                "confirm",
+                ByteString.copyFromUtf8("litres=40"),
+                "application/json",
+                budget);
+    }
+
+    Node start(String id) {
+        Node node = new Node(id, incarnations++);
+        nodes.put(id, node);
+        return node;
+    }
+
+    void kill(String id) {
+        nodes.get(id).running = false;
+    }
+
+    /**
+     * Stops an instance after it has handed its claims over and the messages have been delivered.
+     */
+    void stop(String id) {
+        Node node = nodes.get(id);
+        node.coordinator.handOver(e -> carryOut(node, e));
+        run(Duration.ofSeconds(1));
+        kill(id);
+    }
+
+    /** Cuts the links between two groups in both directions. */
+    void partition(Set<String> side) {
+        cut.clear();
+        cut.addAll(side);
+    }
+
+    void heal() {
+        cut.clear();
+    }
+
+    private boolean linked(String a, String b) {
+        return cut.contains(a) == cut.contains(b);
+    }
+
+    void run(Duration duration) {
+        long end = time.nanoTime() + duration.toNanos();
+        while (time.nanoTime() < end) {
+            time.advance(STEP);
+            while (!events.isEmpty() && events.peek().atNanos() <= time.nanoTime()) {
+                events.poll().action().run();
+            }
+            new ArrayList<>(nodes.values()).forEach(Node::tick);
+        }
+    }
+
+    private void later(int delayMs, Runnable action) {
+        long at = time.nanoTime() + Duration.ofMillis(delayMs).toNanos();
+        events.add(new Event(at, order++, action));
+    }
+
+    private void carryOut(Node node, Effect effect) {
+        if (effect instanceof Effect.SendPeer send) {
+            deliver(node, send);
+        } else if (effect instanceof Effect.LookupAct lookup) {
+            later(
+                    2,
+                    () -> {
+                        int count = executions.getOrDefault(lookup.key(), 0);
+                        answer(node, lookup.callId(), count > 0 ? 200 : 404);
+                    });
+        } else if (effect instanceof Effect.CallService call) {
+            later(1 + random.nextInt(20), () -> execute(node, call));
+        }
+    }
+
+    private void execute(Node node, Effect.CallService call) {
+        int count = executions.merge(call.key(), 1, Integer::sum);
+        executedRequests.computeIfAbsent(call.key(), k -> new HashSet<>()).add(call.requestId());
+        if (count > 1) {
+            violations.add(call.key() + " executed " + count + " times");
+        }
+        if (random.nextDouble() < lostAnswerRate) {
+            later(
+                    200,
+                    () -> {
+                        if (node.running && !node.paused) {
+                            node.coordinator.onServiceFailed(
+                                    call.callId(), FailureReason.SILENT, e -> carryOut(node, e));
+                        }
+                    });
+        } else {
+            later(2, () -> answer(node, call.callId(), 200));
+        }
+    }
+
+    private void answer(Node node, long callId, int status) {
+        if (!node.running) {
+            return;
+        }
+        if (node.paused) {
+            later(20, () -> answer(node, callId, status));
+            return;
+        }
+        ServiceAnswer answer =
+                new ServiceAnswer(status, "application/json", new byte[] {1}, Map.of());
+        node.coordinator.onServiceAnswered(callId, answer, e -> carryOut(node, e));
+    }
+
+    private void deliver(Node from, Effect.SendPeer send) {
+        Envelope envelope =
+                send.envelope()
+                        .setFrom(from.id)
+                        .setFromIncarnation(from.incarnation)
+                        .setListVersion(from.seenVersion)
+                        .build();
+        if (random.nextDouble() >= dropRate) {
+            Node target = nodes.get(send.instance());
+            later(1 + random.nextInt(maxDelayMs), () -> receive(target, from, envelope));
+        }
+    }
+
+    private void receive(Node target, Node from, Envelope envelope) {
+        if (target == null || !target.running || !linked(from.id, target.id)) {
+            return;
+        }
+        if (target.paused) {
+            later(20, () -> receive(target, from, envelope));
+            return;
+        }
+        target.coordinator.onMessage(envelope, e -> carryOut(target, e));
+    }
+}
