Add declarations: reader, validation, patches, published shards

Cause: operators need every error with file, line, field and reason, and a patch against a stale number must change nothing.

--- /dev/null
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/DeclarationReader.java
@@ -0,0 +1,212 @@
+package org.bronzehill.config;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/** Reads and validates a declaration; reports every problem with file, line, field and reason. */
+public final class DeclarationReader {
+
+    private static final Pattern TOKEN_HASH = Pattern.compile("[0-9a-f]{64}");
+    private static final Duration DEFAULT_SILENCE = Duration.ofSeconds(5);
+
+    private final String file;
+    private final List<Problem> problems = new ArrayList<>();
+
+    private DeclarationReader(String file) {
+        this.file = file;
+    }
+
+    /** Reads the text of a declaration; the left value holds all problems, in line order. */
+    public static Either<List<Problem>, Configuration> read(String file, String text) {
+        return YamlParser.parse(file, text).flatMap(root -> new DeclarationReader(file).read(root));
+    }
+
+    static Either<List<Problem>, Configuration> readTree(String file, Node.Mapping root) {
+        return new DeclarationReader(file).read(root);
+    }
+
+    private Either<List<Problem>, Configuration> read(Node.Mapping root) {
+        FieldReader top = new FieldReader(file, "", root, problems);
+        top.allowOnly("number", "baseModels", "policy", "limits", "kinds", "members", "adapters");
+        long number = top.integer("number", null, 1, Long.MAX_VALUE);
+        Set<String> baseModels = top.names("baseModels");
+        Map<String, KindSpec> kinds = top.section("kinds", this::kind);
+        Map<String, AdapterSpec> adapters =
+                top.section("adapters", (name, in) -> adapter(name, in, baseModels, kinds));
+        Map<String, MemberSpec> members =
+                top.section("members", (name, in) -> member(name, in, kinds));
+        checkTokens(top, members);
+        ConfigurationBase base =
+                new ConfigurationBase(
+                        baseModels,
+                        kinds,
+                        members,
+                        limits(top.nested("limits")),
+                        policy(top.nested("policy")));
+        if (!problems.isEmpty()) {
+            return Either.left(problems.stream().sorted(Problem.BY_LINE).toList());
+        }
+        Configuration configuration = Configuration.of(number, base, adapters.values());
+        return checkSize(configuration);
+    }
+
+    private Either<List<Problem>, Configuration> checkSize(Configuration configuration) {
+        ConfigurationImage image = ImageCodec.encode(configuration);
+        for (byte[] content : image.shards().values()) {
+            if (content.length > ImageCodec.MAX_VALUE_BYTES) {
+                String reason =
+                        "a shard takes "
+                                + content.length
+                                + " bytes; the configuration service holds at most "
+                                + ImageCodec.MAX_VALUE_BYTES;
+                return Either.left(List.of(new Problem(file, 0, "(file)", reason)));
+            }
+        }
+        return Either.right(configuration);
+    }
+
+    private KindSpec kind(String name, FieldReader in) {
+        in.allowOnly(
+                "urgency", "deadline", "onceOnly", "repeatable", "weight", "service", "silence");
+        boolean onceOnly = in.flag("onceOnly", false);
+        boolean repeatable = in.flag("repeatable", !onceOnly);
+        String service = in.text("service", "");
+        if (onceOnly && repeatable) {
+            in.report("repeatable", "a once-only kind cannot be repeatable");
+        }
+        if (onceOnly && service.isEmpty()) {
+            in.report("service", "a once-only kind needs a plain service");
+        }
+        return new KindSpec(
+                name,
+                in.choice("urgency", Urgency.class, null),
+                in.duration("deadline", null),
+                onceOnly,
+                repeatable,
+                in.number("weight", 1.0, 0),
+                service,
+                in.duration("silence", DEFAULT_SILENCE));
+    }
+
+    private MemberSpec member(String name, FieldReader in, Map<String, KindSpec> kinds) {
+        in.allowOnly("share", "kinds", "groups", "callers");
+        Set<String> allowed = in.names("kinds");
+        for (String k : allowed) {
+            if (!kinds.containsKey(k)) {
+                in.report("kinds", "the kind " + k + " is not declared");
+            }
+        }
+        Map<String, String> callers = new LinkedHashMap<>();
+        in.texts("callers")
+                .forEach(
+                        (caller, hash) -> {
+                            if (!TOKEN_HASH.matcher(hash).matches()) {
+                                in.report(
+                                        "callers",
+                                        "the token of "
+                                                + caller
+                                                + " must be a SHA-256 in lower-case hex");
+                            }
+                            callers.put(hash, caller);
+                        });
+        return new MemberSpec(
+                name, in.number("share", 1.0, 0.001), allowed, in.names("groups"), callers);
+    }
+
+    private static void checkTokens(FieldReader top, Map<String, MemberSpec> members) {
+        Map<String, String> seen = new LinkedHashMap<>();
+        for (MemberSpec m : members.values()) {
+            for (String hash : m.callers().keySet()) {
+                String other = seen.put(hash, m.name());
+                if (other != null) {
+                    top.report(
+                            "members",
+                            "members " + other + " and " + m.name() + " share a caller token");
+                }
+            }
+        }
+    }
+
+    private AdapterSpec adapter(
+            String name, FieldReader in, Set<String> baseModels, Map<String, KindSpec> kinds) {
+        in.allowOnly("baseModel", "group", "versions", "pins");
+        String model = in.text("baseModel", null);
+        if (model != null && !baseModels.contains(model)) {
+            in.report("baseModel", "the base model " + model + " is not declared");
+        }
+        Map<Integer, String> versions = new LinkedHashMap<>();
+        in.texts("versions")
+                .forEach(
+                        (v, weights) -> positive(in, "versions", v, n -> versions.put(n, weights)));
+        Map<String, Integer> pins = new LinkedHashMap<>();
+        in.texts("pins").forEach((kind, v) -> positive(in, "pins", v, n -> pins.put(kind, n)));
+        pins.forEach(
+                (kind, version) -> {
+                    if (!kind.equals(AdapterSpec.ANY_KIND) && !kinds.containsKey(kind)) {
+                        in.report("pins", "the kind " + kind + " is not declared");
+                    }
+                    if (!versions.containsKey(version)) {
+                        in.report(
+                                "pins",
+                                "version " + version + " pinned for " + kind + " does not exist");
+                    }
+                });
+        return new AdapterSpec(
+                name, model == null ? "" : model, in.text("group", "default"), versions, pins);
+    }
+
+    private static void positive(
+            FieldReader in, String field, String text, java.util.function.IntConsumer use) {
+        try {
+            int value = Integer.parseInt(text);
+            if (value > 0) {
+                use.accept(value);
+                return;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below together with values that are not positive.
+        }
+        in.report(field, "a version is a positive whole number, not " + text);
+    }
+
+    private static Limits limits(FieldReader in) {
+        Limits d = Limits.DEFAULTS;
+        if (in == null) {
+            return d;
+        }
+        in.allowOnly(
+                "storeLoadsPerSecond",
+                "storeFullSpeed",
+                "storeInFlight",
+                "maxBodyBytes",
+                "engineQueue",
+                "openRequests",
+                "configurationCallsPerSecond");
+        return new Limits(
+                in.number("storeLoadsPerSecond", d.storeLoadsPerSecond(), 0.01),
+                (int) in.integer("storeFullSpeed", (long) d.storeFullSpeed(), 1, 10_000),
+                (int) in.integer("storeInFlight", (long) d.storeInFlight(), 1, 10_000),
+                (int) in.integer("maxBodyBytes", (long) d.maxBodyBytes(), 1024, 64L << 20),
+                (int) in.integer("engineQueue", (long) d.engineQueue(), 1, 1_000_000),
+                (int) in.integer("openRequests", (long) d.openRequests(), 1, 1_000_000),
+                in.number("configurationCallsPerSecond", d.configurationCallsPerSecond(), 1));
+    }
+
+    private static Policy policy(FieldReader in) {
+        Policy d = Policy.DEFAULTS;
+        if (in == null) {
+            return d;
+        }
+        in.allowOnly("loadStallWeight", "batchWeight", "ownershipScope");
+        return new Policy(
+                in.number("loadStallWeight", d.loadStallWeight(), 0),
+                in.number("batchWeight", d.batchWeight(), 0),
+                in.choice("ownershipScope", OwnershipScope.class, d.scope()));
+    }
+}
--- /dev/null
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/FieldReader.java
@@ -0,0 +1,256 @@
+package org.bronzehill.config;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads the fields of one mapping and collects every problem instead of stopping at the first. */
+final class FieldReader {
+
+    private static final Pattern DURATION = Pattern.compile("(\\d+)(ms|s|m|h)");
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
+
+    private final String file;
+    private final String path;
+    private final Node.Mapping mapping;
+    private final List<Problem> problems;
+
+    FieldReader(String file, String path, Node.Mapping mapping, List<Problem> problems) {
+        this.file = file;
+        this.path = path;
+        this.mapping = mapping;
+        this.problems = problems;
+    }
+
+    void report(String field, String reason) {
+        Node node = mapping.entries().get(field);
+        int line = node == null ? mapping.line() : node.line();
+        problems.add(new Problem(file, line, full(field), reason));
+    }
+
+    private String full(String field) {
+        return path.isEmpty() ? field : path + '.' + field;
+    }
+
+    /** Reports fields that the schema does not have. */
+    void allowOnly(String... fields) {
+        List<String> known = Arrays.asList(fields);
+        for (String name : mapping.entries().keySet()) {
+            if (!known.contains(name)) {
+                report(name, "the field is unknown; known fields: " + String.join(", ", known));
+            }
+        }
+    }
+
+    boolean has(String field) {
+        return mapping.entries().containsKey(field);
+    }
+
+    private Node.Scalar scalar(String field, boolean required) {
+        Node node = mapping.entries().get(field);
+        if (node == null) {
+            if (required) {
+                report(field, "the field is missing");
+            }
+            return null;
+        }
+        if (node instanceof Node.Scalar s && s.value() != null) {
+            return s;
+        }
+        report(field, "a single value is expected, not " + node.describe());
+        return null;
+    }
+
+    String text(String field, String fallback) {
+        Node.Scalar s = scalar(field, fallback == null);
+        return s == null ? fallback : s.text();
+    }
+
+    long integer(String field, Long fallback, long min, long max) {
+        Node.Scalar s = scalar(field, fallback == null);
+        if (s == null) {
+            return fallback == null ? min : fallback;
+        }
+        try {
+            long value = Long.parseLong(s.text());
+            if (value >= min && value <= max) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below together with values out of range.
+        }
+        report(
+                field,
+                "a whole number from " + min + " to " + max + " is expected, not " + s.text());
+        return min;
+    }
+
+    double number(String field, Double fallback, double min) {
+        Node.Scalar s = scalar(field, fallback == null);
+        if (s == null) {
+            return fallback == null ? min : fallback;
+        }
+        try {
+            double value = Double.parseDouble(s.text());
+            if (value >= min && Double.isFinite(value)) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below together with values out of range.
+        }
+        report(field, "a number of at least " + min + " is expected, not " + s.text());
+        return min;
+    }
+
+    boolean flag(String field, boolean fallback) {
+        Node.Scalar s = scalar(field, false);
+        if (s == null) {
+            return fallback;
+        }
+        if (s.value() instanceof Boolean b) {
+            return b;
+        }
+        report(field, "true or false is expected, not " + s.text());
+        return fallback;
+    }
+
+    Duration duration(String field, Duration fallback) {
+        Node.Scalar s = scalar(field, fallback == null);
+        if (s == null) {
+            return fallback == null ? Duration.ofSeconds(1) : fallback;
+        }
+        Matcher m = DURATION.matcher(s.text());
+        if (!m.matches() || m.group(1).length() > 9 || Long.parseLong(m.group(1)) == 0) {
+            report(field, "a duration such as 250ms, 2s, 30m or 8h is expected, not " + s.text());
+            return Duration.ofSeconds(1);
+        }
+        long amount = Long.parseLong(m.group(1));
+        return switch (m.group(2)) {
+            case "ms" -> Duration.ofMillis(amount);
+            case "s" -> Duration.ofSeconds(amount);
+            case "m" -> Duration.ofMinutes(amount);
+            default -> Duration.ofHours(amount);
+        };
+    }
+
+    <E extends Enum<E>> E choice(String field, Class<E> type, E fallback) {
+        Node.Scalar s = scalar(field, fallback == null);
+        E first = fallback == null ? type.getEnumConstants()[0] : fallback;
+        if (s == null) {
+            return first;
+        }
+        String wanted = s.text().replace('-', '_').toUpperCase(Locale.ROOT);
+        for (E e : type.getEnumConstants()) {
+            if (e.name().equals(wanted)) {
+                return e;
+            }
+        }
+        String known =
+                Arrays.stream(type.getEnumConstants())
+                        .map(e -> e.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                        .reduce((a, b) -> a + ", " + b)
+                        .orElse("");
+        report(field, "one of " + known + " is expected, not " + s.text());
+        return first;
+    }
+
+    Set<String> names(String field) {
+        Set<String> names = new LinkedHashSet<>();
+        Node node = mapping.entries().get(field);
+        if (node == null) {
+            report(field, "the field is missing");
+        } else if (node instanceof Node.Sequence s) {
+            for (Node item : s.items()) {
+                if (item instanceof Node.Scalar scalar && NAME.matcher(scalar.text()).matches()) {
+                    names.add(scalar.text());
+                } else {
+                    problems.add(
+                            new Problem(
+                                    file,
+                                    item.line(),
+                                    full(field),
+                                    "a name is expected in the list"));
+                }
+            }
+        } else {
+            report(field, "a list is expected, not " + node.describe());
+        }
+        return names;
+    }
+
+    /** Reads a mapping of names to mappings. */
+    <T> Map<String, T> section(String field, BiFunction<String, FieldReader, T> reader) {
+        Map<String, T> values = new LinkedHashMap<>();
+        for (Map.Entry<String, Node> e : children(field).entrySet()) {
+            String child = full(field) + '.' + e.getKey();
+            if (!NAME.matcher(e.getKey()).matches()) {
+                problems.add(
+                        new Problem(file, e.getValue().line(), child, "the name is not allowed"));
+            }
+            if (e.getValue() instanceof Node.Mapping m) {
+                values.put(
+                        e.getKey(),
+                        reader.apply(e.getKey(), new FieldReader(file, child, m, problems)));
+            } else {
+                problems.add(
+                        new Problem(
+                                file,
+                                e.getValue().line(),
+                                child,
+                                "a mapping is expected, not " + e.getValue().describe()));
+            }
+        }
+        return values;
+    }
+
+    /** Reads a mapping of words to single values. */
+    Map<String, String> texts(String field) {
+        Map<String, String> values = new LinkedHashMap<>();
+        for (Map.Entry<String, Node> e : children(field).entrySet()) {
+            if (e.getValue() instanceof Node.Scalar s && s.value() != null) {
+                values.put(e.getKey(), s.text());
+            } else {
+                problems.add(
+                        new Problem(
+                                file,
+                                e.getValue().line(),
+                                full(field) + '.' + e.getKey(),
+                                "a single value is expected, not " + e.getValue().describe()));
+            }
+        }
+        return values;
+    }
+
+    private Map<String, Node> children(String field) {
+        Node node = mapping.entries().get(field);
+        if (node == null) {
+            report(field, "the field is missing");
+            return Map.of();
+        }
+        if (node instanceof Node.Mapping m) {
+            return m.entries();
+        }
+        report(field, "a mapping is expected, not " + node.describe());
+        return Map.of();
+    }
+
+    /** Returns a reader of a nested mapping, or null if it is absent or not a mapping. */
+    FieldReader nested(String field) {
+        Node node = mapping.entries().get(field);
+        if (node instanceof Node.Mapping m) {
+            return new FieldReader(file, full(field), m, problems);
+        }
+        if (node != null) {
+            report(field, "a mapping is expected, not " + node.describe());
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/Patch.java
@@ -0,0 +1,149 @@
+package org.bronzehill.config;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.yaml.snakeyaml.DumperOptions;
+import org.yaml.snakeyaml.Yaml;
+
+/**
+ * A change of a declaration: the number it was made against, and a merge patch as in RFC 7396, in
+ * which {@code null} removes a field.
+ */
+public final class Patch {
+
+    /** Why a patch was turned away. */
+    public enum Refusal {
+        /** The patch names a number that is not the current one. */
+        STALE,
+        /** The patch, or the declaration it would produce, has errors. */
+        INVALID
+    }
+
+    /** A patch that was turned away; the declaration is unchanged. */
+    public record Rejection(Refusal refusal, List<Problem> problems) {
+        public Rejection {
+            problems = List.copyOf(problems);
+        }
+    }
+
+    /**
+     * The declaration that a patch produced.
+     *
+     * @param text text of the next declaration
+     */
+    public record Next(long number, String text, Configuration configuration) {}
+
+    private Patch() {}
+
+    /** Applies the text of a patch to the text of the current declaration. */
+    public static Either<Rejection, Next> apply(
+            String declarationFile, String declaration, String patchFile, String patch) {
+        Either<List<Problem>, Node.Mapping> current =
+                YamlParser.parse(declarationFile, declaration);
+        Either<List<Problem>, Node.Mapping> change = YamlParser.parse(patchFile, patch);
+        List<Problem> syntax = new ArrayList<>();
+        current.peekLeft(syntax::addAll);
+        change.peekLeft(syntax::addAll);
+        if (!syntax.isEmpty()) {
+            return invalid(syntax);
+        }
+        Either<List<Problem>, Configuration> valid =
+                DeclarationReader.readTree(declarationFile, current.get());
+        if (valid.isLeft()) {
+            return invalid(valid.getLeft());
+        }
+        return merge(declarationFile, valid.get().number(), current.get(), patchFile, change.get());
+    }
+
+    private static Either<Rejection, Next> merge(
+            String declarationFile,
+            long currentNumber,
+            Node.Mapping current,
+            String patchFile,
+            Node.Mapping change) {
+        List<Problem> problems = new ArrayList<>();
+        FieldReader top = new FieldReader(patchFile, "", change, problems);
+        top.allowOnly("base", "change");
+        long base = top.integer("base", null, 1, Long.MAX_VALUE);
+        if (!(change.entries().get("change") instanceof Node.Mapping merge)) {
+            top.report("change", "a mapping with the changed fields is expected");
+            return invalid(problems);
+        }
+        if (merge.entries().containsKey("number")) {
+            problems.add(
+                    new Problem(
+                            patchFile,
+                            merge.entries().get("number").line(),
+                            "change.number",
+                            "the next number is assigned when the patch is accepted"));
+        }
+        if (!problems.isEmpty()) {
+            return invalid(problems);
+        }
+        if (base != currentNumber) {
+            String reason =
+                    "the patch was made against number "
+                            + base
+                            + ", but the current number is "
+                            + currentNumber;
+            int line = change.entries().get("base").line();
+            return Either.left(
+                    new Rejection(
+                            Refusal.STALE, List.of(new Problem(patchFile, line, "base", reason))));
+        }
+        Map<String, Object> next = mergeInto(plain(current), plain(merge));
+        next.put("number", currentNumber + 1);
+        String text = dump(next);
+        return DeclarationReader.read(declarationFile, text)
+                .mapLeft(p -> new Rejection(Refusal.INVALID, inPatch(patchFile, p)))
+                .map(c -> new Next(c.number(), text, c));
+    }
+
+    /**
+     * Problems of the produced declaration are caused by the patch, whose lines differ from its
+     * own.
+     */
+    private static List<Problem> inPatch(String patchFile, List<Problem> problems) {
+        return problems.stream()
+                .map(p -> new Problem(patchFile, 0, p.field(), p.reason()))
+                .toList();
+    }
+
+    private static Either<Rejection, Next> invalid(List<Problem> problems) {
+        return Either.left(new Rejection(Refusal.INVALID, problems));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> plain(Node.Mapping mapping) {
+        return (Map<String, Object>) mapping.plain();
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> mergeInto(
+            Map<String, Object> target, Map<String, Object> change) {
+        Map<String, Object> merged = new LinkedHashMap<>(target);
+        change.forEach(
+                (field, value) -> {
+                    if (value == null) {
+                        merged.remove(field);
+                    } else if (value instanceof Map<?, ?> map) {
+                        Object old = merged.get(field);
+                        Map<String, Object> base =
+                                old instanceof Map<?, ?> ? (Map<String, Object>) old : Map.of();
+                        merged.put(field, mergeInto(base, (Map<String, Object>) map));
+                    } else {
+                        merged.put(field, value);
+                    }
+                });
+        return merged;
+    }
+
+    private static String dump(Map<String, Object> declaration) {
+        DumperOptions options = new DumperOptions();
+        options.setDefaultFlowStyle(DumperOptions.FlowStyle.BLOCK);
+        return new Yaml(options).dump(declaration);
+    }
+}
