Add the operators' command line

Cause: operators check declarations and patches in version control and look at running instances. Change: bronzehill config check, config export, config schema, patch, status, explain, provenance, version; each failure has its numbered code and an exit status.

--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/CliMain.java
@@ -0,0 +1,84 @@
+package org.bronzehill.cli;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.annotations.Group;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.nio.file.NoSuchFileException;
+import java.util.concurrent.Callable;
+import org.bronzehill.cli.command.CheckCommand;
+import org.bronzehill.cli.command.ExplainCommand;
+import org.bronzehill.cli.command.ExportCommand;
+import org.bronzehill.cli.command.PatchCommand;
+import org.bronzehill.cli.command.ProvenanceCommand;
+import org.bronzehill.cli.command.SchemaCommand;
+import org.bronzehill.cli.command.StatusCommand;
+import org.bronzehill.cli.command.VersionCommand;
+
+/** Program {@code bronzehill}. */
+@Cli(
+        name = "bronzehill",
+        description = "Checks and changes declarations, and shows what a fleet of instances does.",
+        defaultCommand = Help.class,
+        commands = {
+            Help.class,
+            VersionCommand.class,
+            PatchCommand.class,
+            StatusCommand.class,
+            ExplainCommand.class,
+            ProvenanceCommand.class
+        },
+        groups = {
+            @Group(
+                    name = "config",
+                    description = "Declarations",
+                    defaultCommand = CheckCommand.class,
+                    commands = {CheckCommand.class, ExportCommand.class, SchemaCommand.class})
+        })
+public final class CliMain {
+
+    /** Exit status when the flags cannot be understood. */
+    static final int USAGE = 64;
+
+    private CliMain() {}
+
+    /** Runs one command and exits with its status. */
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    /** Runs one command and returns its exit status. */
+    public static int run(String... args) {
+        Object command;
+        try {
+            String[] normalized =
+                    args.length == 1 && args[0].equals("--version")
+                            ? new String[] {"version"}
+                            : args.length == 1 && args[0].equals("--help")
+                                    ? new String[] {"help"}
+                                    : args;
+            command = new com.github.rvesse.airline.Cli<Object>(CliMain.class).parse(normalized);
+        } catch (ParseException e) {
+            System.err.println("bronzehill: " + e.getMessage());
+            System.err.println("Run 'bronzehill help' for the commands and their flags.");
+            return USAGE;
+        }
+        return execute(command);
+    }
+
+    private static int execute(Object command) {
+        if (command instanceof Runnable help) {
+            help.run();
+            return 0;
+        }
+        try {
+            return ((ExitStatus) ((Callable<?>) command).call()).code();
+        } catch (NoSuchFileException e) {
+            System.err.println("bronzehill: the file " + e.getFile() + " does not exist");
+            return ExitStatus.FAILED.code();
+        } catch (Exception e) {
+            System.err.println("bronzehill: " + e.getMessage());
+            return ExitStatus.FAILED.code();
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExportCommand.java
@@ -0,0 +1,56 @@
+package org.bronzehill.cli.command;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Pattern;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.bronzehill.cli.ExitStatus;
+import org.bronzehill.cli.internal.Output;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.config.DeclarationDirectory;
+import org.bronzehill.config.DeclarationReader;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.Problem;
+import org.bronzehill.core.result.ResultCode;
+
+/** Writes the manifest and shards that the configuration service publishes. */
+@Command(name = "export", description = "Writes the manifest and shards to be published")
+public final class ExportCommand implements Callable<ExitStatus> {
+
+    @Arguments(title = "FILE", description = "Declaration in YAML")
+    @Required
+    @Pattern(pattern = "[^-].*", description = "A file name must not start with a dash")
+    private String file;
+
+    @Option(name = "--directory", description = "Directory for manifest.json and shards/")
+    @Required
+    private String directory;
+
+    @Override
+    public ExitStatus call() throws IOException {
+        Either<List<Problem>, Configuration> read =
+                DeclarationReader.read(file, Files.readString(Path.of(file)));
+        if (read.isLeft()) {
+            Output.problems(ResultCode.INVALID_DECLARATION, read.getLeft());
+            return ExitStatus.INVALID;
+        }
+        ConfigurationImage image = ImageCodec.encode(read.get());
+        DeclarationDirectory.write(image, Path.of(directory));
+        Output.line(
+                "number "
+                        + image.number()
+                        + ": "
+                        + image.shards().size()
+                        + " shards in "
+                        + directory);
+        return ExitStatus.OK;
+    }
+}
--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/PatchCommand.java
@@ -0,0 +1,77 @@
+package org.bronzehill.cli.command;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.Callable;
+import org.bronzehill.cli.ExitStatus;
+import org.bronzehill.cli.internal.Output;
+import org.bronzehill.config.Patch;
+import org.bronzehill.config.Patch.Next;
+import org.bronzehill.config.Patch.Refusal;
+import org.bronzehill.config.Patch.Rejection;
+import org.bronzehill.core.result.ResultCode;
+
+/** Checks a patch against the number it names and produces the next declaration. */
+@Command(
+        name = "patch",
+        description = "Checks a patch against the current declaration and produces the next one")
+public final class PatchCommand implements Callable<ExitStatus> {
+
+    @Option(name = "--declaration", description = "Current declaration in YAML")
+    @Required
+    private String declaration;
+
+    @Option(name = "--patch", description = "Patch with the fields 'base' and 'change'")
+    @Required
+    private String patch;
+
+    @Option(
+            name = "--output",
+            description = "File for the next declaration; without it the patch is only checked")
+    private String output;
+
+    @Override
+    public ExitStatus call() throws IOException {
+        Either<Rejection, Next> applied =
+                Patch.apply(
+                        declaration,
+                        Files.readString(Path.of(declaration)),
+                        patch,
+                        Files.readString(Path.of(patch)));
+        if (applied.isLeft()) {
+            return refuse(applied.getLeft());
+        }
+        if (output != null) {
+            replace(Path.of(output), applied.get().text());
+        }
+        Output.line(
+                "accepted as number "
+                        + applied.get().number()
+                        + (output == null ? " (not written)" : ", written to " + output));
+        return ExitStatus.OK;
+    }
+
+    private static ExitStatus refuse(Rejection rejection) {
+        boolean stale = rejection.refusal() == Refusal.STALE;
+        Output.problems(
+                stale ? ResultCode.STALE_PATCH : ResultCode.INVALID_PATCH, rejection.problems());
+        return stale ? ExitStatus.STALE : ExitStatus.INVALID;
+    }
+
+    /** Replaces the file in one step, so that an interrupted command leaves the old one whole. */
+    private static void replace(Path target, String text) throws IOException {
+        Path temporary = target.resolveSibling(target.getFileName() + ".tmp");
+        Files.writeString(temporary, text);
+        Files.move(
+                temporary,
+                target,
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+    }
+}
--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** One class for each command of {@code bronzehill}. */
+package org.bronzehill.cli.command;
--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/package-info.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/package-info.java
@@ -1,2 +1,2 @@
-/** Package cli. */
+/** Command line for operators: program {@code bronzehill}. */
 package org.bronzehill.cli;
