Report unknown flags of commands with file arguments

Cause: the command line test failed on an unknown flag, which Airline takes for a file name. Change: a missing file whose name starts with a dash is reported as an unknown flag.

--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/CliMain.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/CliMain.java
@@ -74,6 +74,11 @@
         try {
             return ((ExitStatus) ((Callable<?>) command).call()).code();
         } catch (NoSuchFileException e) {
+            // Airline takes an unknown flag for a file name.
+            if (e.getFile().startsWith("-")) {
+                System.err.println("bronzehill: the flag " + e.getFile() + " is unknown");
+                return USAGE;
+            }
             System.err.println("bronzehill: the file " + e.getFile() + " does not exist");
             return ExitStatus.FAILED.code();
         } catch (Exception e) {
--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/CheckCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/CheckCommand.java
@@ -2,7 +2,6 @@
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
-import com.github.rvesse.airline.annotations.restrictions.Pattern;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -23,7 +22,6 @@
 
     @Arguments(title = "FILE", description = "Declaration in YAML")
     @Required
-    @Pattern(pattern = "[^-].*", description = "A file name must not start with a dash")
     private String file;
 
     @Override
--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExportCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExportCommand.java
@@ -3,7 +3,6 @@
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.annotations.restrictions.Pattern;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -27,7 +26,6 @@
 
     @Arguments(title = "FILE", description = "Declaration in YAML")
     @Required
-    @Pattern(pattern = "[^-].*", description = "A file name must not start with a dash")
     private String file;
 
     @Option(name = "--directory", description = "Directory for manifest.json and shards/")
--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ProvenanceCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ProvenanceCommand.java
@@ -4,7 +4,6 @@
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
-import com.github.rvesse.airline.annotations.restrictions.Pattern;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -30,7 +29,6 @@
 
     @Arguments(title = "FILE", description = "Collected logs of entry instances")
     @Required
-    @Pattern(pattern = "[^-].*", description = "A file name must not start with a dash")
     private List<String> files;
 
     @Override
