Connect routing and scheduling to membership, leases and store budget

Change: LeaseGuard, StorePermits and HolderDirectory wrap the components; the scheduler takes a Lease. Result: compiles; no tests yet.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.bronzehill.core.admission.Entitlement;
+import org.bronzehill.core.lease.Lease;
 import org.bronzehill.core.model.AdapterVersion;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.Upstream;
@@ -25,7 +26,7 @@
 /** Schedules the requests and orders of one engine while this instance holds its lease. */
 public final class EngineScheduler {
 
-    private final LeaseTerm lease;
+    private final Lease lease;
     private final SchedulerContext context;
     private Upstream upstream;
     private final Map<AdapterVersion, List<EngineRequest>> waiting = new LinkedHashMap<>();
@@ -35,15 +36,14 @@
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private long summaries;
 
-    private EngineScheduler(Upstream upstream, LeaseTerm lease, SchedulerContext context) {
+    private EngineScheduler(Upstream upstream, Lease lease, SchedulerContext context) {
         this.upstream = upstream;
         this.lease = lease;
         this.context = context;
     }
 
     /** Creates the scheduler of one lease epoch. */
-    public static EngineScheduler create(
-            Upstream upstream, LeaseTerm lease, SchedulerContext context) {
+    public static EngineScheduler create(Upstream upstream, Lease lease, SchedulerContext context) {
         return new EngineScheduler(upstream, lease, context);
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/LeaseGuard.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/LeaseGuard.java
@@ -1,5 +1,6 @@
 package org.bronzehill.core.engine;
 
+import org.bronzehill.core.lease.LeaseManager;
 import org.bronzehill.core.node.Effects;
 
 /** The part of the lease manager that a scheduler needs. */
@@ -16,4 +17,29 @@
 
     /** Notes a fencing number that the engine reported. */
     void observeFencing(String resource, long fencing);
+
+    /** Returns the view of a lease manager. */
+    static LeaseGuard of(LeaseManager manager) {
+        return new LeaseGuard() {
+            @Override
+            public boolean holds(String resource) {
+                return manager.holds(resource);
+            }
+
+            @Override
+            public void announceIntent(String resource, String handle, Effects out) {
+                manager.announceIntent(resource, handle, out);
+            }
+
+            @Override
+            public void finishIntent(String resource, String handle, Effects out) {
+                manager.finishIntent(resource, handle, out);
+            }
+
+            @Override
+            public void observeFencing(String resource, long fencing) {
+                manager.observeFencing(resource, fencing);
+            }
+        };
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/StorePermits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/StorePermits.java
@@ -1,5 +1,6 @@
 package org.bronzehill.core.engine;
 
+import org.bronzehill.core.budget.StoreBudget;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.protocol.generated.PermitRequest;
 
@@ -14,4 +15,24 @@
 
     /** Returns a granted permit; {@code used} tells whether the store was read. */
     void finished(String engine, long sequence, boolean used, Effects out);
+
+    /** Returns the view of a store budget. */
+    static StorePermits of(StoreBudget budget) {
+        return new StorePermits() {
+            @Override
+            public void request(PermitRequest request, Effects out) {
+                budget.request(request, out);
+            }
+
+            @Override
+            public void withdraw(String engine, long sequence, Effects out) {
+                budget.withdraw(engine, sequence, out);
+            }
+
+            @Override
+            public void finished(String engine, long sequence, boolean used, Effects out) {
+                budget.finished(engine, sequence, used, out);
+            }
+        };
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/HolderDirectory.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/HolderDirectory.java
@@ -1,6 +1,10 @@
 package org.bronzehill.core.placement;
 
 import io.vavr.control.Option;
+import org.bronzehill.core.lease.LeaseManager;
+import org.bronzehill.core.lease.Resources;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.membership.PeerStatus;
 
 /** The parts of membership and leases that the router needs. */
 public interface HolderDirectory {
@@ -16,4 +20,35 @@
 
     /** Returns the region of this instance. */
     String region();
+
+    /** Returns the view of the given components. */
+    static HolderDirectory of(Membership membership, LeaseManager leases) {
+        return new HolderDirectory() {
+            @Override
+            public Option<String> holderOf(String engine) {
+                return leases.holderOf(Resources.engine(engine));
+            }
+
+            @Override
+            public boolean isReachable(String instance) {
+                return instance.equals(membership.self().id())
+                        || membership
+                                .peer(instance)
+                                .exists(
+                                        p ->
+                                                p.status().isLive()
+                                                        || p.status() == PeerStatus.LEAVING);
+            }
+
+            @Override
+            public boolean isSlow(String instance) {
+                return membership.peer(instance).exists(p -> p.status() != PeerStatus.ALIVE);
+            }
+
+            @Override
+            public String region() {
+                return membership.self().region();
+            }
+        };
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
@@ -11,6 +11,8 @@
 import java.util.random.RandomGenerator;
 import org.bronzehill.config.AdapterSpec;
 import org.bronzehill.config.Configuration;
+import org.bronzehill.core.lease.LeaseManager;
+import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.model.Upstream;
@@ -35,6 +37,16 @@
     }
 
     /** Creates a router that knows no engine. */
+    public static Router create(
+            Membership membership,
+            LeaseManager leases,
+            Supplier<Configuration> configuration,
+            TimeSource time,
+            RandomGenerator random) {
+        return create(HolderDirectory.of(membership, leases), configuration, time, random);
+    }
+
+    /** Creates a router that knows no engine, with another source of the holders. */
     public static Router create(
             HolderDirectory holders,
             Supplier<Configuration> configuration,
