--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/AdapterState.java
@@ -0,0 +1,139 @@
+package org.bronzehill.core.engine;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.bronzehill.config.Policy;
+import org.bronzehill.config.Urgency;
+import org.bronzehill.core.model.AdapterVersion;
+
+/** Demand for one adapter version at an engine, and the progress of its load. */
+final class AdapterState {
+
+    /** Progress of a load. */
+    enum Phase {
+        NONE,
+        /** A permit was requested. */
+        PERMIT_ASKED,
+        /** The permit was granted; a slot is being made free. */
+        PERMIT_GRANTED,
+        LOAD_ORDERED,
+        /** The answer to the load order was lost; reports will tell. */
+        LOAD_UNKNOWN
+    }
+
+    /** Use halves in this time, so that a shift of popularity shows in about two minutes. */
+    private static final double USE_HALF_LIFE_NANOS = 60e9;
+
+    /** Demand of refused requests halves in this time: about the time until callers give up. */
+    private static final double REFUSED_HALF_LIFE_NANOS = 5e9;
+
+    private final AdapterVersion version;
+    private final Set<QueuedRequest> waiting = new LinkedHashSet<>();
+    private double use;
+    private long useAt;
+    private double refused;
+    private long refusedAt;
+
+    /** Usable handle on the engine; null if there is none. */
+    AdapterHandle handle;
+
+    String weights;
+    Phase phase = Phase.NONE;
+    long permit;
+    long permitAskedNanos;
+    long permitGrantedNanos;
+    long askedDeadlineNanos;
+    double askedValue;
+    int failures;
+    long notBeforeNanos = Long.MIN_VALUE;
+
+    AdapterState(AdapterVersion version, String weights) {
+        this.version = version;
+        this.weights = weights;
+    }
+
+    AdapterVersion version() {
+        return version;
+    }
+
+    Set<QueuedRequest> waiting() {
+        return waiting;
+    }
+
+    /** Counts a use of the adapter. */
+    void used(double amount, long nowNanos) {
+        use = use(nowNanos) + amount;
+        useAt = nowNanos;
+    }
+
+    /** Returns the recent use, which decays with time. */
+    double use(long nowNanos) {
+        return use * Math.pow(0.5, (nowNanos - useAt) / USE_HALF_LIFE_NANOS);
+    }
+
+    /** Counts a request that was refused because its load would have come too late. */
+    void refusedForLoad(long nowNanos) {
+        refused = refusedDemand(nowNanos) + 1;
+        refusedAt = nowNanos;
+    }
+
+    /** Returns the recent demand of refused requests, which decays with time. */
+    double refusedDemand(long nowNanos) {
+        return refused == 0
+                ? 0
+                : refused * Math.pow(0.5, (nowNanos - refusedAt) / REFUSED_HALF_LIFE_NANOS);
+    }
+
+    /** Returns the earliest deadline of the waiting requests, or {@code none} if none waits. */
+    long earliestDeadline(long none) {
+        long earliest = Long.MAX_VALUE;
+        for (QueuedRequest q : waiting) {
+            earliest = Math.min(earliest, q.deadlineNanos());
+        }
+        return waiting.isEmpty() ? none : earliest;
+    }
+
+    /** Returns the most urgent class of the waiting requests; the least urgent if none waits. */
+    Urgency urgency() {
+        Urgency best = Urgency.OVERNIGHT;
+        for (QueuedRequest q : waiting) {
+            best = q.urgency().isMoreUrgentThan(best) ? q.urgency() : best;
+        }
+        return best;
+    }
+
+    /**
+     * Returns the value of a load. Stalls count by urgency and completed requests by weight, each
+     * with the weight that the policy gives to it.
+     */
+    double loadValue(Policy policy, long nowNanos) {
+        double value = policy.loadStallWeight() * refusedDemand(nowNanos);
+        for (QueuedRequest q : waiting) {
+            value +=
+                    q.entitlement().kind().weight()
+                            * (policy.loadStallWeight() * stallCost(q.urgency())
+                                    + policy.batchWeight());
+        }
+        return value;
+    }
+
+    /** Returns whether nothing would be lost by forgetting the adapter version. */
+    boolean isIdle(long nowNanos) {
+        return waiting.isEmpty()
+                && handle == null
+                && phase == Phase.NONE
+                && notBeforeNanos <= nowNanos
+                && use(nowNanos) < 0.05
+                && refusedDemand(nowNanos) < 0.05;
+    }
+
+    /** Returns the cost of a stall relative to the least urgent class. */
+    private static double stallCost(Urgency urgency) {
+        return switch (urgency) {
+            case INTERACTIVE -> 8;
+            case PROMPT -> 4;
+            case SHIFT -> 1;
+            case OVERNIGHT -> 0;
+        };
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/Admitter.java
@@ -0,0 +1,213 @@
+package org.bronzehill.core.engine;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import org.bronzehill.config.KindSpec;
+import org.bronzehill.config.Limits;
+import org.bronzehill.config.Urgency;
+import org.bronzehill.core.admission.Entitlement;
+import org.bronzehill.core.admission.OverloadPolicy;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.result.ResultCode;
+
+/** Takes or refuses requests on arrival, and refuses queued ones that became hopeless. */
+final class Admitter {
+
+    private static final Duration RETRY_AFTER_FULL = Duration.ofSeconds(1);
+    private static final int MAX_MARKS = 2;
+
+    private final EngineState engine;
+    private final LoadPlanner loads;
+    private final Dispatcher dispatcher;
+    private final RequestEnds ends;
+    private final OverloadPolicy overload;
+    private long urgentDeadlineOf = -1;
+    private long urgentDeadlineNanos;
+
+    Admitter(EngineState engine, LoadPlanner loads, Dispatcher dispatcher, RequestEnds ends) {
+        this.engine = engine;
+        this.loads = loads;
+        this.dispatcher = dispatcher;
+        this.ends = ends;
+        this.overload = OverloadPolicy.create(engine.context().time());
+    }
+
+    /** Queues the request, or ends it with the reason for the refusal. */
+    void submit(EngineRequest r, Effects out) {
+        Either<ResultCode, Entitlement> resolved =
+                Entitlement.resolve(
+                        engine.configuration(), r.member(), r.caller(), r.kind(), r.adapter());
+        ResultCode code = unavailable();
+        if (code == null && resolved.isLeft()) {
+            code = resolved.getLeft();
+        }
+        if (code == null
+                && !resolved.get()
+                        .adapter()
+                        .baseModel()
+                        .equals(engine.upstream.shape().baseModel())) {
+            code = ResultCode.NO_UPSTREAM;
+        }
+        if (code == null
+                && r.fingerprint().length > 0
+                && engine.context().crashes().marks(r.fingerprint()) >= MAX_MARKS) {
+            code = ResultCode.CRASHES_UPSTREAMS;
+        }
+        if (code != null) {
+            ends.refused(r, code, Duration.ZERO, out);
+            return;
+        }
+        admit(new QueuedRequest(r, resolved.get(), engine.now()), out);
+    }
+
+    private ResultCode unavailable() {
+        if (!engine.mayAct()) {
+            return ResultCode.NO_HOLDER;
+        }
+        if (engine.draining) {
+            return ResultCode.DRAINING;
+        }
+        return engine.takesWork() ? null : ResultCode.NO_UPSTREAM;
+    }
+
+    private void admit(QueuedRequest q, Effects out) {
+        Entitlement e = q.entitlement();
+        AdapterState state = engine.queue().adapter(e.version(), e.weights());
+        ResultCode code = refusal(q, state);
+        if (code == null && engine.queue().size() >= limits().engineQueue()) {
+            QueuedRequest displaced = engine.queue().displaceableFor(e);
+            if (displaced == null) {
+                code = ResultCode.QUEUE_FULL;
+            } else {
+                boolean sameClass = displaced.urgency() == q.urgency();
+                ends.notStarted(
+                        displaced,
+                        sameClass ? ResultCode.MEMBER_LIMIT : ResultCode.SHED,
+                        RETRY_AFTER_FULL,
+                        out);
+            }
+        }
+        if (code != null) {
+            refuseOrRedirect(q.request(), code, out);
+            return;
+        }
+        engine.queue().add(q, engine.now());
+        loads.touch(state);
+    }
+
+    private ResultCode refusal(QueuedRequest q, AdapterState state) {
+        long now = engine.now();
+        if (overload.sheds(q.urgency())) {
+            return ResultCode.SHED;
+        }
+        if (state.failures >= LoadPlanner.MAX_FAILURES && now < state.notBeforeNanos) {
+            return ResultCode.LOAD_FAILED;
+        }
+        long wait = queueWait(q.urgency());
+        if (state.handle == null) {
+            long load = loadWait(state, q.deadlineNanos(), now);
+            if (load > 0 && now + load >= q.deadlineNanos()) {
+                state.refusedForLoad(now);
+                loads.touch(state);
+                return ResultCode.DEADLINE_HOPELESS;
+            }
+            wait = Math.max(wait, load);
+        }
+        long needed = wait + (wait > 0 ? engine.waitEstimator().serviceNanos(q.urgency()) : 0);
+        return now + needed >= q.deadlineNanos() ? ResultCode.DEADLINE_HOPELESS : null;
+    }
+
+    private long queueWait(Urgency urgency) {
+        return engine.waitEstimator()
+                .queueNanos(
+                        engine.queue().readyUpTo(urgency),
+                        dispatcher.running().size(),
+                        engine.batch());
+    }
+
+    /** Returns the expected load stall of one more request for the adapter. */
+    private long loadWait(AdapterState state, long deadline, long now) {
+        return switch (state.phase) {
+            case LOAD_ORDERED, LOAD_UNKNOWN, PERMIT_GRANTED -> engine.waitEstimator().loadNanos();
+            default ->
+                    engine.waitEstimator()
+                            .loadWaitNanos(
+                                    state.phase == AdapterState.Phase.PERMIT_ASKED
+                                            ? 0
+                                            : loads.permitsAhead(deadline),
+                                    limits().storeLoadsPerSecond(),
+                                    now);
+        };
+    }
+
+    private void refuseOrRedirect(EngineRequest r, ResultCode code, Effects out) {
+        Option<String> better =
+                r.finalHop()
+                        ? Option.none()
+                        : engine.context().placement().betterEngine(r, engine.engine());
+        if (better.isDefined()) {
+            ends.redirected(r, better.get(), out);
+            return;
+        }
+        Duration retryAfter =
+                switch (code) {
+                    case SHED -> overload.retryAfter();
+                    case QUEUE_FULL, LOAD_FAILED -> RETRY_AFTER_FULL;
+                    default -> Duration.ZERO;
+                };
+        ends.refused(r, code, retryAfter, out);
+    }
+
+    /** Follows the pressure and ends queued requests that can no longer be served in time. */
+    void onTick(Effects out) {
+        double fill = (double) engine.queue().size() / Math.max(1, limits().engineQueue());
+        double urgent = (double) queueWait(Urgency.PROMPT) / urgentDeadlineNanos();
+        overload.update(Math.max(fill, 2 * urgent));
+        long now = engine.now();
+        for (QueuedRequest q : engine.queue().snapshot()) {
+            if (!q.isQueued()) {
+                continue;
+            }
+            AdapterState s = q.adapter;
+            boolean loading =
+                    s.phase == AdapterState.Phase.LOAD_ORDERED
+                            || s.phase == AdapterState.Phase.PERMIT_GRANTED;
+            boolean stalled = s.handle == null && !loading;
+            long needed = stalled ? engine.waitEstimator().loadNanos() : 0;
+            boolean failed = s.handle == null && s.failures >= LoadPlanner.MAX_FAILURES;
+            if (failed || now + needed >= q.deadlineNanos()) {
+                if (stalled && !failed) {
+                    s.refusedForLoad(now);
+                }
+                ends.notStarted(
+                        q,
+                        s.failures > 0 && s.handle == null
+                                ? ResultCode.LOAD_FAILED
+                                : ResultCode.DEADLINE_HOPELESS,
+                        failed ? RETRY_AFTER_FULL : Duration.ZERO,
+                        out);
+            }
+        }
+    }
+
+    /** Returns the shortest deadline of the urgent kinds, against which their wait is measured. */
+    private long urgentDeadlineNanos() {
+        long number = engine.configuration().number();
+        if (urgentDeadlineOf != number) {
+            urgentDeadlineOf = number;
+            urgentDeadlineNanos = Duration.ofMinutes(1).toNanos();
+            for (KindSpec k : engine.configuration().base().kinds().values()) {
+                if (k.isModelRequest() && k.urgency().ordinal() <= Urgency.PROMPT.ordinal()) {
+                    urgentDeadlineNanos =
+                            Math.min(urgentDeadlineNanos, Math.max(1, k.deadline().toNanos()));
+                }
+            }
+        }
+        return urgentDeadlineNanos;
+    }
+
+    private Limits limits() {
+        return engine.configuration().limits();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/BatchMeter.java
@@ -0,0 +1,49 @@
+package org.bronzehill.core.engine;
+
+import java.time.Duration;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.Signal;
+
+/** Measures how full the batches of an engine are while it runs anything, weighted by time. */
+final class BatchMeter {
+
+    private static final long PERIOD_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final String engine;
+    private long lastNanos;
+    private long periodNanos;
+    private double filledNanos;
+    private long busyNanos;
+
+    BatchMeter(String engine, long nowNanos) {
+        this.engine = engine;
+        this.lastNanos = nowNanos;
+        this.periodNanos = nowNanos;
+    }
+
+    /** Accounts for the time since the last call, in which {@code running} requests ran. */
+    void advance(int running, int batch, long nowNanos) {
+        long step = nowNanos - lastNanos;
+        lastNanos = nowNanos;
+        if (running > 0 && batch > 0) {
+            busyNanos += step;
+            filledNanos += step * Math.min(1.0, (double) running / batch);
+        }
+    }
+
+    /** Reports the efficiency of the last second, if anything ran in it. */
+    void report(long nowNanos, Effects out) {
+        if (nowNanos - periodNanos < PERIOD_NANOS) {
+            return;
+        }
+        if (busyNanos > 0) {
+            out.add(
+                    new Effect.Measure(
+                            Signal.BATCH_EFFICIENCY_RATIO, engine, filledNanos / busyNanos));
+        }
+        periodNanos = nowNanos;
+        busyNanos = 0;
+        filledNanos = 0;
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
@@ -1,281 +1,283 @@
 package org.bronzehill.core.engine;
 
-import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import org.bronzehill.core.admission.Entitlement;
+import org.bronzehill.config.Urgency;
 import org.bronzehill.core.lease.Lease;
-import org.bronzehill.core.model.AdapterVersion;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.Upstream;
-import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.FailureReason;
-import org.bronzehill.core.node.OrderKind;
 import org.bronzehill.core.node.OrderOutcome;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.protocol.generated.EngineSummary;
 import org.bronzehill.protocol.generated.HolderHandover;
-import org.bronzehill.protocol.generated.PermitRequest;
-import org.bronzehill.protocol.generated.ResidentAdapter;
 
-/** Schedules the requests and orders of one engine while this instance holds its lease. */
+/**
+ * Schedules the requests and orders of one engine while this instance holds its lease. After the
+ * lease was lost, the scheduler only follows the attempts that still run; it may be dropped when
+ * {@link #inFlight} is 0.
+ */
 public final class EngineScheduler {
 
-    private final Lease lease;
-    private final SchedulerContext context;
-    private Upstream upstream;
-    private final Map<AdapterVersion, List<EngineRequest>> waiting = new LinkedHashMap<>();
-    private final Map<Long, AdapterVersion> permits = new HashMap<>();
-    private final Map<Long, AdapterVersion> orders = new HashMap<>();
-    private final Map<AdapterVersion, String> resident = new LinkedHashMap<>();
-    private final Map<Long, Attempt> attempts = new HashMap<>();
-    private long summaries;
-
-    private EngineScheduler(Upstream upstream, Lease lease, SchedulerContext context) {
-        this.upstream = upstream;
-        this.lease = lease;
-        this.context = context;
+    private final EngineState engine;
+    private final HandleTable handles;
+    private final EvictionOrders evictions;
+    private final LoadPlanner loads;
+    private final Dispatcher dispatcher;
+    private final Admitter admitter;
+    private final RequestEnds ends;
+    private final BatchMeter batch;
+    private final SummaryBuilder summaries;
+
+    private EngineScheduler(
+            Upstream upstream, Lease lease, SchedulerContext context, EvictionRule rule) {
+        engine = new EngineState(upstream, lease, context);
+        handles = new HandleTable(engine, rule);
+        evictions = new EvictionOrders(engine, handles);
+        loads = new LoadPlanner(engine, handles, evictions);
+        ends = new RequestEnds(engine);
+        dispatcher = new Dispatcher(engine, handles, loads, ends);
+        admitter = new Admitter(engine, loads, dispatcher, ends);
+        batch = new BatchMeter(upstream.id(), engine.now());
+        summaries = new SummaryBuilder(engine, handles, dispatcher);
     }
 
     /** Creates the scheduler of one lease epoch. */
     public static EngineScheduler create(Upstream upstream, Lease lease, SchedulerContext context) {
-        return new EngineScheduler(upstream, lease, context);
+        return create(upstream, lease, context, EvictionRule.SAFE);
+    }
+
+    /** Creates a scheduler with another eviction rule, to show that checks can fail. */
+    static EngineScheduler create(
+            Upstream upstream, Lease lease, SchedulerContext context, EvictionRule rule) {
+        return new EngineScheduler(upstream, lease, context, rule);
     }
 
-    /** Takes over what the previous holder knew about the engine. */
+    /** Takes over what the previous holder, which has stopped as planned, knew of the engine. */
     public void onHandover(HolderHandover handover, Effects out) {
-        // Handles of earlier epochs are taken over with the eviction rules.
+        handles.onHandover(handover);
+        proceed(out);
     }
 
     /** Takes a request; its result goes to the listener, possibly before this method returns. */
     public void submit(EngineRequest request, Effects out) {
-        Either<ResultCode, Entitlement> resolved = resolve(request);
-        if (resolved.isLeft()) {
-            end(request, resolved.getLeft(), null, 0, out);
-            return;
-        }
-        AdapterVersion version = resolved.get().version();
-        if (resident.containsKey(version)) {
-            start(request, resolved.get(), out);
-            return;
-        }
-        List<EngineRequest> group = waiting.computeIfAbsent(version, v -> new ArrayList<>());
-        group.add(request);
-        if (group.size() == 1) {
-            long sequence = context.ids().next();
-            permits.put(sequence, version);
-            context.permits()
-                    .request(
-                            PermitRequest.newBuilder()
-                                    .setEngine(upstream.id())
-                                    .setAdapter(version.adapter())
-                                    .setVersion(version.version())
-                                    .setSequence(sequence)
-                                    .setDeadlineMs(request.deadline().toMillis())
-                                    .setValue(1)
-                                    .build(),
-                            out);
-        }
+        admitter.submit(request, out);
+        proceed(out);
     }
 
     /** Cancels an attempt at a request; unknown ones are ignored. */
     public void cancel(String requestId, int attempt, Effects out) {
-        attempts.forEach(
-                (id, a) -> {
-                    if (a.request().requestId().equals(requestId)) {
-                        out.add(new Effect.CancelAttempt(id));
-                    }
-                });
+        if (dispatcher.cancel(requestId, attempt, out)) {
+            return;
+        }
+        for (QueuedRequest q : engine.queue().snapshot()) {
+            if (q.isQueued()
+                    && q.request().attempt() == attempt
+                    && q.request().requestId().equals(requestId)) {
+                ends.notStarted(q, ResultCode.CANCELLED, Duration.ZERO, out);
+            }
+        }
+        proceed(out);
     }
 
     /** Takes a report of the engine. */
     public void onReport(EngineReport report, Effects out) {
-        // Reports are reconciled with the eviction rules.
+        engine.reportsFailSinceNanos = -1;
+        if (handles.isRestart(report)) {
+            advanceBatch();
+            dispatcher.restarted(out);
+            evictions.restarted(out);
+            handles.restarted();
+            loads.restarted(out);
+        }
+        if (report.highestFencing() > 0) {
+            engine.context()
+                    .leases()
+                    .observeFencing(engine.lease().resource(), report.highestFencing());
+        }
+        handles.reconcile(report, new ReportEvents(out));
+        proceed(out);
     }
 
     /** Notes that the engine's report could not be read. */
     public void onReportFailed(Effects out) {
-        // Reports are reconciled with the eviction rules.
+        if (engine.reportsFailSinceNanos < 0) {
+            engine.reportsFailSinceNanos = engine.now();
+        }
+        if (engine.isUnreachable()) {
+            refuseQueue(ResultCode.NO_UPSTREAM, out);
+        }
     }
 
     /** Takes the outcome of an order; returns false if the order is not of this scheduler. */
     public boolean onOrderAnswered(
             long orderId, OrderOutcome outcome, long highestFencing, Effects out) {
-        AdapterVersion version = orders.remove(orderId);
-        if (version == null) {
-            return false;
+        if (outcome == OrderOutcome.FENCED) {
+            engine.context().leases().observeFencing(engine.lease().resource(), highestFencing);
         }
-        List<EngineRequest> group = waiting.remove(version);
-        if (outcome == OrderOutcome.DONE) {
-            resident.put(version, version.handle(lease.fencing()));
+        boolean known =
+                loads.onAnswered(orderId, outcome, out)
+                        || evictions.onAnswered(orderId, outcome, out);
+        if (known) {
+            proceed(out);
         }
-        for (EngineRequest r : group == null ? List.<EngineRequest>of() : group) {
-            submit(r, out);
-        }
-        return true;
+        return known;
     }
 
     /** Notes the first output of an attempt; returns false if it is not of this scheduler. */
     public boolean onAttemptStarted(long attemptId, Effects out) {
-        return attempts.containsKey(attemptId);
+        return dispatcher.started(attemptId);
     }
 
     /** Ends an attempt with a complete answer; returns false if it is not of this scheduler. */
     public boolean onAttemptFinished(long attemptId, long chunks, int tokens, Effects out) {
-        Attempt a = attempts.remove(attemptId);
-        if (a == null) {
-            return false;
+        advanceBatch();
+        boolean known = dispatcher.finished(attemptId, chunks, out);
+        if (known) {
+            proceed(out);
         }
-        end(a.request(), ResultCode.OK, a.entitlement(), chunks, out);
-        return true;
+        return known;
     }
 
     /** Ends an attempt that failed; returns false if it is not of this scheduler. */
     public boolean onAttemptFailed(
             long attemptId, FailureReason reason, long chunks, String detail, Effects out) {
-        Attempt a = attempts.remove(attemptId);
-        if (a == null) {
-            return false;
+        advanceBatch();
+        boolean known = dispatcher.failed(attemptId, reason, chunks, detail, out);
+        if (known) {
+            proceed(out);
         }
-        end(
-                a.request(),
-                reason.provesNotRun() ? ResultCode.NO_UPSTREAM : ResultCode.UPSTREAM_FAILED,
-                a.entitlement(),
-                chunks,
-                out);
-        return true;
+        return known;
     }
 
     /** Uses a permit to load an adapter. */
     public void onPermit(long sequence, Effects out) {
-        AdapterVersion version = permits.remove(sequence);
-        if (version == null || !context.leases().holds(lease.resource())) {
-            context.permits().finished(upstream.id(), sequence, false, out);
-            return;
-        }
-        EngineRequest first = waiting.get(version).get(0);
-        long order = context.ids().next();
-        orders.put(order, version);
-        out.add(
-                new Effect.OrderEngine(
-                        order,
-                        upstream.id(),
-                        OrderKind.LOAD,
-                        version.handle(lease.fencing()),
-                        version,
-                        resolve(first).map(Entitlement::weights).getOrElse(""),
-                        lease.fencing(),
-                        ""));
+        loads.onPermit(sequence, out);
     }
 
     /** Continues an eviction whose intent a majority of the grantors has recorded. */
     public void onIntentAcknowledged(String handle, Effects out) {
-        // Evictions follow with the eviction rules.
+        evictions.onIntentAcknowledged(handle, out);
     }
 
     /** Does what is due; called every 50 ms. */
     public void onTick(Effects out) {
-        // Deadlines are enforced with the full queue.
+        advanceBatch();
+        batch.report(engine.now(), out);
+        dispatcher.onTick(out);
+        loads.onTick(out);
+        if (!engine.lost) {
+            evictions.onTick(out);
+            admitter.onTick(out);
+        }
+        engine.queue().prune(engine.now());
+        proceed(out);
     }
 
-    /** Takes a changed description of the engine. */
+    /** Takes a changed description of the engine; a leaving one gets no new work from now on. */
     public void onUpstream(Upstream changed, Effects out) {
-        upstream = changed;
+        engine.upstream = changed;
+        if (!changed.acceptsWork()) {
+            loads.stop(out);
+            refuseQueue(ResultCode.NO_UPSTREAM, out);
+        }
+        proceed(out);
     }
 
     /** Stops giving work and orders; queued requests end as not run, running ones finish. */
     public void leaseLost(Effects out) {
-        List<EngineRequest> queued = new ArrayList<>();
-        waiting.values().forEach(queued::addAll);
-        waiting.clear();
-        queued.forEach(r -> end(r, ResultCode.NO_HOLDER, null, 0, out));
+        engine.lost = true;
+        loads.stop(out);
+        refuseQueue(ResultCode.NO_HOLDER, out);
     }
 
-    /** Prepares a planned stop: takes no new requests and lets those in flight finish. */
+    /**
+     * Prepares a planned stop: takes no new requests and lets those in flight finish. Queued
+     * requests that are not urgent, or whose load has not been ordered, end as not run, so that the
+     * stop does not wait for them.
+     */
     public void drain(Effects out) {
-        // The planned stop follows with the full queue.
+        engine.draining = true;
+        for (QueuedRequest q : engine.queue().snapshot()) {
+            boolean soon =
+                    q.isQueued()
+                            && (q.adapter.handle != null
+                                    || q.adapter.phase == AdapterState.Phase.LOAD_ORDERED);
+            if (q.isQueued() && (!soon || Urgency.PROMPT.isMoreUrgentThan(q.urgency()))) {
+                ends.notStarted(q, ResultCode.DRAINING, Duration.ZERO, out);
+            }
+        }
+        loads.stop(out);
+        proceed(out);
     }
 
-    /** Returns the present state for the routers of the region. */
+    /** Returns the present state for the routers of the region; the sender adds the holder. */
     public EngineSummary summary() {
-        EngineSummary.Builder summary =
-                EngineSummary.newBuilder()
-                        .setEngine(upstream.id())
-                        .setFencing(lease.fencing())
-                        .setSequence(++summaries)
-                        .setAdapterSlots(upstream.shape().adapterSlots())
-                        .setRunning(attempts.size())
-                        .setBatchSize(upstream.shape().batchSize())
-                        .setLeaving(!upstream.acceptsWork())
-                        .setAvailable(true)
-                        .setDataCentre(upstream.dataCentre())
-                        .setBaseModel(upstream.shape().baseModel());
-        resident.keySet()
-                .forEach(
-                        v ->
-                                summary.addAdapters(
-                                        ResidentAdapter.newBuilder()
-                                                .setAdapter(v.adapter())
-                                                .setVersion(v.version())));
-        return summary.build();
+        return summaries.summary();
     }
 
     /** Returns what the next holder must know. */
     public HolderHandover handover() {
-        return HolderHandover.newBuilder()
-                .setResource(lease.resource())
-                .setFencing(lease.fencing())
-                .build();
+        return summaries.handover();
     }
 
     /** Returns the number of requests that run or wait. */
     public int inFlight() {
-        return attempts.size() + waiting.values().stream().mapToInt(List::size).sum();
+        return dispatcher.running().size() + engine.queue().size();
     }
 
-    private Either<ResultCode, Entitlement> resolve(EngineRequest r) {
-        return Entitlement.resolve(
-                context.configuration().get(), r.member(), r.caller(), r.kind(), r.adapter());
+    private void refuseQueue(ResultCode code, Effects out) {
+        for (QueuedRequest q : engine.queue().snapshot()) {
+            if (q.isQueued()) {
+                ends.notStarted(q, code, Duration.ZERO, out);
+            }
+        }
     }
 
-    private void start(EngineRequest r, Entitlement e, Effects out) {
-        long id = context.ids().next();
-        attempts.put(id, new Attempt(r, e));
-        out.add(
-                new Effect.StartAttempt(
-                        id,
-                        upstream.id(),
-                        resident.get(e.version()),
-                        r.requestId(),
-                        r.attempt(),
-                        r.origin(),
-                        r.body(),
-                        r.stream(),
-                        new Effect.AttemptLimits(
-                                r.deadline(), e.kind().silence(), e.kind().urgency().ordinal())));
+    private void proceed(Effects out) {
+        if (engine.lost) {
+            return;
+        }
+        advanceBatch();
+        loads.plan(out);
+        dispatcher.dispatch(out);
     }
 
-    private void end(EngineRequest r, ResultCode code, Entitlement e, long chunks, Effects out) {
-        EngineResult result =
-                new EngineResult(
-                        code,
-                        r.adapter(),
-                        e == null ? 0 : e.version().version(),
-                        e == null
-                                ? context.configuration().get().number()
-                                : e.configurationNumber(),
-                        e == null ? "" : upstream.id(),
-                        chunks,
-                        "",
-                        Duration.ZERO,
-                        Duration.ZERO);
-        context.listener().ended(r, result, out);
+    private void advanceBatch() {
+        batch.advance(dispatcher.running().size(), engine.batch(), engine.now());
     }
 
-    private record Attempt(EngineRequest request, Entitlement entitlement) {}
+    /** Carries out what a report has revealed. */
+    private final class ReportEvents implements HandleTable.Events {
+
+        private final Effects out;
+
+        ReportEvents(Effects out) {
+            this.out = out;
+        }
+
+        @Override
+        public void resident(AdapterHandle handle) {
+            loads.onResident(handle);
+        }
+
+        @Override
+        public void gone(AdapterHandle handle, AdapterHandle.Status before) {
+            if (before == AdapterHandle.Status.LOAD_UNKNOWN) {
+                loads.onLoadMissing(handle, out);
+            } else if (before != AdapterHandle.Status.RESIDENT || handle.inheritedIntent()) {
+                evictions.gone(handle, out);
+            }
+            AdapterState state =
+                    handle.version() == null ? null : engine.queue().known(handle.version());
+            if (state != null && !state.waiting().isEmpty()) {
+                loads.touch(state);
+            }
+        }
+
+        @Override
+        public void stillThere(AdapterHandle handle) {
+            evictions.again(handle, out);
+        }
+    }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionOrders.java
@@ -0,0 +1,205 @@
+package org.bronzehill.core.engine;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.config.Urgency;
+import org.bronzehill.core.engine.AdapterHandle.Status;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.OrderKind;
+import org.bronzehill.core.node.OrderOutcome;
+import org.bronzehill.core.node.Signal;
+
+/** Chooses handles to evict and carries their eviction through, intent first. */
+final class EvictionOrders {
+
+    private static final long REPEAT_INTENT_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** An order without an answer for this long counts as lost. */
+    static final long ORDER_LOST_NANOS = Duration.ofSeconds(10).toNanos();
+
+    /** Share of the reload cost that remains while another engine has the adapter too. */
+    private static final double COST_WITH_REPLICA = 0.5;
+
+    private final EngineState engine;
+    private final HandleTable handles;
+    private final Map<Long, AdapterHandle> orders = new HashMap<>();
+
+    EvictionOrders(EngineState engine, HandleTable handles) {
+        this.engine = engine;
+        this.handles = handles;
+    }
+
+    /** Returns how many evictions are in progress. */
+    int inProgress() {
+        int count = 0;
+        for (AdapterHandle h : handles.all()) {
+            count +=
+                    h.status() == Status.INTENT_ANNOUNCED
+                                    || h.status() == Status.EVICT_ORDERED
+                                    || h.status() == Status.EVICT_UNKNOWN
+                            ? 1
+                            : 0;
+        }
+        return count;
+    }
+
+    /** Returns the handle of lowest value that may give way to {@code need}, or null. */
+    AdapterHandle victimFor(AdapterState need) {
+        AdapterHandle victim = null;
+        double lowest = Double.MAX_VALUE;
+        for (AdapterHandle h : handles.all()) {
+            if (handles.mayEvict(h) && mayReplace(h, need)) {
+                double value = value(h);
+                if (value < lowest) {
+                    lowest = value;
+                    victim = h;
+                }
+            }
+        }
+        return victim;
+    }
+
+    /** Returns the value of keeping a handle: recent use times the cost of loading it again. */
+    private double value(AdapterHandle h) {
+        AdapterState state = stateOf(h);
+        if (state == null) {
+            return -1;
+        }
+        boolean replica =
+                engine.context().placement().residentElsewhere(h.version(), engine.engine()) > 0;
+        return state.use(engine.now()) * (replica ? COST_WITH_REPLICA : 1) + waitingValue(state);
+    }
+
+    private double waitingValue(AdapterState state) {
+        return state.loadValue(engine.policy(), engine.now());
+    }
+
+    /**
+     * Returns whether the handle may give way. One that requests wait for gives way only to at
+     * least twice their value, which keeps two adapters from replacing each other in turn; one of
+     * more recent use than the waiting requests does not give way to overnight work.
+     */
+    private boolean mayReplace(AdapterHandle h, AdapterState need) {
+        AdapterState state = stateOf(h);
+        if (state == null) {
+            return true;
+        }
+        long now = engine.now();
+        if (!state.waiting().isEmpty()) {
+            return need.loadValue(engine.policy(), now) > 2 * waitingValue(state);
+        }
+        boolean overnight = need.urgency() == Urgency.OVERNIGHT;
+        return !overnight
+                || need.waiting().size() + need.refusedDemand(now) >= state.use(now)
+                || need.earliestDeadline(Long.MAX_VALUE) - now < Duration.ofMinutes(1).toNanos();
+    }
+
+    /** Returns the demand behind a handle; null if requests are not given to the handle. */
+    private AdapterState stateOf(AdapterHandle h) {
+        AdapterState state = h.version() == null ? null : engine.queue().known(h.version());
+        return state != null && state.handle == h ? state : null;
+    }
+
+    /** Starts the eviction of a handle, which gets no more requests from now on. */
+    void begin(AdapterHandle h, Effects out) {
+        setStatus(h, Status.INTENT_ANNOUNCED);
+        handles.refresh(h.version());
+        engine.context().leases().announceIntent(engine.lease().resource(), h.name(), out);
+    }
+
+    /** Sends the evict order for a handle whose intent is recorded by a majority. */
+    void onIntentAcknowledged(String name, Effects out) {
+        AdapterHandle h = handles.get(name);
+        if (h != null && h.status() == Status.INTENT_ANNOUNCED && h.uses() == 0) {
+            order(h, out);
+        }
+    }
+
+    private void order(AdapterHandle h, Effects out) {
+        if (!engine.mayAct()) {
+            return;
+        }
+        h.orderId = engine.nextId();
+        setStatus(h, Status.EVICT_ORDERED);
+        orders.put(h.orderId, h);
+        AdapterVersion version = h.version() == null ? new AdapterVersion("", 0) : h.version();
+        out.add(
+                new Effect.OrderEngine(
+                        h.orderId,
+                        engine.engine(),
+                        OrderKind.EVICT,
+                        h.name(),
+                        version,
+                        "",
+                        engine.lease().fencing(),
+                        ""));
+    }
+
+    /** Takes the outcome of an evict order; returns false if there is no such order. */
+    boolean onAnswered(long orderId, OrderOutcome outcome, Effects out) {
+        AdapterHandle h = orders.remove(orderId);
+        if (h == null) {
+            return false;
+        }
+        if (handles.get(h.name()) != h || h.orderId != orderId) {
+            return true;
+        }
+        h.orderId = 0;
+        if (outcome == OrderOutcome.DONE || outcome == OrderOutcome.UNKNOWN_HANDLE) {
+            handles.remove(h);
+            gone(h, out);
+            out.add(new Effect.Measure(Signal.EVICTIONS, engine.engine(), 1));
+        } else {
+            setStatus(h, Status.EVICT_UNKNOWN);
+        }
+        return true;
+    }
+
+    /** Closes the intent of a handle that has left the engine. */
+    void gone(AdapterHandle h, Effects out) {
+        engine.context().leases().finishIntent(engine.lease().resource(), h.name(), out);
+    }
+
+    /** Repeats an evict order that was not carried out; its intent is still recorded. */
+    void again(AdapterHandle h, Effects out) {
+        if (h.uses() == 0) {
+            order(h, out);
+        }
+    }
+
+    /** Repeats intents that were not acknowledged and gives up orders without an answer. */
+    void onTick(Effects out) {
+        long now = engine.now();
+        for (String intent : handles.takeClosedIntents()) {
+            engine.context().leases().finishIntent(engine.lease().resource(), intent, out);
+        }
+        for (AdapterHandle h : List.copyOf(handles.all())) {
+            if (h.status() == Status.INTENT_ANNOUNCED
+                    && now - h.changedNanos >= REPEAT_INTENT_NANOS
+                    && engine.mayAct()) {
+                setStatus(h, Status.INTENT_ANNOUNCED);
+                engine.context().leases().announceIntent(engine.lease().resource(), h.name(), out);
+            } else if (h.status() == Status.EVICT_ORDERED
+                    && now - h.changedNanos >= ORDER_LOST_NANOS) {
+                onAnswered(h.orderId, OrderOutcome.UNKNOWN, out);
+            }
+        }
+    }
+
+    /** Closes the intents for which no order was sent, before a restart drops their handles. */
+    void restarted(Effects out) {
+        for (AdapterHandle h : handles.all()) {
+            if (h.status() == Status.INTENT_ANNOUNCED) {
+                gone(h, out);
+            }
+        }
+    }
+
+    private void setStatus(AdapterHandle h, Status status) {
+        h.status(status, engine.now(), handles.decisiveStamp());
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionRule.java
@@ -0,0 +1,24 @@
+package org.bronzehill.core.engine;
+
+/** Condition under which a handle may be evicted. */
+@FunctionalInterface
+interface EvictionRule {
+
+    /**
+     * The rule that keeps every answer whole: only resident handles on which nothing runs, and
+     * handles of earlier epochs only once no request of an earlier holder can run on them.
+     */
+    EvictionRule SAFE =
+            (h, earlierHoldersEnded) ->
+                    h.status() == AdapterHandle.Status.RESIDENT
+                            && h.uses() == 0
+                            && !h.lingering
+                            && (h.ownEpoch() || h.cleared || earlierHoldersEnded);
+
+    /**
+     * Returns whether the handle may be evicted.
+     *
+     * @param earlierHoldersEnded whether the longest deadline has passed since the takeover
+     */
+    boolean mayEvict(AdapterHandle handle, boolean earlierHoldersEnded);
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/LoadPlanner.java
@@ -0,0 +1,375 @@
+package org.bronzehill.core.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.engine.AdapterHandle.Status;
+import org.bronzehill.core.engine.AdapterState.Phase;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.OrderKind;
+import org.bronzehill.core.node.OrderOutcome;
+import org.bronzehill.core.node.Signal;
+import org.bronzehill.protocol.generated.PermitRequest;
+
+/** Decides which adapters an engine loads next, and carries the loads through. */
+final class LoadPlanner {
+
+    /**
+     * Permits asked for at once. A small number lets the order follow the demand: what has been
+     * asked for competes with the requests of the other engines by deadline, not by value.
+     */
+    private static final int WINDOW = 4;
+
+    /** Loads for which a slot is looked for in one step, to bound the time it takes. */
+    private static final int MAX_TRIES = 16;
+
+    /** A permit expires after 5 s; it is returned earlier if no slot has become free. */
+    private static final long PERMIT_USABLE_NANOS = Duration.ofSeconds(4).toNanos();
+
+    private static final long NO_SLOT_BACKOFF_NANOS = Duration.ofMillis(200).toNanos();
+    private static final long REFUSED_BACKOFF_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long FAILED_BACKOFF_NANOS = Duration.ofMillis(250).toNanos();
+    private static final int MAX_BACKOFF_SHIFT = 5;
+
+    /** Failed loads in a row after which the waiting requests are better served elsewhere. */
+    static final int MAX_FAILURES = 4;
+
+    /** Demand of refused requests for which an adapter is loaded although none waits now. */
+    private static final double REFUSED_DEMAND = 0.5;
+
+    /** Deadline of a load that no waiting request needs. */
+    private static final long NO_WAITER_DEADLINE_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private final EngineState engine;
+    private final HandleTable handles;
+    private final EvictionOrders evictions;
+    private final Set<AdapterState> active = new LinkedHashSet<>();
+    private final Map<Long, AdapterState> permits = new HashMap<>();
+    private final Map<Long, AdapterState> orders = new HashMap<>();
+
+    LoadPlanner(EngineState engine, HandleTable handles, EvictionOrders evictions) {
+        this.engine = engine;
+        this.handles = handles;
+        this.evictions = evictions;
+    }
+
+    /** Notes that the demand for the adapter version has changed. */
+    void touch(AdapterState state) {
+        active.add(state);
+    }
+
+    /** Asks for permits, withdraws those that are not needed and uses those granted. */
+    void plan(Effects out) {
+        List<AdapterState> wanted = new ArrayList<>();
+        for (AdapterState s : List.copyOf(active)) {
+            boolean want = isWanted(s);
+            if (s.phase == Phase.PERMIT_GRANTED) {
+                useOrReturn(s, want, out);
+            } else if (s.phase == Phase.PERMIT_ASKED && !want) {
+                withdraw(s, out);
+            }
+            boolean planned = s.phase == Phase.NONE || s.phase == Phase.PERMIT_ASKED;
+            if (want && planned && engine.now() >= s.notBeforeNanos) {
+                wanted.add(s);
+            }
+            if (s.phase == Phase.NONE && !want && s.waiting().isEmpty()) {
+                active.remove(s);
+            }
+        }
+        if (wanted.isEmpty() || !engine.mayAct() || !handles.isKnown()) {
+            return;
+        }
+        sort(wanted);
+        askFor(wanted, out);
+    }
+
+    private boolean isWanted(AdapterState s) {
+        if (s.handle != null || !engine.takesWork()) {
+            return false;
+        }
+        if (s.waiting().isEmpty()) {
+            return !engine.draining && s.refusedDemand(engine.now()) >= REFUSED_DEMAND;
+        }
+        return GroupingPolicy.loadDue(
+                s,
+                engine.policy(),
+                engine.batch(),
+                engine.waitEstimator().storeIdle(engine.now()),
+                engine.now());
+    }
+
+    /** Orders by deadline while all deadlines can be met at the rate of grants, else by value. */
+    private void sort(List<AdapterState> wanted) {
+        long now = engine.now();
+        long last = now + NO_WAITER_DEADLINE_NANOS;
+        wanted.sort(Comparator.comparingLong(s -> s.earliestDeadline(last)));
+        double rate = engine.configuration().limits().storeLoadsPerSecond();
+        boolean feasible = true;
+        for (int i = 0; i < wanted.size() && feasible; i++) {
+            long arrival = now + engine.waitEstimator().loadWaitNanos(i, rate, now);
+            feasible = arrival <= wanted.get(i).earliestDeadline(last);
+        }
+        if (!feasible) {
+            Map<AdapterState, Double> values = new HashMap<>();
+            wanted.forEach(s -> values.put(s, s.loadValue(engine.policy(), now)));
+            wanted.sort(Comparator.comparingDouble(s -> -values.get(s)));
+        }
+    }
+
+    private void askFor(List<AdapterState> wanted, Effects out) {
+        int room = Math.min(WINDOW, wanted.size());
+        Set<AdapterState> kept = new LinkedHashSet<>();
+        int free = handles.freeSlots() - count(Phase.PERMIT_GRANTED) + evictions.inProgress();
+        int tries = 0;
+        for (AdapterState s : wanted) {
+            if (kept.size() >= room || ++tries > MAX_TRIES) {
+                break;
+            }
+            if (s.phase == Phase.PERMIT_ASKED
+                    || handles.get(ownName(s)) == null
+                            && (kept.size() < free || evictions.victimFor(s) != null)) {
+                kept.add(s);
+            }
+        }
+        for (AdapterState s : wanted) {
+            if (s.phase == Phase.PERMIT_ASKED && !kept.contains(s)) {
+                withdraw(s, out);
+            }
+        }
+        kept.forEach(s -> ask(s, out));
+    }
+
+    private int count(Phase phase) {
+        int count = 0;
+        for (AdapterState s : active) {
+            count += s.phase == phase ? 1 : 0;
+        }
+        return count;
+    }
+
+    private void ask(AdapterState s, Effects out) {
+        long now = engine.now();
+        long deadline =
+                s.earliestDeadline(now + NO_WAITER_DEADLINE_NANOS)
+                        - engine.waitEstimator().loadNanos();
+        double value = s.loadValue(engine.policy(), now);
+        if (s.phase == Phase.PERMIT_ASKED) {
+            boolean sooner = deadline < s.askedDeadlineNanos - FAILED_BACKOFF_NANOS;
+            if (!sooner && value < 1.5 * s.askedValue && value > 0.5 * s.askedValue) {
+                return;
+            }
+        } else {
+            s.phase = Phase.PERMIT_ASKED;
+            s.permit = engine.nextId();
+            s.permitAskedNanos = now;
+            permits.put(s.permit, s);
+        }
+        s.askedDeadlineNanos = deadline;
+        s.askedValue = value;
+        engine.context()
+                .permits()
+                .request(
+                        PermitRequest.newBuilder()
+                                .setEngine(engine.engine())
+                                .setAdapter(s.version().adapter())
+                                .setVersion(s.version().version())
+                                .setSequence(s.permit)
+                                .setDeadlineMs(Math.max(0, (deadline - now) / 1_000_000))
+                                .setValue(value)
+                                .build(),
+                        out);
+    }
+
+    private void withdraw(AdapterState s, Effects out) {
+        permits.remove(s.permit);
+        s.phase = Phase.NONE;
+        engine.context().permits().withdraw(engine.engine(), s.permit, out);
+    }
+
+    /** Returns how many loads that are needed before {@code deadline} wait for a permit. */
+    int permitsAhead(long deadline) {
+        int count = 0;
+        for (AdapterState s : active) {
+            boolean planned = s.phase == Phase.NONE || s.phase == Phase.PERMIT_ASKED;
+            boolean ahead = s.earliestDeadline(Long.MAX_VALUE) <= deadline;
+            count += planned && s.handle == null && ahead ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Uses a granted permit, or returns it. */
+    void onPermit(long sequence, Effects out) {
+        AdapterState s = permits.get(sequence);
+        if (s == null || s.phase != Phase.PERMIT_ASKED) {
+            engine.context().permits().finished(engine.engine(), sequence, false, out);
+            return;
+        }
+        long now = engine.now();
+        engine.waitEstimator()
+                .granted(now - s.permitAskedNanos, count(Phase.PERMIT_ASKED) > 1, now);
+        s.phase = Phase.PERMIT_GRANTED;
+        s.permitGrantedNanos = now;
+        plan(out);
+    }
+
+    private void useOrReturn(AdapterState s, boolean want, Effects out) {
+        long now = engine.now();
+        if (!want || !engine.mayAct() || now - s.permitGrantedNanos > PERMIT_USABLE_NANOS) {
+            returnPermit(s, false, out);
+            s.notBeforeNanos = now + NO_SLOT_BACKOFF_NANOS;
+            return;
+        }
+        if (handles.get(ownName(s)) != null) {
+            return;
+        }
+        if (handles.freeSlots() > 0) {
+            order(s, out);
+            return;
+        }
+        if (count(Phase.PERMIT_GRANTED) > evictions.inProgress()) {
+            AdapterHandle victim = evictions.victimFor(s);
+            if (victim != null) {
+                evictions.begin(victim, out);
+            } else if (evictions.inProgress() == 0) {
+                returnPermit(s, false, out);
+                s.notBeforeNanos = now + NO_SLOT_BACKOFF_NANOS;
+            }
+        }
+    }
+
+    private void returnPermit(AdapterState s, boolean used, Effects out) {
+        permits.remove(s.permit);
+        s.phase = Phase.NONE;
+        engine.context().permits().finished(engine.engine(), s.permit, used, out);
+    }
+
+    private void order(AdapterState s, Effects out) {
+        AdapterHandle h = handles.put(ownName(s), Status.LOADING);
+        h.orderId = engine.nextId();
+        s.phase = Phase.LOAD_ORDERED;
+        orders.put(h.orderId, s);
+        out.add(
+                new Effect.OrderEngine(
+                        h.orderId,
+                        engine.engine(),
+                        OrderKind.LOAD,
+                        h.name(),
+                        s.version(),
+                        s.weights,
+                        engine.lease().fencing(),
+                        ""));
+        out.add(new Effect.Measure(Signal.LOADS, engine.engine(), 1));
+    }
+
+    /** Takes the outcome of a load order; returns false if there is no such order. */
+    boolean onAnswered(long orderId, OrderOutcome outcome, Effects out) {
+        AdapterState s = orders.remove(orderId);
+        if (s == null) {
+            return false;
+        }
+        AdapterHandle h = handles.get(ownName(s));
+        if (h == null || h.orderId != orderId) {
+            return true;
+        }
+        h.orderId = 0;
+        boolean refused = outcome == OrderOutcome.FULL || outcome == OrderOutcome.FENCED;
+        returnPermit(s, !refused, out);
+        switch (outcome) {
+            case DONE -> {
+                engine.waitEstimator().loaded(engine.now() - h.changedNanos);
+                h.status(Status.RESIDENT, engine.now(), handles.decisiveStamp());
+                onResident(h);
+            }
+            case UNKNOWN -> {
+                h.status(Status.LOAD_UNKNOWN, engine.now(), handles.decisiveStamp());
+                s.phase = Phase.LOAD_UNKNOWN;
+            }
+            case FULL, FENCED -> {
+                handles.remove(h);
+                s.notBeforeNanos = engine.now() + REFUSED_BACKOFF_NANOS;
+            }
+            default -> {
+                handles.remove(h);
+                failed(s, out);
+            }
+        }
+        return true;
+    }
+
+    /** Notes that a handle is resident, as an answer or a report has shown. */
+    void onResident(AdapterHandle h) {
+        AdapterState s = h.version() == null ? null : engine.queue().known(h.version());
+        if (s != null) {
+            s.failures = 0;
+            s.used(s.refusedDemand(engine.now()), engine.now());
+            if (s.phase == Phase.LOAD_UNKNOWN) {
+                s.phase = Phase.NONE;
+            }
+            handles.refresh(h.version());
+        }
+    }
+
+    /** Notes that reports show no trace of a load whose answer was lost. */
+    void onLoadMissing(AdapterHandle h, Effects out) {
+        AdapterState s = engine.queue().known(h.version());
+        if (s != null && s.phase == Phase.LOAD_UNKNOWN) {
+            s.phase = Phase.NONE;
+            failed(s, out);
+        }
+    }
+
+    private void failed(AdapterState s, Effects out) {
+        int shift = Math.min(s.failures++, MAX_BACKOFF_SHIFT);
+        s.notBeforeNanos = engine.now() + (FAILED_BACKOFF_NANOS << shift);
+        touch(s);
+        out.add(new Effect.Measure(Signal.LOAD_FAILURES, engine.engine(), 1));
+    }
+
+    /** Gives up load orders without an answer. */
+    void onTick(Effects out) {
+        long now = engine.now();
+        for (AdapterHandle h : List.copyOf(handles.all())) {
+            if (h.status() == Status.LOADING
+                    && h.orderId != 0
+                    && now - h.changedNanos >= EvictionOrders.ORDER_LOST_NANOS) {
+                onAnswered(h.orderId, OrderOutcome.UNKNOWN, out);
+            }
+        }
+    }
+
+    /** Forgets the loads in progress after a restart of the engine; permits are kept. */
+    void restarted(Effects out) {
+        orders.clear();
+        for (AdapterState s : engine.queue().adapters()) {
+            if (s.phase == Phase.LOAD_ORDERED) {
+                returnPermit(s, true, out);
+            } else if (s.phase == Phase.LOAD_UNKNOWN) {
+                s.phase = Phase.NONE;
+            }
+            if (!s.waiting().isEmpty()) {
+                touch(s);
+            }
+        }
+    }
+
+    /** Gives back all permits, when the engine takes no more loads. */
+    void stop(Effects out) {
+        for (AdapterState s : List.copyOf(active)) {
+            if (s.phase == Phase.PERMIT_ASKED) {
+                withdraw(s, out);
+            } else if (s.phase == Phase.PERMIT_GRANTED) {
+                returnPermit(s, false, out);
+            }
+        }
+    }
+
+    private String ownName(AdapterState s) {
+        return s.version().handle(engine.lease().fencing());
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/RequestEnds.java
@@ -0,0 +1,68 @@
+package org.bronzehill.core.engine;
+
+import java.time.Duration;
+import org.bronzehill.core.admission.Entitlement;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.Signal;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.result.RunState;
+
+/** Ends requests: builds their results and reports them. */
+final class RequestEnds {
+
+    private final EngineState engine;
+
+    RequestEnds(EngineState engine) {
+        this.engine = engine;
+    }
+
+    /** Ends a request that was refused on arrival. */
+    void refused(EngineRequest r, ResultCode code, Duration retryAfter, Effects out) {
+        end(r, code, null, 0, "", 0, retryAfter, out);
+    }
+
+    /** Ends a request by naming another engine. */
+    void redirected(EngineRequest r, String to, Effects out) {
+        end(r, ResultCode.REDIRECT, null, 0, to, 0, Duration.ZERO, out);
+    }
+
+    /** Ends a request that was taken, but not started. */
+    void notStarted(QueuedRequest q, ResultCode code, Duration retryAfter, Effects out) {
+        long stall = q.stallNanos(engine.now());
+        engine.queue().remove(q, engine.now());
+        end(q.request(), code, null, 0, "", stall, retryAfter, out);
+    }
+
+    /** Ends a request with the result of its attempt. */
+    void ran(QueuedRequest q, ResultCode code, long chunks, Effects out) {
+        long stall = q.stallNanos(engine.now());
+        end(q.request(), code, q.entitlement(), chunks, "", stall, Duration.ZERO, out);
+    }
+
+    private void end(
+            EngineRequest r,
+            ResultCode code,
+            Entitlement e,
+            long chunks,
+            String redirectTo,
+            long stallNanos,
+            Duration retryAfter,
+            Effects out) {
+        if (code.runState() == RunState.NOT_RUN) {
+            out.add(new Effect.Measure(Signal.REFUSALS, code.name(), 1));
+        }
+        EngineResult result =
+                new EngineResult(
+                        code,
+                        r.adapter(),
+                        e == null ? 0 : e.version().version(),
+                        e == null ? engine.configuration().number() : e.configurationNumber(),
+                        e == null ? "" : engine.engine(),
+                        chunks,
+                        redirectTo,
+                        Duration.ofNanos(stallNanos),
+                        retryAfter);
+        engine.context().listener().ended(r, result, out);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/RequestQueue.java
@@ -0,0 +1,139 @@
+package org.bronzehill.core.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.bronzehill.config.Urgency;
+import org.bronzehill.core.admission.Entitlement;
+import org.bronzehill.core.admission.FairQueue;
+import org.bronzehill.core.model.AdapterVersion;
+
+/** Requests that wait for an engine, in fair order and by adapter version. */
+final class RequestQueue {
+
+    /** Adapter versions without waiting requests or handle are dropped beyond this count. */
+    private static final int MAX_IDLE_ADAPTERS = 4096;
+
+    private final FairQueue<QueuedRequest> queue = FairQueue.create();
+    private final Map<AdapterVersion, AdapterState> adapters = new LinkedHashMap<>();
+    private final int[] stalled = new int[Urgency.values().length];
+
+    /** Returns the state of an adapter version, which is created if absent. */
+    AdapterState adapter(AdapterVersion version, String weights) {
+        AdapterState state = adapters.computeIfAbsent(version, v -> new AdapterState(v, weights));
+        if (!weights.isEmpty()) {
+            state.weights = weights;
+        }
+        return state;
+    }
+
+    /** Returns the state of an adapter version, or null. */
+    AdapterState known(AdapterVersion version) {
+        return adapters.get(version);
+    }
+
+    Collection<AdapterState> adapters() {
+        return adapters.values();
+    }
+
+    void add(QueuedRequest q, long nowNanos) {
+        Entitlement e = q.entitlement();
+        AdapterState state = adapter(e.version(), e.weights());
+        q.adapter = state;
+        q.entry =
+                queue.add(q, q.urgency(), e.member().name(), e.member().share(), q.deadlineNanos());
+        state.waiting().add(q);
+        if (state.handle == null) {
+            q.stalled(nowNanos);
+            stalled[q.urgency().ordinal()]++;
+        }
+    }
+
+    void remove(QueuedRequest q, long nowNanos) {
+        if (q.entry == null) {
+            return;
+        }
+        queue.remove(q.entry);
+        q.adapter.waiting().remove(q);
+        if (q.adapter.handle == null) {
+            stalled[q.urgency().ordinal()]--;
+        }
+        q.resumed(nowNanos);
+        q.entry = null;
+        q.adapter = null;
+    }
+
+    /** Sets the usable handle of an adapter version, or null if it has none any more. */
+    void handle(AdapterState state, AdapterHandle handle, long nowNanos) {
+        boolean before = state.handle != null;
+        boolean after = handle != null;
+        state.handle = handle;
+        if (before == after) {
+            return;
+        }
+        for (QueuedRequest q : state.waiting()) {
+            stalled[q.urgency().ordinal()] += after ? -1 : 1;
+            if (after) {
+                q.resumed(nowNanos);
+            } else {
+                q.stalled(nowNanos);
+            }
+        }
+    }
+
+    /** Returns the first request that is ready, or null; it stays in the queue. */
+    QueuedRequest first(Predicate<QueuedRequest> ready) {
+        FairQueue.Entry<QueuedRequest> entry = queue.first(ready);
+        return entry == null ? null : entry.item();
+    }
+
+    /** Returns the request to give up in favour of a new one, or null. */
+    QueuedRequest displaceableFor(Entitlement e) {
+        FairQueue.Entry<QueuedRequest> entry =
+                queue.displaceableFor(e.member().name(), e.member().share(), e.kind().urgency());
+        return entry == null ? null : entry.item();
+    }
+
+    void charge(Entitlement e, double factor) {
+        queue.charge(e.member().name(), e.member().share(), factor * e.kind().weight());
+    }
+
+    int size() {
+        return queue.size();
+    }
+
+    /** Returns how many requests of the class or a more urgent one wait only for the engine. */
+    int readyUpTo(Urgency urgency) {
+        int ready = queue.sizeUpTo(urgency);
+        for (int i = 0; i <= urgency.ordinal(); i++) {
+            ready -= stalled[i];
+        }
+        return ready;
+    }
+
+    /** Returns the waiting requests, in no particular order. */
+    List<QueuedRequest> snapshot() {
+        List<QueuedRequest> all = new ArrayList<>(queue.size());
+        queue.forEach(all::add);
+        return all;
+    }
+
+    /** Forgets adapter versions about which nothing is worth knowing. */
+    void prune(long nowNanos) {
+        if (adapters.size() <= MAX_IDLE_ADAPTERS / 2) {
+            return;
+        }
+        adapters.values().removeIf(a -> a.isIdle(nowNanos));
+        if (adapters.size() > MAX_IDLE_ADAPTERS) {
+            adapters.values()
+                    .removeIf(
+                            a ->
+                                    a.waiting().isEmpty()
+                                            && a.handle == null
+                                            && a.phase == AdapterState.Phase.NONE);
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/WaitEstimator.java
@@ -0,0 +1,88 @@
+package org.bronzehill.core.engine;
+
+import java.time.Duration;
+import org.bronzehill.config.Urgency;
+
+/**
+ * Estimates waits from what was measured. Estimates about the store decay with time, so that a
+ * refusal that rests on them cannot outlive the overload that caused them.
+ */
+final class WaitEstimator {
+
+    private static final double GAIN = 0.1;
+    private static final double PERMIT_GAIN = 0.3;
+    private static final double DECAY_NANOS = 1e9;
+
+    /** Run times measured before they are used to refuse a request. */
+    private static final int MIN_SAMPLES = 8;
+
+    private final double[] serviceNanos = new double[Urgency.values().length];
+    private final int[] samples = new int[Urgency.values().length];
+    private double meanServiceNanos = Duration.ofMillis(500).toNanos();
+    private double loadNanos = Duration.ofMillis(250).toNanos();
+    private double permitNanos;
+    private double grantIntervalNanos;
+    private long lastGrantNanos = Long.MIN_VALUE;
+
+    /** Notes how long an attempt ran. */
+    void served(Urgency urgency, long nanos) {
+        int c = urgency.ordinal();
+        serviceNanos[c] =
+                samples[c] == 0 ? nanos : serviceNanos[c] + GAIN * (nanos - serviceNanos[c]);
+        samples[c]++;
+        meanServiceNanos += GAIN * (nanos - meanServiceNanos);
+    }
+
+    /** Notes how long a load took after its order was sent. */
+    void loaded(long nanos) {
+        loadNanos += GAIN * (nanos - loadNanos);
+    }
+
+    /**
+     * Notes a grant.
+     *
+     * @param othersWaited whether other permits were asked for at the same time, so that the
+     *     interval between grants tells the rate
+     */
+    void granted(long waitNanos, boolean othersWaited, long nowNanos) {
+        permitNanos += PERMIT_GAIN * (waitNanos - permitNanos);
+        if (othersWaited && lastGrantNanos != Long.MIN_VALUE) {
+            long interval = Math.min(nowNanos - lastGrantNanos, waitNanos);
+            grantIntervalNanos += PERMIT_GAIN * (interval - grantIntervalNanos);
+        }
+        lastGrantNanos = nowNanos;
+    }
+
+    /** Returns the expected run time of a request of the class; 0 while too little is known. */
+    long serviceNanos(Urgency urgency) {
+        int c = urgency.ordinal();
+        return samples[c] < MIN_SAMPLES ? 0 : (long) serviceNanos[c];
+    }
+
+    /** Returns the expected time until {@code ahead} requests have made room for one more. */
+    long queueNanos(int ahead, int running, int batch) {
+        int excess = ahead + running - batch + 1;
+        return excess <= 0 ? 0 : (long) (meanServiceNanos * excess / Math.max(1, batch));
+    }
+
+    /** Returns the expected time of a load that has its permit. */
+    long loadNanos() {
+        return (long) loadNanos;
+    }
+
+    /** Returns the expected time until a load that is asked for now has arrived. */
+    long loadWaitNanos(int permitsAhead, double storeLoadsPerSecond, long nowNanos) {
+        double idle = lastGrantNanos == Long.MIN_VALUE ? 0 : nowNanos - lastGrantNanos;
+        double decay = Math.pow(0.5, idle / DECAY_NANOS);
+        double interval =
+                Math.max(grantIntervalNanos * decay, 1e9 / Math.max(0.1, storeLoadsPerSecond));
+        double first = permitsAhead == 0 ? permitNanos * decay : 0;
+        return (long) (first + permitsAhead * interval + loadNanos);
+    }
+
+    /** Returns whether permits were granted without noticeable wait of late. */
+    boolean storeIdle(long nowNanos) {
+        double idle = lastGrantNanos == Long.MIN_VALUE ? 0 : nowNanos - lastGrantNanos;
+        return permitNanos * Math.pow(0.5, idle / DECAY_NANOS) < 100e6;
+    }
+}
