--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
@@ -38,8 +38,13 @@
         this.ends = ends;
     }
 
-    /** Starts ready requests while the batch has room. */
-    void dispatch(Effects out) {
+    /**
+     * Starts ready requests while the batch has room.
+     *
+     * @return whether a request now waits for another version than before
+     */
+    boolean dispatch(Effects out) {
+        boolean moved = false;
         while (attempts.size() < engine.batch()
                 && engine.takesWork()
                 && engine.now() >= engine.unreachableUntilNanos
@@ -47,10 +52,11 @@
             int active = attempts.size() + engine.queue().readyUpTo(Urgency.OVERNIGHT);
             QueuedRequest q = engine.queue().first(r -> isReady(r, active));
             if (q == null) {
-                return;
+                return moved;
             }
-            startOrEnd(q, out);
+            moved |= startOrEnd(q, out);
         }
+        return moved;
     }
 
     private boolean isReady(QueuedRequest q, int active) {
@@ -63,23 +69,23 @@
     }
 
     /** Resolves the version again under the configuration in force, then starts the request. */
-    private void startOrEnd(QueuedRequest q, Effects out) {
+    private boolean startOrEnd(QueuedRequest q, Effects out) {
         EngineRequest r = q.request();
         Either<ResultCode, Entitlement> resolved =
                 Entitlement.resolve(
                         engine.configuration(), r.member(), r.caller(), r.kind(), r.adapter());
         if (resolved.isLeft()) {
             ends.notStarted(q, resolved.getLeft(), Duration.ZERO, out);
-            return;
+            return false;
         }
         if (marks(r) >= MAX_MARKS) {
             ends.notStarted(q, ResultCode.CRASHES_UPSTREAMS, Duration.ZERO, out);
-            return;
+            return false;
         }
         long now = engine.now();
         if (now >= q.deadlineNanos()) {
             ends.notStarted(q, ResultCode.DEADLINE_HOPELESS, Duration.ZERO, out);
-            return;
+            return false;
         }
         Entitlement e = resolved.get();
         boolean moved = !e.version().equals(q.entitlement().version());
@@ -89,9 +95,10 @@
         if (moved) {
             engine.queue().add(q, now);
             loads.touch(q.adapter);
-            return;
+            return true;
         }
         start(q, state, out);
+        return false;
     }
 
     private void start(QueuedRequest q, AdapterState state, Effects out) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
@@ -240,7 +240,9 @@
         }
         advanceBatch();
         loads.plan(out);
-        dispatcher.dispatch(out);
+        if (dispatcher.dispatch(out)) {
+            loads.plan(out);
+        }
     }
 
     private void advanceBatch() {
