--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/Profile.java
@@ -0,0 +1,101 @@
+package org.bronzehill.standin;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Figures of a deployment as listed in section 1 of docs/design.md. */
+public enum Profile {
+    DRIFTLESS(
+            new StoreFigures(4, 2, 16),
+            new EngineFigures(16, 32, 12, 1),
+            List.of("pickup"),
+            8,
+            3,
+            3),
+    SIALKOT(
+            new StoreFigures(3, 1, 8),
+            new EngineFigures(24, 32, 12, 1),
+            List.of("orders", "bobbins"),
+            6,
+            4,
+            4);
+
+    /** Adapters of each deployment today. */
+    public static final int ADAPTERS = 3000;
+
+    private final StoreFigures store;
+    private final EngineFigures engine;
+    private final List<String> services;
+    private final int engines;
+    private final int runners;
+    private final int dataCentres;
+
+    Profile(
+            StoreFigures store,
+            EngineFigures engine,
+            List<String> services,
+            int engines,
+            int runners,
+            int dataCentres) {
+        this.store = store;
+        this.engine = engine;
+        this.services = services;
+        this.engines = engines;
+        this.runners = runners;
+        this.dataCentres = dataCentres;
+    }
+
+    /**
+     * Figures of a weight store.
+     *
+     * @param loadsPerSecond rate at which transfers start
+     * @param fullSpeed transfers that may start at once
+     * @param inFlight transfers in flight beyond which each takes proportionally longer
+     */
+    public record StoreFigures(double loadsPerSecond, int fullSpeed, int inFlight) {}
+
+    /**
+     * Figures of an engine. A step of continuous batching takes {@code stepMs} plus {@code
+     * stepPerRequestMs} for each request in the batch, so that a full batch of 16 makes one token
+     * in 28 ms, just below the 29 ms that section 1 allows.
+     */
+    public record EngineFigures(
+            int batchSize, int adapterSlots, double stepMs, double stepPerRequestMs) {}
+
+    public StoreFigures store() {
+        return store;
+    }
+
+    public EngineFigures engine() {
+        return engine;
+    }
+
+    /** Returns the plain services that the application runners offer. */
+    public List<String> services() {
+        return services;
+    }
+
+    public int engines() {
+        return engines;
+    }
+
+    public int runners() {
+        return runners;
+    }
+
+    public int dataCentres() {
+        return dataCentres;
+    }
+
+    /** Returns the name used in settings. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the profile with the given label. */
+    public static Optional<Profile> ofLabel(String label) {
+        return Arrays.stream(values()).filter(p -> p.label().equals(label)).findFirst();
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/AdapterTable.java
@@ -0,0 +1,96 @@
+package org.bronzehill.standin.internal;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Adapter slots of an engine. Not thread-safe: guarded by its engine. */
+final class AdapterTable {
+
+    private final int slots;
+    private final Map<String, Slot> handles = new LinkedHashMap<>();
+
+    private static final class Slot {
+        boolean loading = true;
+        int running;
+        final List<Exchange> waiting = new ArrayList<>();
+    }
+
+    private AdapterTable(int slots) {
+        this.slots = slots;
+    }
+
+    static AdapterTable of(int slots) {
+        return new AdapterTable(slots);
+    }
+
+    /** What a load order meets. */
+    enum Begin {
+        STARTED,
+        JOINED,
+        RESIDENT,
+        FULL
+    }
+
+    Begin begin(String handle, Exchange order) {
+        Slot slot = handles.get(handle);
+        if (slot != null && !slot.loading) {
+            return Begin.RESIDENT;
+        }
+        if (slot != null) {
+            slot.waiting.add(order);
+            return Begin.JOINED;
+        }
+        if (handles.size() >= slots) {
+            return Begin.FULL;
+        }
+        Slot fresh = new Slot();
+        fresh.waiting.add(order);
+        handles.put(handle, fresh);
+        return Begin.STARTED;
+    }
+
+    /** Ends a load and returns the orders that wait for it. */
+    List<Exchange> arrived(String handle, boolean success) {
+        Slot slot = handles.get(handle);
+        if (slot == null) {
+            return List.of();
+        }
+        if (success) {
+            slot.loading = false;
+        } else {
+            handles.remove(handle);
+        }
+        List<Exchange> waiting = List.copyOf(slot.waiting);
+        slot.waiting.clear();
+        return waiting;
+    }
+
+    boolean isResident(String handle) {
+        Slot slot = handles.get(handle);
+        return slot != null && !slot.loading;
+    }
+
+    /** Removes a handle and returns the load orders that wait for it; null if it is unknown. */
+    List<Exchange> remove(String handle) {
+        Slot slot = handles.remove(handle);
+        return slot == null ? null : slot.waiting;
+    }
+
+    void addRunning(String handle, int change) {
+        Slot slot = handles.get(handle);
+        if (slot != null) {
+            slot.running += change;
+        }
+    }
+
+    /** State of one handle in a report. */
+    record HandleView(String handle, boolean loading, int running) {}
+
+    List<HandleView> view() {
+        return handles.entrySet().stream()
+                .map(e -> new HandleView(e.getKey(), e.getValue().loading, e.getValue().running))
+                .toList();
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ConfigurationService.java
@@ -0,0 +1,157 @@
+package org.bronzehill.standin.internal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.Manifest;
+
+/**
+ * Configuration service: serves the manifest and shards of a declaration directory and long-polls.
+ * {@code POST /standin/publish} with {@code {"directory"}} publishes another directory.
+ */
+public final class ConfigurationService extends StandinService {
+
+    private record Watch(Exchange exchange, long have) {}
+
+    private final Map<String, byte[]> shards = new HashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private Manifest current = new Manifest(0, "", List.of());
+    private Manifest previous = current;
+
+    private ConfigurationService(String id) {
+        super("configuration", id);
+    }
+
+    /** Creates a service that holds no configuration yet. */
+    public static ConfigurationService create(String id) {
+        return new ConfigurationService(id);
+    }
+
+    /** Writes an image as a declaration directory. */
+    public static void write(ConfigurationImage image, Path directory) throws IOException {
+        Files.createDirectories(directory.resolve("shards"));
+        for (Map.Entry<String, byte[]> e : image.shards().entrySet()) {
+            Files.write(directory.resolve("shards").resolve(e.getKey()), e.getValue());
+        }
+        Files.write(
+                directory.resolve("manifest.json"), ImageCodec.encodeManifest(image.manifest()));
+    }
+
+    /** Publishes a declaration directory, whatever its number. */
+    public void publish(Path directory) throws IOException {
+        Manifest manifest =
+                ImageCodec.decodeManifest(Files.readAllBytes(directory.resolve("manifest.json")))
+                        .getOrElseThrow(why -> new IOException(why));
+        Map<String, byte[]> content = new HashMap<>();
+        List<String> hashes = new ArrayList<>(manifest.shards());
+        hashes.add(manifest.base());
+        for (String hash : hashes) {
+            content.put(hash, Files.readAllBytes(directory.resolve("shards").resolve(hash)));
+        }
+        publish(new ConfigurationImage(manifest, content));
+    }
+
+    /** Publishes an image, whatever its number. */
+    public synchronized void publish(ConfigurationImage image) {
+        shards.putAll(image.shards());
+        previous = current.number() == 0 ? image.manifest() : current;
+        current = image.manifest();
+        List<Watch> due = watches.stream().filter(w -> current.number() > w.have()).toList();
+        watches.removeAll(due);
+        due.forEach(w -> answer(w.exchange()));
+    }
+
+    @Override
+    protected void handle(Exchange exchange) {
+        if (exchange.is("GET", "/v1/manifest")) {
+            ledger.count("calls", "manifest");
+            manifest(exchange);
+        } else if (exchange.method().equals("GET") && exchange.path().startsWith("/v1/shards/")) {
+            ledger.count("calls", "shard");
+            shard(exchange);
+        } else {
+            exchange.error(404, "unknown_path");
+        }
+    }
+
+    private synchronized void manifest(Exchange exchange) {
+        long have = exchange.query("have", 0);
+        long waitMs = exchange.query("wait_ms", 0);
+        if (served().number() > have || waitMs <= 0) {
+            answer(exchange, have);
+            return;
+        }
+        Watch watch = new Watch(exchange, have);
+        watches.add(watch);
+        ledger.max("calls", "mostWatches", watches.size());
+        exchange.onClosed(() -> forget(watch));
+        timer.after(waitMs, () -> endWatch(watch));
+    }
+
+    private synchronized void forget(Watch watch) {
+        watches.remove(watch);
+    }
+
+    private synchronized void endWatch(Watch watch) {
+        if (watches.remove(watch)) {
+            answer(watch.exchange(), watch.have());
+        }
+    }
+
+    /** Answers 304 if the reader has the served number; an older number is served as it is. */
+    private void answer(Exchange exchange, long have) {
+        if (served().number() == have) {
+            exchange.respond(304, "application/json", new byte[0]);
+        } else {
+            answer(exchange);
+        }
+    }
+
+    private void answer(Exchange exchange) {
+        exchange.respond(200, "application/json", ImageCodec.encodeManifest(served()));
+    }
+
+    private Manifest served() {
+        return faults.on("stale") ? previous : current;
+    }
+
+    private synchronized void shard(Exchange exchange) {
+        byte[] content = shards.get(exchange.path().substring("/v1/shards/".length()));
+        if (content == null) {
+            exchange.error(404, "unknown_shard");
+        } else {
+            exchange.respond(200, "application/json", content);
+        }
+    }
+
+    @Override
+    protected boolean control(Exchange exchange) {
+        if (!exchange.is("POST", "/standin/publish")) {
+            return false;
+        }
+        try {
+            publish(Path.of(exchange.json().path("directory").asText()));
+            exchange.respond(200, Map.of("number", number()));
+        } catch (IOException e) {
+            exchange.respond(400, Map.of("errors", List.of("cannot publish: " + e.getMessage())));
+        }
+        return true;
+    }
+
+    /** Returns the published number. */
+    public synchronized long number() {
+        return current.number();
+    }
+
+    @Override
+    protected synchronized void describe(Map<String, Object> view) {
+        view.put("number", current.number());
+        view.put("watches", watches.size());
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
@@ -0,0 +1,294 @@
+package org.bronzehill.standin.internal;
+
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.standin.Profile.EngineFigures;
+
+/** Model engine with continuous batching, adapter slots and a prefix cache. */
+public final class Engine extends StandinService {
+
+    private static final long SNAPSHOT_MS = 50;
+
+    private final EngineOptions options;
+    private final AdapterTable adapters;
+    private final Batch batch;
+    private final PrefixCache prefixes = PrefixCache.create();
+    private final ReportHistory reports = ReportHistory.create();
+    private final StoreClient store;
+    private final long startNumber = System.currentTimeMillis();
+    private long highestFencing;
+    private long sequence;
+    private boolean stepping;
+    private boolean marked;
+
+    /**
+     * Settings of an engine.
+     *
+     * @param store base URI of the weight store; null to load without one
+     * @param gapEvery every n-th cache event is lost
+     */
+    public record EngineOptions(
+            String id,
+            EngineFigures figures,
+            boolean checksFencing,
+            long reportLagMs,
+            long gapEvery,
+            java.net.URI store) {}
+
+    private Engine(EngineOptions options) {
+        super("engine", options.id());
+        this.options = options;
+        this.adapters = AdapterTable.of(options.figures().adapterSlots());
+        this.batch = Batch.of(options.figures());
+        this.store = options.store() == null ? null : StoreClient.of(options.store());
+    }
+
+    /** Creates an engine with cold caches. */
+    public static Engine create(EngineOptions options) {
+        Engine engine = new Engine(options);
+        engine.snapshot();
+        engine.timer.every(SNAPSHOT_MS, engine::snapshot);
+        return engine;
+    }
+
+    @Override
+    protected void handle(Exchange exchange) {
+        String path = exchange.path();
+        if (exchange.is("POST", "/v1/chat/completions")) {
+            submit(exchange);
+        } else if (exchange.is("POST", "/v1/load_lora_adapter")) {
+            load(exchange);
+        } else if (exchange.is("POST", "/v1/unload_lora_adapter")) {
+            evict(exchange);
+        } else if (exchange.is("POST", "/v1/role")) {
+            setRole(exchange);
+        } else if (exchange.is("GET", "/v1/report")) {
+            long lag = options.reportLagMs() + faults.number("reportLagMs");
+            exchange.respond(200, reports.asOf(nowMs(), lag));
+        } else if (exchange.is("GET", "/v1/cache_events")) {
+            synchronized (this) {
+                exchange.respond(200, prefixes.after(exchange.query("after", 0), nowMs()));
+            }
+        } else if (exchange.method().equals("POST") && path.matches("/v1/requests/[^/]+/cancel")) {
+            cancel(exchange, path.split("/")[3]);
+        } else {
+            exchange.error(404, "unknown_path");
+        }
+    }
+
+    private static double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    private synchronized void submit(Exchange exchange) {
+        Run run = Run.of(exchange, sequence++);
+        if (run.handle.isEmpty() || !exchange.json().path("messages").isArray()) {
+            exchange.error(400, "malformed");
+            return;
+        }
+        if (!adapters.isResident(run.handle)) {
+            ledger.count("refused", "unknownHandle");
+            exchange.error(404, "unknown_handle");
+            return;
+        }
+        exchange.onClosed(() -> callerGone(run));
+        batch.add(run);
+        if (!stepping) {
+            stepping = true;
+            step();
+        }
+    }
+
+    private synchronized void callerGone(Run run) {
+        if (!batch.removeRunning(r -> r == run).isEmpty()) {
+            adapters.addRunning(run.handle, -1);
+            ledger.count("cancelled", run.requestId);
+        }
+        batch.removeWaiting(r -> r == run);
+    }
+
+    /** Fills the batch from the queue, makes one token for each request and plans the next step. */
+    private synchronized void step() {
+        fillBatch();
+        if (batch.isIdle()) {
+            stepping = false;
+            return;
+        }
+        for (Run run : batch.step(nowMs())) {
+            adapters.addRunning(run.handle, -1);
+            ledger.count("completed", run.requestId);
+            ledger.add("tokens", "produced", run.produced());
+            run.finish();
+        }
+        timer.after(batch.stepMs(), this::step);
+    }
+
+    private void fillBatch() {
+        while (batch.hasRoom()) {
+            Run run = batch.pollQueue();
+            if (run == null) {
+                return;
+            }
+            String marker = faults.text("crashMarker");
+            if (!marker.isEmpty() && run.exchange.text().contains(marker)) {
+                crash();
+            }
+            ledger.count("runs", run.requestId);
+            ledger.count("runsByHandle", run.handle);
+            ledger.count("handleByRequest", run.requestId + ' ' + run.handle);
+            if (marked) {
+                ledger.count("afterMark", "runs");
+            }
+            adapters.addRunning(run.handle, 1);
+            long gap = faults.number("gapEvery");
+            boolean cached =
+                    prefixes.use(run.prefixHash, nowMs(), gap > 0 ? gap : options.gapEvery());
+            batch.start(run, nowMs(), cached);
+        }
+    }
+
+    /** Checks the fencing number of an order; answers and returns true if it is refused. */
+    private boolean fenced(Exchange exchange) {
+        long fencing = exchange.header("X-Fencing-Number", 0);
+        if (fencing >= highestFencing) {
+            highestFencing = fencing;
+            ledger.count("orders", "accepted");
+            return false;
+        }
+        if (!checksFencing()) {
+            ledger.count("orders", "oldAccepted");
+            return false;
+        }
+        ledger.count("orders", "oldRefused");
+        exchange.respond(
+                409,
+                Map.of(
+                        "error",
+                        Map.of("code", "fenced", "message", "old fencing number"),
+                        "highest_fencing",
+                        highestFencing));
+        return true;
+    }
+
+    private boolean checksFencing() {
+        return options.checksFencing() && !faults.on("ignoresFencing");
+    }
+
+    private synchronized void load(Exchange exchange) {
+        String handle = exchange.json().path("lora_name").asText();
+        if (fenced(exchange)) {
+            return;
+        }
+        switch (adapters.begin(handle, exchange)) {
+            case RESIDENT -> exchange.respond(200, Map.of("lora_name", handle));
+            case FULL -> {
+                ledger.count("refused", "full");
+                exchange.error(507, "full");
+            }
+            case STARTED -> startLoad(handle, exchange.json().path("lora_path").asText());
+            default -> ledger.count("refused", "loadJoined");
+        }
+    }
+
+    private void startLoad(String handle, String weights) {
+        ledger.count("loads", handle);
+        if (marked) {
+            ledger.count("afterMark", "loads");
+        }
+        if (faults.take("failLoads")) {
+            timer.after(1, () -> arrived(handle, false));
+        } else if (store == null) {
+            timer.after(250, () -> arrived(handle, true));
+        } else {
+            store.fetch(options.id(), handle, weights).thenAccept(ok -> arrived(handle, ok));
+        }
+    }
+
+    private synchronized void arrived(String handle, boolean success) {
+        ledger.count("loadResults", success ? "arrived" : "failed");
+        for (Exchange order : adapters.arrived(handle, success)) {
+            if (success) {
+                order.respond(200, Map.of("lora_name", handle));
+            } else {
+                order.error(502, "store_failed");
+            }
+        }
+    }
+
+    private synchronized void evict(Exchange exchange) {
+        String handle = exchange.json().path("lora_name").asText();
+        if (fenced(exchange)) {
+            return;
+        }
+        List<Exchange> loading = adapters.remove(handle);
+        if (loading == null) {
+            exchange.error(404, "unknown_handle");
+            return;
+        }
+        ledger.count("evictions", handle);
+        loading.forEach(order -> order.error(502, "store_failed"));
+        for (Run run : batch.removeRunning(r -> r.handle.equals(handle))) {
+            ledger.violation("cut-off", run.requestId, handle);
+            run.cutOff("evicted");
+        }
+        for (Run run : batch.removeWaiting(r -> r.handle.equals(handle))) {
+            ledger.count("refused", "evictedWhileWaiting");
+            run.exchange.error(404, "unknown_handle");
+        }
+        exchange.respond(200, Map.of("lora_name", handle));
+    }
+
+    private synchronized void setRole(Exchange exchange) {
+        if (!fenced(exchange)) {
+            ledger.count("roles", exchange.json().path("role").asText());
+            exchange.respond(200, Map.of("role", exchange.json().path("role").asText()));
+        }
+    }
+
+    private synchronized void cancel(Exchange exchange, String requestId) {
+        List<Run> running = batch.removeRunning(r -> r.requestId.equals(requestId));
+        List<Run> waiting = batch.removeWaiting(r -> r.requestId.equals(requestId));
+        running.forEach(r -> adapters.addRunning(r.handle, -1));
+        running.forEach(r -> ledger.count("cancelled", r.requestId));
+        running.forEach(r -> r.cutOff("cancelled"));
+        waiting.forEach(r -> r.exchange.error(499, "cancelled"));
+        if (running.isEmpty() && waiting.isEmpty()) {
+            exchange.error(404, "unknown_request");
+        } else {
+            exchange.respond(200, Map.of("cancelled", requestId));
+        }
+    }
+
+    private synchronized void snapshot() {
+        reports.add(
+                nowMs(),
+                Map.of(
+                        "engine", options.id(),
+                        "startNumber", startNumber,
+                        "stampMs", System.currentTimeMillis(),
+                        "highestFencing", checksFencing() ? highestFencing : 0,
+                        "handles", adapters.view(),
+                        "running", batch.running(),
+                        "waiting", batch.waiting()));
+    }
+
+    /** {@code POST /standin/mark}: counts runs and loads that start after it separately. */
+    @Override
+    protected synchronized boolean control(Exchange exchange) {
+        if (!exchange.is("POST", "/standin/mark")) {
+            return false;
+        }
+        marked = true;
+        exchange.respond(200, Map.of("marked", true));
+        return true;
+    }
+
+    @Override
+    protected synchronized void describe(Map<String, Object> view) {
+        view.put("startNumber", startNumber);
+        view.put("batchSize", options.figures().batchSize());
+        view.put("steps", batch.steps());
+        view.put("occupied", batch.occupied());
+        view.put("resident", adapters.view());
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Json.java
@@ -0,0 +1,43 @@
+package org.bronzehill.standin.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/** JSON reading and writing shared by stand-ins and driver. */
+public final class Json {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private Json() {}
+
+    /** Parses a document; returns a missing node if it is not JSON. */
+    public static JsonNode parse(byte[] body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            return MAPPER.missingNode();
+        }
+    }
+
+    /** Returns the JSON form of a value. */
+    public static byte[] bytes(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("value has no JSON form", e);
+        }
+    }
+
+    /** Returns the tree form of a value. */
+    public static JsonNode tree(Object value) {
+        return MAPPER.valueToTree(value);
+    }
+
+    /** Returns an empty object. */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/PrefixCache.java
@@ -0,0 +1,70 @@
+package org.bronzehill.standin.internal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Prompt-prefix cache that publishes its changes late and with gaps. Not thread-safe: guarded by
+ * its engine.
+ */
+final class PrefixCache {
+
+    private static final int PREFIXES = 256;
+    private static final int EVENTS = 4096;
+    private static final double EVENT_DELAY_MS = 500;
+
+    /** One published change. */
+    record Event(long sequence, List<Long> stored, List<Long> removed) {}
+
+    private record Pending(Event event, double visibleAtMs) {}
+
+    private final LinkedHashMap<Long, Boolean> cached = new LinkedHashMap<>(16, 0.75f, true);
+    private final Deque<Pending> events = new ArrayDeque<>();
+    private long sequence;
+
+    private PrefixCache() {}
+
+    static PrefixCache create() {
+        return new PrefixCache();
+    }
+
+    /**
+     * Uses a prefix and returns whether it was cached.
+     *
+     * @param gapEvery every event whose sequence number is a multiple of this is lost; 0 for none
+     */
+    boolean use(long hash, double nowMs, long gapEvery) {
+        if (cached.put(hash, Boolean.TRUE) != null) {
+            return true;
+        }
+        List<Long> removed = new ArrayList<>();
+        if (cached.size() > PREFIXES) {
+            Long eldest = cached.keySet().iterator().next();
+            cached.remove(eldest);
+            removed.add(eldest);
+        }
+        sequence++;
+        if (gapEvery <= 0 || sequence % gapEvery != 0) {
+            Event event = new Event(sequence, List.of(hash), removed);
+            events.add(new Pending(event, nowMs + EVENT_DELAY_MS));
+        }
+        if (events.size() > EVENTS) {
+            events.remove();
+        }
+        return false;
+    }
+
+    /** Returns the events after a sequence number that are visible by now. */
+    Map<String, Object> after(long seen, double nowMs) {
+        return Map.of(
+                "events",
+                events.stream()
+                        .filter(p -> p.visibleAtMs() <= nowMs && p.event().sequence() > seen)
+                        .map(Pending::event)
+                        .toList());
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ReportHistory.java
@@ -0,0 +1,40 @@
+package org.bronzehill.standin.internal;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+
+/** Recent reports of an engine, so that it can answer with an old one. */
+final class ReportHistory {
+
+    private static final int REPORTS = 1200;
+
+    private record Stamped(double atMs, Map<String, Object> report) {}
+
+    private final Deque<Stamped> reports = new ArrayDeque<>();
+
+    private ReportHistory() {}
+
+    static ReportHistory create() {
+        return new ReportHistory();
+    }
+
+    synchronized void add(double nowMs, Map<String, Object> report) {
+        reports.addLast(new Stamped(nowMs, report));
+        if (reports.size() > REPORTS) {
+            reports.removeFirst();
+        }
+    }
+
+    /** Returns the newest report that is at least {@code lagMs} old, or the oldest one. */
+    synchronized Map<String, Object> asOf(double nowMs, double lagMs) {
+        Map<String, Object> found = reports.getFirst().report();
+        for (Stamped s : reports) {
+            if (s.atMs() > nowMs - lagMs) {
+                break;
+            }
+            found = s.report();
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Run.java
@@ -0,0 +1,159 @@
+package org.bronzehill.standin.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.zip.CRC32;
+
+/** One request in the queue or the batch of an engine. Guarded by its engine. */
+final class Run {
+
+    static final Comparator<Run> BY_PRIORITY =
+            Comparator.comparingLong((Run r) -> r.priority).thenComparingLong(r -> r.sequence);
+
+    private static final int DEFAULT_TOKENS = 16;
+
+    final Exchange exchange;
+    final String requestId;
+    final String handle;
+    final long prefixHash;
+    final int promptLength;
+    private final long priority;
+    private final long sequence;
+    private final boolean stream;
+    private final int maxTokens;
+    private final String tag;
+    private int produced;
+    private double firstTokenAtMs;
+
+    private Run(Exchange exchange, long sequence) {
+        JsonNode body = exchange.json();
+        this.exchange = exchange;
+        this.sequence = sequence;
+        this.requestId = exchange.header("X-Request-Id");
+        this.handle = body.path("model").asText();
+        this.priority = body.path("priority").asLong(0);
+        this.stream = body.path("stream").asBoolean(false);
+        this.maxTokens = Math.max(1, body.path("max_tokens").asInt(DEFAULT_TOKENS));
+        this.tag = tag(lastContent(body));
+        this.prefixHash = body.path("messages").path(0).path("content").asText().hashCode();
+        this.promptLength = body.path("messages").toString().length();
+    }
+
+    static Run of(Exchange exchange, long sequence) {
+        return new Run(exchange, sequence);
+    }
+
+    private static String lastContent(JsonNode body) {
+        JsonNode messages = body.path("messages");
+        return messages.path(messages.size() - 1).path("content").asText();
+    }
+
+    /**
+     * Returns the word that every token of the answer to {@code prompt} starts with, so that a
+     * caller recognises the answer to its own request.
+     */
+    static String tag(String prompt) {
+        CRC32 crc = new CRC32();
+        crc.update(prompt.getBytes(StandardCharsets.UTF_8));
+        return Long.toHexString(crc.getValue());
+    }
+
+    /** Returns the text of an answer of {@code tokens} tokens to {@code prompt}. */
+    static String answerText(String prompt, int tokens) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < tokens; i++) {
+            text.append(token(tag(prompt), i));
+        }
+        return text.toString();
+    }
+
+    private static String token(String tag, int index) {
+        return tag + '-' + index + ' ';
+    }
+
+    void enterBatch(double firstTokenAt) {
+        firstTokenAtMs = firstTokenAt;
+    }
+
+    int produced() {
+        return produced;
+    }
+
+    /** Produces one token if the prompt has been read; returns whether the answer is complete. */
+    boolean step(double nowMs) {
+        if (nowMs < firstTokenAtMs) {
+            return false;
+        }
+        if (stream && produced == 0) {
+            exchange.startEvents();
+        }
+        if (stream) {
+            boolean last = produced == maxTokens - 1;
+            exchange.event(chunk(token(tag, produced), last).toString());
+        }
+        produced++;
+        return produced >= maxTokens;
+    }
+
+    /** Sends the rest of the answer. */
+    void finish() {
+        if (stream) {
+            exchange.event("[DONE]");
+            exchange.endEvents();
+        } else {
+            exchange.respond(200, completion());
+        }
+    }
+
+    /** Ends the request without an answer; a started stream is cut off. */
+    void cutOff(String code) {
+        if (stream && produced > 0) {
+            exchange.abort();
+        } else {
+            exchange.error(500, code);
+        }
+    }
+
+    private ObjectNode chunk(String text, boolean last) {
+        ObjectNode chunk = base("chat.completion.chunk");
+        ObjectNode choice = chunk.putArray("choices").addObject().put("index", 0);
+        choice.putObject("delta").put("content", text);
+        choice.put("finish_reason", last ? "stop" : null);
+        if (last) {
+            chunk.set("usage", usage());
+        }
+        return chunk;
+    }
+
+    private ObjectNode completion() {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < maxTokens; i++) {
+            text.append(token(tag, i));
+        }
+        ObjectNode completion = base("chat.completion");
+        ObjectNode choice = completion.putArray("choices").addObject().put("index", 0);
+        choice.putObject("message").put("role", "assistant").put("content", text.toString());
+        choice.put("finish_reason", "stop");
+        completion.set("usage", usage());
+        return completion;
+    }
+
+    private ObjectNode base(String object) {
+        return Json.object()
+                .put("id", "chatcmpl-" + requestId)
+                .put("object", object)
+                .put("model", handle);
+    }
+
+    private JsonNode usage() {
+        int prompt = promptLength / 4;
+        return Json.tree(
+                Map.of(
+                        "prompt_tokens", prompt,
+                        "completion_tokens", maxTokens,
+                        "total_tokens", prompt + maxTokens));
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/StandinService.java
@@ -0,0 +1,115 @@
+package org.bronzehill.standin.internal;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Routes common to all roles: control, and the faults that apply to every request. */
+public abstract class StandinService implements Consumer<Exchange>, AutoCloseable {
+
+    /** Exit status of a process that crashed on a marked request. */
+    public static final int CRASH_STATUS = 70;
+
+    protected final Ledger ledger = Ledger.create();
+    protected final Faults faults = Faults.create();
+    protected final Timer timer = Timer.create();
+    private final String role;
+    private final String id;
+    private HttpServer server;
+
+    protected StandinService(String role, String id) {
+        this.role = role;
+        this.id = id;
+    }
+
+    /** Starts to listen; port 0 picks a free one. */
+    public final HttpServer listen(String host, int port) throws InterruptedException {
+        server = HttpServer.start(host, port, this);
+        return server;
+    }
+
+    /** Answers a request that is not for the control routes. */
+    protected abstract void handle(Exchange exchange);
+
+    /** Adds what the role knows to the answer of {@code GET /standin/ledger}. */
+    protected void describe(Map<String, Object> view) {}
+
+    /** Answers a control request of the role; returns whether it was one. */
+    protected boolean control(Exchange exchange) {
+        return false;
+    }
+
+    public final Ledger ledger() {
+        return ledger;
+    }
+
+    public final Faults faults() {
+        return faults;
+    }
+
+    public final String id() {
+        return id;
+    }
+
+    @Override
+    public final void accept(Exchange exchange) {
+        if (exchange.path().startsWith("/standin/")) {
+            if (!controlled(exchange)) {
+                exchange.error(404, "unknown_path");
+            }
+        } else if (faults.on("refuse")) {
+            ledger.count("requests", "refused");
+            exchange.error(503, "refused");
+        } else if (faults.number("slowMs") > 0) {
+            timer.after(faults.number("slowMs"), () -> handle(exchange));
+        } else {
+            handle(exchange);
+        }
+    }
+
+    private boolean controlled(Exchange exchange) {
+        if (exchange.is("GET", "/standin/faults")) {
+            exchange.respond(200, faults.view());
+        } else if (exchange.is("PUT", "/standin/faults")) {
+            setFaults(exchange);
+        } else if (exchange.is("GET", "/standin/ledger")) {
+            Map<String, Object> view = new LinkedHashMap<>();
+            view.put("role", role);
+            view.put("id", id);
+            describe(view);
+            view.putAll(ledger.view());
+            exchange.respond(200, view);
+        } else {
+            return control(exchange);
+        }
+        return true;
+    }
+
+    private void setFaults(Exchange exchange) {
+        List<String> errors = faults.merge(exchange.json());
+        if (!errors.isEmpty()) {
+            exchange.respond(400, Map.of("errors", errors));
+            return;
+        }
+        // The switch is a one-time action: only connections that are open now become silent.
+        if (faults.number("silentConnections") != 0 && server != null) {
+            ledger.add("connections", "silenced", server.silenceAllBut(exchange));
+            faults.set("silentConnections", 0);
+        }
+        exchange.respond(200, faults.view());
+    }
+
+    /** Ends the process as a crash would, without any clean-up. */
+    protected void crash() {
+        Runtime.getRuntime().halt(CRASH_STATUS);
+    }
+
+    @Override
+    public void close() {
+        timer.close();
+        if (server != null) {
+            server.close();
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Timer.java
@@ -0,0 +1,54 @@
+package org.bronzehill.standin.internal;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+
+/** One daemon thread that runs delayed work of a stand-in. */
+public final class Timer implements AutoCloseable {
+
+    private static final Logger LOG = Logger.getLogger(Timer.class);
+
+    private final ScheduledExecutorService executor =
+            Executors.newSingleThreadScheduledExecutor(
+                    r -> {
+                        Thread thread = new Thread(r, "standin-timer");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+
+    private Timer() {}
+
+    /** Creates a timer. */
+    public static Timer create() {
+        return new Timer();
+    }
+
+    /** Runs {@code work} after a delay. */
+    public void after(double delayMs, Runnable work) {
+        if (!executor.isShutdown()) {
+            executor.schedule(guarded(work), (long) (delayMs * 1000), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    /** Runs {@code work} again and again. */
+    public void every(long periodMs, Runnable work) {
+        executor.scheduleAtFixedRate(guarded(work), periodMs, periodMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private static Runnable guarded(Runnable work) {
+        return () -> {
+            try {
+                work.run();
+            } catch (RuntimeException e) {
+                LOG.error("delayed work failed", e);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/WeightStore.java
@@ -0,0 +1,65 @@
+package org.bronzehill.standin.internal;
+
+import java.util.Map;
+import org.bronzehill.standin.Profile.StoreFigures;
+
+/**
+ * Weight store: {@code POST /v1/transfers} with {@code {"engine", "handle", "weights"}} answers
+ * when the adapter has arrived.
+ */
+public final class WeightStore extends StandinService {
+
+    private static final double TRANSFER_MS = 250;
+
+    private final StoreFigures figures;
+    private final TransferClock clock;
+
+    private WeightStore(String id, StoreFigures figures) {
+        super("weight-store", id);
+        this.figures = figures;
+        this.clock = TransferClock.of(figures, TRANSFER_MS);
+    }
+
+    /** Creates a weight store. */
+    public static WeightStore create(String id, StoreFigures figures) {
+        return new WeightStore(id, figures);
+    }
+
+    @Override
+    protected void handle(Exchange exchange) {
+        if (!exchange.is("POST", "/v1/transfers")) {
+            exchange.error(404, "unknown_path");
+            return;
+        }
+        String weights = exchange.json().path("weights").asText();
+        if (faults.take("failLoads")) {
+            ledger.count("transfers", "failed");
+            exchange.error(502, "store_failed");
+            return;
+        }
+        double delayMs;
+        synchronized (clock) {
+            delayMs = clock.begin(System.nanoTime() / 1e6);
+            ledger.max("transfers", "mostInFlight", clock.inFlight());
+        }
+        ledger.count("transfers", "begun");
+        ledger.count("weights", weights);
+        if (delayMs > TRANSFER_MS) {
+            ledger.count("transfers", "delayed");
+        }
+        timer.after(
+                delayMs,
+                () -> {
+                    synchronized (clock) {
+                        clock.end();
+                    }
+                    ledger.count("transfers", "arrived");
+                    exchange.respond(200, Map.of("weights", weights));
+                });
+    }
+
+    @Override
+    protected void describe(Map<String, Object> view) {
+        view.put("figures", figures);
+    }
+}
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/package-info.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Package standin. */
+/** Program {@code bronzehill-standin}: stand-ins for the systems around an entry instance. */
 package org.bronzehill.standin;
