--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/Settings.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/Settings.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.bronzehill.standin.Profile.EngineFigures;
@@ -70,9 +71,14 @@
                 : new Checked(Optional.empty(), List.copyOf(in.errors));
     }
 
+    /** Returns the identifier of a role; it is the label of the role if there are several. */
+    public String idOf(Role role) {
+        return roles.size() == 1 ? id : role.label();
+    }
+
     /** Returns the environment variable of a flag. */
     public static String variable(String flag) {
-        return ENVIRONMENT_PREFIX + flag.toUpperCase(java.util.Locale.ROOT).replace('-', '_');
+        return ENVIRONMENT_PREFIX + flag.toUpperCase(Locale.ROOT).replace('-', '_');
     }
 
     private static final class Reader {
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/Standin.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/Standin.java
@@ -25,7 +25,7 @@
         Standin standin = new Standin();
         int port = settings.port();
         for (Role role : settings.roles()) {
-            StandinService service = create(role, settings);
+            StandinService service = create(role, settings, settings.idOf(role));
             standin.services.add(service);
             standin.ports.add(service.listen(settings.host(), port).port());
             port = port == 0 ? 0 : port + 1;
@@ -33,33 +33,33 @@
         return standin;
     }
 
-    private static StandinService create(Role role, Settings s) throws IOException {
+    private static StandinService create(Role role, Settings s, String id) throws IOException {
         return switch (role) {
             case ENGINE ->
                     Engine.create(
                             new Engine.EngineOptions(
-                                    s.id(),
+                                    id,
                                     s.engine(),
                                     s.checksFencing(),
                                     s.reportLagMs(),
                                     s.gapEvery(),
                                     s.store()));
-            case WEIGHT_STORE -> WeightStore.create(s.id(), s.storeFigures());
+            case WEIGHT_STORE -> WeightStore.create(id, s.storeFigures());
             case CONFIGURATION -> {
-                ConfigurationService service = ConfigurationService.create(s.id());
+                ConfigurationService service = ConfigurationService.create(id);
                 if (s.directory() != null) {
                     service.publish(s.directory());
                 }
                 yield service;
             }
             case INSTANCE_LIST -> {
-                InstanceListService list = InstanceListService.create(s.id(), s.listLagMs());
+                InstanceListService list = InstanceListService.create(id, s.listLagMs());
                 if (s.listFile() != null) {
                     list.load(Json.parse(Files.readAllBytes(s.listFile())));
                 }
                 yield list;
             }
-            case APPLICATION_RUNNER -> ApplicationRunner.create(s.id(), s.services(), s.siblings());
+            case APPLICATION_RUNNER -> ApplicationRunner.create(id, s.services(), s.siblings());
         };
     }
 
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
@@ -1,5 +1,6 @@
 package org.bronzehill.standin.internal;
 
+import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import org.bronzehill.standin.Profile.EngineFigures;
@@ -33,7 +34,7 @@
             boolean checksFencing,
             long reportLagMs,
             long gapEvery,
-            java.net.URI store) {}
+            URI store) {}
 
     private Engine(EngineOptions options) {
         super("engine", options.id());
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/HttpServer.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/HttpServer.java
@@ -22,6 +22,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 
@@ -92,7 +93,7 @@
     public void close() {
         listener.close();
         channels.close();
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     private static final class SilenceHandler extends ChannelDuplexHandler {
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/StandinService.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/StandinService.java
@@ -17,6 +17,7 @@
     private final String role;
     private final String id;
     private HttpServer server;
+    private Runnable crashAction = () -> Runtime.getRuntime().halt(CRASH_STATUS);
 
     protected StandinService(String role, String id) {
         this.role = role;
@@ -101,8 +102,12 @@
     }
 
     /** Ends the process as a crash would, without any clean-up. */
-    protected void crash() {
-        Runtime.getRuntime().halt(CRASH_STATUS);
+    protected final void crash() {
+        crashAction.run();
+    }
+
+    final void onCrash(Runnable action) {
+        crashAction = action;
     }
 
     @Override
--- /dev/null
+++ b/bronzehill-standin/src/test/java/org/bronzehill/standin/SettingsTest.java
@@ -0,0 +1,35 @@
+package org.bronzehill.standin;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/** Guards against settings errors that are found one at a time or only in use. */
+public class SettingsTest {
+
+    @Test
+    public void everyErrorIsListedAtOnce() {
+        Settings.Checked checked =
+                Settings.read(
+                        Map.of("role", "engine,baker", "port", "-1", "store-uri", "ftp://x"),
+                        Map.of("BRONZEHILL_STANDIN_PROFILE", "nowhere"));
+        assertTrue(checked.settings().isEmpty());
+        assertEquals(checked.errors().size(), 4, checked.errors().toString());
+    }
+
+    @Test
+    public void flagsWinOverTheEnvironmentAndTheProfileGivesTheRest() {
+        Settings settings =
+                Settings.read(
+                                Map.of("role", "engine", "batch-size", "3"),
+                                Map.of(
+                                        "BRONZEHILL_STANDIN_BATCH_SIZE", "4",
+                                        "BRONZEHILL_STANDIN_PROFILE", "sialkot"))
+                        .settings()
+                        .orElseThrow();
+        assertEquals(settings.engine().batchSize(), 3);
+        assertEquals(settings.storeFigures(), Profile.SIALKOT.store());
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/test/java/org/bronzehill/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the settings of the stand-ins. */
+package org.bronzehill.standin;
