--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Call.java
@@ -0,0 +1,32 @@
+package org.bronzehill.standin.driver.internal;
+
+/**
+ * One request that a caller wants answered, whatever it takes.
+ *
+ * @param atMs time after the start of the load
+ * @param adapter empty for a plain service
+ * @param key idempotency key; empty unless the kind is once-only
+ * @param entitled whether the caller may send this request
+ */
+public record Call(
+        int index,
+        long atMs,
+        Traffic traffic,
+        String adapter,
+        String token,
+        String prompt,
+        int tokens,
+        boolean stream,
+        String key,
+        boolean entitled) {
+
+    /** Returns whether an engine answers the call. */
+    public boolean isModel() {
+        return traffic.kind().isModelRequest();
+    }
+
+    /** Returns whether the call is a once-only act. */
+    public boolean isAct() {
+        return traffic.kind().onceOnly();
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/CallLog.java
@@ -0,0 +1,63 @@
+package org.bronzehill.standin.driver.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Everything that callers were told during a run. Thread-safe. */
+public final class CallLog {
+
+    private final List<Told> told = new ArrayList<>();
+    private int unanswered;
+    private int open;
+
+    private CallLog() {}
+
+    /** Creates an empty log. */
+    public static CallLog create() {
+        return new CallLog();
+    }
+
+    /** Adds the outcome of one attempt. */
+    public synchronized void add(Told attempt) {
+        told.add(attempt);
+    }
+
+    synchronized void begun() {
+        open++;
+    }
+
+    /** Counts the end of a call; {@code sent} is false if no instance was ready for it. */
+    synchronized void ended(boolean sent) {
+        open--;
+        if (!sent) {
+            unanswered++;
+        }
+    }
+
+    /** Returns the number of calls in progress. */
+    public synchronized int open() {
+        return open;
+    }
+
+    /** Returns the number of calls for which no instance was ready in time. */
+    public synchronized int unanswered() {
+        return unanswered;
+    }
+
+    /** Returns every attempt so far. */
+    public synchronized List<Told> told() {
+        return List.copyOf(told);
+    }
+
+    /** Returns counts by kind and result. */
+    public static Map<String, Map<String, Integer>> byKindAndResult(List<Told> told) {
+        Map<String, Map<String, Integer>> counts = new TreeMap<>();
+        for (Told t : told) {
+            counts.computeIfAbsent(t.call().traffic().name(), k -> new TreeMap<>())
+                    .merge(t.label(), 1, Integer::sum);
+        }
+        return counts;
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Control.java
@@ -0,0 +1,73 @@
+package org.bronzehill.standin.driver.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import org.bronzehill.standin.internal.Json;
+
+/** Calls to the control routes of stand-ins and to the status of entry instances. */
+public final class Control {
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private final HttpClient client =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(TIMEOUT)
+                    .build();
+
+    private Control() {}
+
+    /** Creates a client. */
+    public static Control create() {
+        return new Control();
+    }
+
+    /** Reads a JSON document. */
+    public JsonNode get(URI base, String path) throws IOException, InterruptedException {
+        return send("GET", base, path, new byte[0]);
+    }
+
+    /** Sends a JSON document. */
+    public JsonNode put(URI base, String path, Object body)
+            throws IOException, InterruptedException {
+        return send("PUT", base, path, Json.bytes(body));
+    }
+
+    /** Sends a JSON document. */
+    public JsonNode post(URI base, String path, Object body)
+            throws IOException, InterruptedException {
+        return send("POST", base, path, Json.bytes(body));
+    }
+
+    private JsonNode send(String method, URI base, String path, byte[] body)
+            throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(base.resolve(path))
+                        .timeout(TIMEOUT)
+                        .header("Content-Type", "application/json")
+                        .method(method, HttpRequest.BodyPublishers.ofByteArray(body))
+                        .build();
+        HttpResponse<byte[]> response =
+                client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+        if (response.statusCode() != 200) {
+            throw new IOException(
+                    method + ' ' + request.uri() + " answered " + response.statusCode());
+        }
+        return Json.parse(response.body());
+    }
+
+    /** Returns whether something answers at the address. */
+    public boolean answers(URI base, String path) throws InterruptedException {
+        try {
+            get(base, path);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
@@ -0,0 +1,310 @@
+package org.bronzehill.standin.driver.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.standin.Profile;
+import org.bronzehill.standin.Role;
+import org.bronzehill.standin.internal.ConfigurationService;
+import org.bronzehill.standin.internal.Json;
+
+/** A deployment's stand-ins and entry instances as processes on loopback. */
+public final class Deployment {
+
+    /** Region of every process. */
+    public static final String REGION = "north";
+
+    private static final String HOST = "127.0.0.1";
+    private static final long FIRST_NUMBER = 100;
+
+    private final Profile profile;
+    private final Path root;
+    private final Path directory;
+    private final Fleet fleet;
+    private final Control control = Control.create();
+    private final Map<String, Node> standins = new LinkedHashMap<>();
+    private final Map<String, EntryNode> entries = new LinkedHashMap<>();
+    private final Ports ports = Ports.create();
+    private Configuration declaration;
+
+    /** A stand-in process and how to start it again. */
+    private static final class Node {
+        final List<String> command;
+        final URI uri;
+        ManagedProcess process;
+
+        Node(List<String> command, URI uri) {
+            this.command = command;
+            this.uri = uri;
+        }
+    }
+
+    /** An entry instance and its addresses. */
+    private static final class EntryNode {
+        final EntryCommand command;
+        ManagedProcess process;
+        int starts;
+
+        EntryNode(EntryCommand command) {
+            this.command = command;
+        }
+    }
+
+    private Deployment(Profile profile, Path root, Path directory, Fleet fleet) {
+        this.profile = profile;
+        this.root = root;
+        this.directory = directory;
+        this.fleet = fleet;
+    }
+
+    /** Starts the stand-ins of a profile and lists {@code instances} entry instances. */
+    public static Deployment start(
+            Profile profile, Path root, Path directory, Fleet fleet, int instances, long seed)
+            throws IOException, InterruptedException {
+        Deployment d = new Deployment(profile, root, directory, fleet);
+        d.declaration = Declarations.create(profile, FIRST_NUMBER, seed);
+        d.write(d.declaration);
+        d.planPlatform(instances);
+        d.planUpstreams();
+        d.writeList();
+        for (String name : d.standins.keySet()) {
+            d.startStandin(name);
+        }
+        for (String name : d.standins.keySet()) {
+            d.awaitStandin(name);
+        }
+        return d;
+    }
+
+    private void planPlatform(int instances) throws IOException {
+        plan("store", Role.WEIGHT_STORE, List.of());
+        plan(
+                "configuration",
+                Role.CONFIGURATION,
+                List.of("--directory", directoryOf(FIRST_NUMBER).toString()));
+        plan(
+                "list",
+                Role.INSTANCE_LIST,
+                List.of("--list-file", listFile().toString(), "--list-lag-ms", "500"));
+        for (int i = 1; i <= instances; i++) {
+            String id = "entry-" + i;
+            entries.put(
+                    id,
+                    new EntryNode(
+                            new EntryCommand(
+                                    id,
+                                    HOST,
+                                    ports.take(),
+                                    ports.take(),
+                                    dataCentre(i),
+                                    REGION,
+                                    uri("configuration"),
+                                    uri("list"))));
+        }
+    }
+
+    private void planUpstreams() throws IOException {
+        for (int i = 1; i <= profile.engines(); i++) {
+            List<String> flags = new ArrayList<>(List.of("--store-uri", uri("store").toString()));
+            // Every fourth engine ignores fencing numbers, as some engines of the platform do.
+            flags.addAll(List.of("--checks-fencing", Boolean.toString(i % 4 != 0)));
+            plan("engine-" + i, Role.ENGINE, flags);
+        }
+        List<Integer> runnerPorts = new ArrayList<>();
+        for (int i = 0; i < profile.runners(); i++) {
+            runnerPorts.add(ports.take());
+        }
+        for (int i = 0; i < profile.runners(); i++) {
+            int own = runnerPorts.get(i);
+            String siblings =
+                    String.join(
+                            ",",
+                            runnerPorts.stream()
+                                    .filter(p -> p != own)
+                                    .map(p -> "http://" + HOST + ':' + p)
+                                    .toList());
+            plan("runner-" + (i + 1), Role.APPLICATION_RUNNER, own, List.of("--siblings", siblings));
+        }
+    }
+
+    private void plan(String name, Role role, List<String> flags) throws IOException {
+        plan(name, role, ports.take(), flags);
+    }
+
+    private void plan(String name, Role role, int port, List<String> flags) {
+        List<String> command =
+                new ArrayList<>(
+                        List.of(
+                                root.resolve("bin/bronzehill-standin").toString(),
+                                "--role",
+                                role.label(),
+                                "--id",
+                                name,
+                                "--port",
+                                Integer.toString(port),
+                                "--profile",
+                                profile.label()));
+        command.addAll(flags);
+        standins.put(name, new Node(command, URI.create("http://" + HOST + ':' + port)));
+    }
+
+    private String dataCentre(int i) {
+        return "dc-" + (1 + (i - 1) % profile.dataCentres());
+    }
+
+    private Path listFile() {
+        return directory.resolve("list.json").toAbsolutePath();
+    }
+
+    private Path directoryOf(long number) {
+        return directory.resolve("declaration-" + number).toAbsolutePath();
+    }
+
+    private void write(Configuration configuration) throws IOException {
+        ConfigurationService.write(
+                ImageCodec.encode(configuration), directoryOf(configuration.number()));
+    }
+
+    private void writeList() throws IOException {
+        List<Map<String, Object>> instances = new ArrayList<>();
+        entries.values().forEach(e -> instances.add(e.command.listEntry()));
+        List<Map<String, Object>> upstreams = new ArrayList<>();
+        for (int i = 1; i <= profile.engines(); i++) {
+            upstreams.add(
+                    Map.of(
+                            "id", "engine-" + i,
+                            "kind", "engine",
+                            "uri", uri("engine-" + i).toString(),
+                            "dataCentre", dataCentre(i),
+                            "region", REGION,
+                            "state", "live",
+                            "baseModel", Declarations.BASE_MODEL,
+                            "adapterSlots", profile.engine().adapterSlots(),
+                            "batchSize", profile.engine().batchSize(),
+                            "checksFencing", i % 4 != 0));
+        }
+        for (int i = 1; i <= profile.runners(); i++) {
+            upstreams.add(
+                    Map.of(
+                            "id", "runner-" + i,
+                            "kind", "application-runner",
+                            "uri", uri("runner-" + i).toString(),
+                            "dataCentre", dataCentre(i),
+                            "region", REGION,
+                            "state", "live",
+                            "services", profile.services()));
+        }
+        Files.write(
+                listFile(),
+                Json.bytes(Map.of("version", 1, "instances", instances, "upstreams", upstreams)));
+    }
+
+    /** Returns the base URI of a stand-in. */
+    public URI uri(String standin) {
+        return standins.get(standin).uri;
+    }
+
+    /** Starts a stand-in, for the first time or again. */
+    public void startStandin(String name) throws IOException {
+        Node node = standins.get(name);
+        node.process = fleet.start(name, node.command, Map.of());
+    }
+
+    /** Waits until a stand-in answers. */
+    public void awaitStandin(String name) throws IOException, InterruptedException {
+        for (int i = 0; i < 200; i++) {
+            if (control.answers(uri(name), "/standin/faults")) {
+                return;
+            }
+            if (!standins.get(name).process.isAlive()) {
+                throw new IOException(name + " ended early; see its log in " + directory);
+            }
+            Thread.sleep(50);
+        }
+        throw new IOException(name + " does not answer");
+    }
+
+    /** Returns the process of a stand-in. */
+    public ManagedProcess standin(String name) {
+        return standins.get(name).process;
+    }
+
+    /** Starts an entry instance, for the first time or again. */
+    public void startEntry(String name) throws IOException {
+        EntryNode node = entries.get(name);
+        node.starts++;
+        node.process = fleet.start(name, node.command.command(root), Map.of());
+    }
+
+    /** Returns the process of an entry instance. */
+    public ManagedProcess entry(String name) {
+        return entries.get(name).process;
+    }
+
+    /** Returns the name of an entry instance's current incarnation. */
+    public String incarnation(String name) {
+        return name + " start " + entries.get(name).starts;
+    }
+
+    /** Returns the base URI of an entry instance. */
+    public URI entryUri(String name) {
+        return entries.get(name).command.uri();
+    }
+
+    public List<String> entryNames() {
+        return List.copyOf(entries.keySet());
+    }
+
+    /** Returns the names of the stand-ins that start with {@code prefix}. */
+    public List<String> standinNames(String prefix) {
+        return standins.keySet().stream().filter(n -> n.startsWith(prefix)).toList();
+    }
+
+    /** Reads a ledger. */
+    public JsonNode ledger(String standin) throws IOException, InterruptedException {
+        return control.get(uri(standin), "/standin/ledger");
+    }
+
+    /** Sets faults of a stand-in. */
+    public void setFaults(String standin, Map<String, Object> faults)
+            throws IOException, InterruptedException {
+        control.put(uri(standin), "/standin/faults", faults);
+    }
+
+    /** Returns the declaration in force. */
+    public Configuration declaration() {
+        return declaration;
+    }
+
+    /** Publishes the next declaration and returns it. */
+    public Configuration publishNext() throws IOException, InterruptedException {
+        declaration = Declarations.next(declaration);
+        write(declaration);
+        control.post(
+                uri("configuration"),
+                "/standin/publish",
+                Map.of("directory", directoryOf(declaration.number()).toString()));
+        return declaration;
+    }
+
+    /** Marks an entry of the instance list, such as {@code upstreams/engine-1}, as leaving or live. */
+    public void setState(String entry, String state) throws IOException, InterruptedException {
+        control.put(uri("list"), "/standin/list/" + entry, Map.of("state", state));
+    }
+
+    public Control control() {
+        return control;
+    }
+
+    public Profile profile() {
+        return profile;
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Fleet.java
@@ -0,0 +1,68 @@
+package org.bronzehill.standin.driver.internal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** All processes of a run. Ends every one of them when it is closed or the driver is ended. */
+public final class Fleet implements AutoCloseable {
+
+    private final List<ManagedProcess> processes = new ArrayList<>();
+    private final Path logs;
+    private final Thread hook = new Thread(this::endAll, "end-processes");
+    private boolean closed;
+
+    private Fleet(Path logs) {
+        this.logs = logs;
+    }
+
+    /** Creates a fleet whose processes write their logs to a directory. */
+    public static Fleet create(Path logs) throws IOException {
+        Files.createDirectories(logs);
+        Fleet fleet = new Fleet(logs);
+        Runtime.getRuntime().addShutdownHook(fleet.hook);
+        return fleet;
+    }
+
+    /** Starts a process. */
+    public synchronized ManagedProcess start(
+            String name, List<String> command, Map<String, String> environment)
+            throws IOException {
+        if (closed) {
+            throw new IOException("the run is ending");
+        }
+        ManagedProcess process =
+                ManagedProcess.start(name, command, environment, logs.resolve(name + ".log"));
+        processes.add(process);
+        return process;
+    }
+
+    private synchronized void endAll() {
+        closed = true;
+        processes.forEach(ManagedProcess::askToEnd);
+        processes.forEach(ManagedProcess::end);
+    }
+
+    /** Returns the number of processes that still run. */
+    public synchronized long running() {
+        return processes.stream().filter(ManagedProcess::isAlive).count();
+    }
+
+    /** Returns the number of processes that ended with a status. */
+    public synchronized long endedWith(int status) {
+        return processes.stream().filter(p -> !p.isAlive() && p.exitStatus() == status).count();
+    }
+
+    @Override
+    public void close() {
+        endAll();
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The driver itself is being ended, and the hook runs already.
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/LoadGenerator.java
@@ -0,0 +1,150 @@
+package org.bronzehill.standin.driver.internal;
+
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.bronzehill.core.result.Resend;
+import org.jboss.logging.Logger;
+
+/**
+ * Sends a workload at its arrival times. A caller sends again on advice and after a broken
+ * connection, always through another instance if there is one, and an act always with the same key.
+ */
+public final class LoadGenerator implements AutoCloseable {
+
+    private static final Logger LOG = Logger.getLogger(LoadGenerator.class);
+    private static final int MAX_ATTEMPTS = 6;
+    private static final long PAUSE_MS = 200;
+    private static final long LATER_MS = 1000;
+    private static final long NO_TARGET_MS = 15_000;
+
+    private final Workload workload;
+    private final Balancer balancer;
+    private final CallLog log;
+    private final ExecutorService callers =
+            Executors.newCachedThreadPool(Threads.daemon("caller"));
+    private final HttpClient client =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(Duration.ofSeconds(2))
+                    .build();
+    private final long startNanos = System.nanoTime();
+    private final Caller caller = Caller.of(client, startNanos);
+    private volatile boolean sending = true;
+    private Thread pacer;
+
+    private LoadGenerator(Workload workload, Balancer balancer, CallLog log) {
+        this.workload = workload;
+        this.balancer = balancer;
+        this.log = log;
+    }
+
+    /** Starts to send. */
+    public static LoadGenerator start(Workload workload, Balancer balancer, CallLog log) {
+        LoadGenerator generator = new LoadGenerator(workload, balancer, log);
+        generator.pacer = Threads.daemon("load").newThread(generator::pace);
+        generator.pacer.start();
+        return generator;
+    }
+
+    /** Returns the time since the start of the load. */
+    public long elapsedMs() {
+        return (System.nanoTime() - startNanos) / 1_000_000;
+    }
+
+    private void pace() {
+        try {
+            while (sending) {
+                Call call = workload.next();
+                long wait = call.atMs() - elapsedMs();
+                if (wait > 0) {
+                    Thread.sleep(wait);
+                }
+                if (sending) {
+                    submit(call);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Sends one call beside the workload. */
+    public void submit(Call call) {
+        log.begun();
+        callers.execute(() -> run(call));
+    }
+
+    private void run(Call call) {
+        boolean sent = false;
+        try {
+            String last = "";
+            boolean again = true;
+            for (int i = 0; i < MAX_ATTEMPTS && again; i++) {
+                Optional<Balancer.Target> target = target(last);
+                if (target.isEmpty()) {
+                    return;
+                }
+                Told told = caller.send(call, target.get());
+                sent = true;
+                log.add(told);
+                last = target.get().instance();
+                again = pauseBeforeResend(told);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            LOG.error("a caller failed", e);
+        } finally {
+            log.ended(sent);
+        }
+    }
+
+    private Optional<Balancer.Target> target(String avoid) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(NO_TARGET_MS);
+        Optional<Balancer.Target> target = balancer.next(avoid);
+        while (target.isEmpty() && System.nanoTime() < end) {
+            Thread.sleep(PAUSE_MS);
+            target = balancer.next(avoid);
+        }
+        return target;
+    }
+
+    /** Waits as advised; returns false if the caller does not send again. */
+    private boolean pauseBeforeResend(Told told) throws InterruptedException {
+        if (told.code() == null) {
+            balancer.suspect(told.instance());
+            Thread.sleep(PAUSE_MS);
+            return true;
+        }
+        Resend advice = told.code().resend();
+        // A resent act with the same key makes the coordinator look the act up again.
+        if (advice == Resend.LATER || advice == Resend.AFTER_LOOKUP) {
+            Thread.sleep(LATER_MS);
+        } else if (advice == Resend.NOW) {
+            Thread.sleep(PAUSE_MS / 4);
+        }
+        return advice != Resend.NO;
+    }
+
+    /** Stops to send and waits until every call has ended; returns false if some have not. */
+    public boolean finish(Duration patience) throws InterruptedException {
+        sending = false;
+        pacer.interrupt();
+        pacer.join();
+        long end = System.nanoTime() + patience.toNanos();
+        while (log.open() > 0 && System.nanoTime() < end) {
+            Thread.sleep(PAUSE_MS / 4);
+        }
+        return log.open() == 0;
+    }
+
+    @Override
+    public void close() {
+        sending = false;
+        callers.shutdownNow();
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Traffic.java
@@ -0,0 +1,53 @@
+package org.bronzehill.standin.driver.internal;
+
+import java.time.Duration;
+import org.bronzehill.config.KindSpec;
+import org.bronzehill.config.Urgency;
+
+/**
+ * A kind of request and its part in the generated load.
+ *
+ * @param operation operation of the plain service; empty for a model request
+ * @param share part of all requests
+ * @param tokens mean length of the answer
+ * @param callerDeadline deadline that callers name in a run of seconds; the declared one of the
+ *     slow kinds is longer than a run
+ */
+public record Traffic(
+        KindSpec kind, String operation, double share, int tokens, Duration callerDeadline) {
+
+    private static final Duration SILENCE = Duration.ofSeconds(5);
+
+    static Traffic model(
+            String name,
+            Urgency urgency,
+            Duration deadline,
+            double weight,
+            double share,
+            int tokens,
+            Duration callerDeadline) {
+        KindSpec kind =
+                new KindSpec(name, urgency, deadline, false, true, weight, "", SILENCE);
+        return new Traffic(kind, "", share, tokens, callerDeadline);
+    }
+
+    static Traffic lookup(String name, String service, String operation, double share) {
+        Duration deadline = Duration.ofSeconds(3);
+        KindSpec kind =
+                new KindSpec(
+                        name, Urgency.INTERACTIVE, deadline, false, true, 1, service, SILENCE);
+        return new Traffic(kind, operation, share, 0, deadline);
+    }
+
+    static Traffic act(String name, String service, String operation, double share) {
+        Duration deadline = Duration.ofSeconds(10);
+        KindSpec kind =
+                new KindSpec(name, Urgency.PROMPT, deadline, true, false, 2, service, SILENCE);
+        return new Traffic(kind, operation, share, 0, deadline);
+    }
+
+    /** Returns the name of the kind. */
+    public String name() {
+        return kind.name();
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/AnswerText.java
@@ -0,0 +1,33 @@
+package org.bronzehill.standin.internal;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32;
+
+/**
+ * Text that an engine stand-in answers. Every token names the prompt, so that a caller recognises
+ * the answer to its own request, and its position, so that a gap shows.
+ */
+public final class AnswerText {
+
+    private AnswerText() {}
+
+    /** Returns the answer of {@code tokens} tokens to {@code prompt}. */
+    public static String of(String prompt, int tokens) {
+        String tag = tag(prompt);
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < tokens; i++) {
+            text.append(token(tag, i));
+        }
+        return text.toString();
+    }
+
+    static String tag(String prompt) {
+        CRC32 crc = new CRC32();
+        crc.update(prompt.getBytes(StandardCharsets.UTF_8));
+        return Long.toHexString(crc.getValue());
+    }
+
+    static String token(String tag, int index) {
+        return tag + '-' + index + ' ';
+    }
+}
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
@@ -270,7 +270,8 @@
                         "highestFencing", checksFencing() ? highestFencing : 0,
                         "handles", adapters.view(),
                         "running", batch.running(),
-                        "waiting", batch.waiting()));
+                        "waiting", batch.waiting(),
+                        "prefixes", prefixes.published(nowMs())));
     }
 
     /** {@code POST /standin/mark}: counts runs and loads that start after it separately. */
@@ -288,6 +289,7 @@
     protected synchronized void describe(Map<String, Object> view) {
         view.put("startNumber", startNumber);
         view.put("batchSize", options.figures().batchSize());
+        view.put("marked", marked);
         view.put("steps", batch.steps());
         view.put("occupied", batch.occupied());
         view.put("resident", adapters.view());
