--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/Rehearsal.java
@@ -0,0 +1,228 @@
+package org.bronzehill.standin.driver;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.standin.Profile;
+import org.bronzehill.standin.driver.internal.Call;
+import org.bronzehill.standin.driver.internal.Declarations;
+import org.bronzehill.standin.driver.internal.ManagedProcess;
+import org.bronzehill.standin.driver.internal.Session;
+import org.bronzehill.standin.driver.internal.Told;
+import org.bronzehill.standin.driver.internal.Traffic;
+import org.bronzehill.standin.driver.internal.Workload;
+import org.bronzehill.standin.internal.StandinService;
+
+/** What each scenario does to a deployment under load, and the counts it requires. */
+final class Rehearsal {
+
+    private static final double CALLS_PER_SECOND = 30;
+    private static final double ACTS_PER_SECOND = 60;
+    private static final String MARKER = "crash-marker";
+
+    /** A request is refused when it has crashed two upstreams; see section 3.9. */
+    private static final int MOST_CRASHES = 2;
+
+    private final Session session;
+    private final long seconds;
+    private final long seed;
+    private final boolean brief;
+    private final Random random;
+    private final Map<String, Boolean> checks = new LinkedHashMap<>();
+
+    private Rehearsal(Session session, long seconds, long seed, boolean brief) {
+        this.session = session;
+        this.seconds = seconds;
+        this.seed = seed;
+        this.brief = brief;
+        this.random = new Random(seed);
+    }
+
+    static Rehearsal of(Session session, long seconds, long seed, boolean brief) {
+        return new Rehearsal(session, seconds, seed, brief);
+    }
+
+    /** Plays a scenario; returns its checks and whether each holds. */
+    Map<String, Boolean> play(Scenario scenario) throws IOException, InterruptedException {
+        Profile profile = session.deployment().profile();
+        Workload load =
+                scenario == Scenario.KILL_ONCE_ONLY
+                        ? Workload.acts(profile, ACTS_PER_SECOND, seed)
+                        : Workload.of(profile, CALLS_PER_SECOND, -1, seed);
+        session.startLoad(load);
+        session.run(3);
+        switch (scenario) {
+            case KILL_ONCE_ONLY -> killOnceOnly();
+            case PAUSE -> pause();
+            case ENGINE_KILL_LOADING -> engineKillLoading();
+            case CONFIGURATION_OUTAGE -> configurationOutage();
+            case SILENT_CONNECTIONS -> silentConnections();
+            case ROLLING_REPLACE -> rollingReplace();
+            case CRASH_REQUEST -> crashRequest();
+            case LEAVING_UPSTREAM -> leavingUpstream();
+            default -> throw new IllegalArgumentException("unknown scenario " + scenario);
+        }
+        return checks;
+    }
+
+    private String anyEntry() {
+        List<String> names = session.deployment().entryNames();
+        return names.get(random.nextInt(names.size()));
+    }
+
+    private long rounds(long secondsEach) {
+        return Math.max(1, seconds / secondsEach);
+    }
+
+    private void killOnceOnly() throws IOException, InterruptedException {
+        for (long i = 0; i < rounds(6); i++) {
+            session.killAndRestart(anyEntry(), Duration.ofSeconds(1));
+            session.run(2);
+        }
+    }
+
+    private void pause() throws IOException, InterruptedException {
+        String name = anyEntry();
+        ManagedProcess process = session.deployment().entry(name);
+        session.say("pausing %s", name);
+        process.pause();
+        session.run(15);
+        process.resume();
+        session.say("%s continues", name);
+        session.run(Math.max(5, seconds - 18));
+        checks.put("the paused instance still runs", process.isAlive());
+    }
+
+    private void engineKillLoading() throws IOException, InterruptedException {
+        int kills = 0;
+        for (long i = 0; i < rounds(4); i++) {
+            Optional<String> engine = loadingEngine();
+            if (engine.isPresent()) {
+                session.restartEngine(engine.get());
+                kills++;
+            }
+            session.run(2);
+        }
+        session.say("%d engines were killed while loading", kills);
+        checks.put("at least one engine was killed while loading", kills > 0);
+    }
+
+    /** Returns an engine that loads an adapter right now, if one is met within a second. */
+    private Optional<String> loadingEngine() throws IOException, InterruptedException {
+        for (int i = 0; i < 50; i++) {
+            for (String name : session.deployment().standinNames("engine-")) {
+                for (JsonNode handle : session.deployment().ledger(name).path("resident")) {
+                    if (handle.path("loading").asBoolean()) {
+                        return Optional.of(name);
+                    }
+                }
+            }
+            Thread.sleep(20);
+        }
+        return Optional.empty();
+    }
+
+    private void configurationOutage() throws IOException, InterruptedException {
+        session.publishNext();
+        session.run(6);
+        session.say("stopping the configuration service");
+        session.deployment().standin("configuration").kill();
+        session.run(brief ? 8 : 60);
+        // The command line still names the first declaration, so that it comes back stale.
+        session.deployment().startStandin("configuration");
+        session.deployment().awaitStandin("configuration");
+        session.say("the configuration service is back with an older number");
+        session.run(4);
+        session.killAndRestart(anyEntry(), Duration.ofMillis(500));
+        session.run(4);
+        long served = session.deployment().ledger("configuration").path("number").asLong();
+        checks.put(
+                "the service was older than the number in force",
+                served < session.deployment().declaration().number());
+    }
+
+    private void silentConnections() throws IOException, InterruptedException {
+        for (long i = 0; i < rounds(8); i++) {
+            for (String prefix : List.of("engine-", "runner-", "configuration", "list", "store")) {
+                for (String name : session.deployment().standinNames(prefix)) {
+                    session.deployment().setFaults(name, Map.of("silentConnections", 1));
+                }
+            }
+            session.say("all open connections to the stand-ins are silent");
+            session.run(8);
+        }
+    }
+
+    private void rollingReplace() throws IOException, InterruptedException {
+        for (String name : session.deployment().entryNames()) {
+            session.replaceGracefully(name);
+            session.run(1);
+        }
+    }
+
+    private void crashRequest() throws IOException, InterruptedException {
+        for (String name : session.deployment().standinNames("engine-")) {
+            session.deployment().setFaults(name, Map.of("crashMarker", MARKER));
+        }
+        Call call = crashCall();
+        session.say("sending the request that crashes engines");
+        session.submit(call);
+        for (long i = 0; i < Math.max(8, seconds - 5) * 5; i++) {
+            restartCrashedEngines();
+            Thread.sleep(200);
+        }
+        long crashes = session.endedWith(StandinService.CRASH_STATUS);
+        List<Told> told = session.log().told().stream().filter(t -> t.call().index() < 0).toList();
+        session.say(
+                "%d crashes; callers were told %s",
+                crashes, told.stream().map(Told::label).toList());
+        checks.put("the request crashed an engine", crashes > 0);
+        checks.put("the request crashed at most 2 engines", crashes <= MOST_CRASHES);
+        checks.put(
+                "the request was refused with CRASHES_UPSTREAMS",
+                told.stream().anyMatch(t -> t.code() == ResultCode.CRASHES_UPSTREAMS));
+    }
+
+    private Call crashCall() {
+        Traffic traffic =
+                Declarations.traffic(session.deployment().profile()).stream()
+                        .filter(t -> t.kind().isModelRequest())
+                        .findFirst()
+                        .orElseThrow();
+        String member = Declarations.members(session.deployment().profile()).get(0);
+        return new Call(
+                -1,
+                0,
+                traffic,
+                Declarations.adapterName(7),
+                Declarations.token(member, 0),
+                "please run " + MARKER,
+                8,
+                false,
+                "",
+                true);
+    }
+
+    private void restartCrashedEngines() throws IOException, InterruptedException {
+        for (String name : session.deployment().standinNames("engine-")) {
+            if (!session.deployment().standin(name).isAlive()) {
+                session.say("%s crashed and is started again", name);
+                session.deployment().startStandin(name);
+                session.deployment().awaitStandin(name);
+                session.deployment().setFaults(name, Map.of("crashMarker", MARKER));
+            }
+        }
+    }
+
+    private void leavingUpstream() throws IOException, InterruptedException {
+        session.retire("engine-1");
+        session.retire("runner-1");
+        session.run(Math.max(6, seconds - 14));
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/RehearseMain.java
@@ -0,0 +1,102 @@
+package org.bronzehill.standin.driver;
+
+import com.github.rvesse.airline.HelpOption;
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.standin.Profile;
+import org.bronzehill.standin.driver.internal.Evidence;
+import org.bronzehill.standin.driver.internal.RunReport;
+import org.bronzehill.standin.driver.internal.Session;
+
+/** Program behind {@code ./rehearse}: one fault scenario on real processes. */
+@Command(
+        name = "rehearse",
+        description =
+                "Plays a fault scenario on a deployment's stand-ins and 9 entry instances, and"
+                        + " compares the ledgers with what callers were told. Scenarios:"
+                        + " kill-once-only, pause, engine-kill-loading, configuration-outage,"
+                        + " silent-connections, rolling-replace, crash-request, leaving-upstream")
+public final class RehearseMain {
+
+    private static final int BROKEN = 1;
+    private static final int BAD_SETTINGS = 2;
+    private static final int INSTANCES = 9;
+    private static final int BRIEF_INSTANCES = 4;
+
+    @AirlineModule private HelpOption<RehearseMain> help;
+
+    @Arguments(title = "scenario", description = "Scenario to play")
+    private List<String> scenario = new ArrayList<>();
+
+    @Option(name = "--profile", description = "driftless (default) or sialkot")
+    private String profile = Profile.DRIFTLESS.label();
+
+    @Option(name = "--seconds", description = "Length of the load; 30 by default, 12 with --short")
+    private String seconds;
+
+    @Option(name = "--seed", description = "Seed of declaration, load and faults; 1 by default")
+    private String seed = "1";
+
+    @Option(name = "--short", description = "Short form for CI with 4 entry instances")
+    private boolean brief;
+
+    /** Runs the program. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        RehearseMain main;
+        try {
+            main = SingleCommand.singleCommand(RehearseMain.class).parse(args);
+        } catch (ParseException e) {
+            System.err.println("rehearse: " + e.getMessage());
+            System.exit(BAD_SETTINGS);
+            return;
+        }
+        if (main.help != null && main.help.showHelpIfRequested()) {
+            return;
+        }
+        System.exit(main.run());
+    }
+
+    private int run() throws IOException, InterruptedException {
+        DriverOptions in = new DriverOptions();
+        Scenario chosen = in.scenario(scenario);
+        Path directory = DriverOptions.directory("rehearse-" + chosen.label());
+        String length = seconds != null ? seconds : brief ? "12" : "30";
+        long duration = in.number("--seconds", length, 1, 3600);
+        Session.Options options =
+                new Session.Options(
+                        in.profile(profile),
+                        brief ? BRIEF_INSTANCES : INSTANCES,
+                        in.number("--seed", seed, 0, Long.MAX_VALUE),
+                        DriverOptions.root(),
+                        directory);
+        if (!in.errors().isEmpty()) {
+            in.errors().forEach(e -> System.err.println("rehearse: " + e));
+            return BAD_SETTINGS;
+        }
+        System.out.printf(
+                "scenario %s, profile %s, seed %d; logs in %s%n",
+                chosen.label(), options.profile().label(), options.seed(), directory);
+        Evidence evidence;
+        Map<String, Boolean> checks;
+        try (Session session = Session.start(options, System.out)) {
+            checks = Rehearsal.of(session, duration, options.seed(), brief).play(chosen);
+            evidence = session.finish();
+        }
+        RunReport report = RunReport.of(evidence, System.out);
+        report.printMeasures();
+        boolean kept = report.printPromises();
+        for (Map.Entry<String, Boolean> check : checks.entrySet()) {
+            kept &= report.printCheck(check);
+        }
+        return kept ? 0 : BROKEN;
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/Scenario.java
@@ -0,0 +1,38 @@
+package org.bronzehill.standin.driver;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Rehearsal with real processes. */
+enum Scenario {
+    /** Kills entry instances in the middle of once-only acts. */
+    KILL_ONCE_ONLY,
+    /** Pauses an entry instance for 15 s. */
+    PAUSE,
+    /** Kills engines while they load adapters. */
+    ENGINE_KILL_LOADING,
+    /** Stops the configuration service and restarts it with an older number. */
+    CONFIGURATION_OUTAGE,
+    /** Makes open connections to the upstreams and the platform silent. */
+    SILENT_CONNECTIONS,
+    /** Replaces every entry instance under load. */
+    ROLLING_REPLACE,
+    /** Sends a request that crashes each engine that runs it. */
+    CRASH_REQUEST,
+    /** Marks upstreams as leaving. */
+    LEAVING_UPSTREAM;
+
+    String label() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    static Optional<Scenario> ofLabel(String label) {
+        return Arrays.stream(values()).filter(s -> s.label().equals(label)).findFirst();
+    }
+
+    static List<String> labels() {
+        return Arrays.stream(values()).map(Scenario::label).toList();
+    }
+}
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Balancer.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Balancer.java
@@ -65,8 +65,7 @@
                                     .build();
                     client.sendAsync(request, HttpResponse.BodyHandlers.discarding())
                             .whenComplete(
-                                    (r, e) ->
-                                            mark(instance, e == null && r.statusCode() == 200));
+                                    (r, e) -> mark(instance, e == null && r.statusCode() == 200));
                 });
     }
 
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Caller.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Caller.java
@@ -45,10 +45,10 @@
         Duration limit = call.traffic().callerDeadline().plus(PATIENCE);
         CompletableFuture<HttpResponse<InputStream>> answer =
                 client.sendAsync(
-                        request(call, target, id, limit), HttpResponse.BodyHandlers.ofInputStream());
+                        request(call, target, id, limit),
+                        HttpResponse.BodyHandlers.ofInputStream());
         try {
-            HttpResponse<InputStream> head =
-                    answer.get(limit.toMillis(), TimeUnit.MILLISECONDS);
+            HttpResponse<InputStream> head = answer.get(limit.toMillis(), TimeUnit.MILLISECONDS);
             draft.head(head);
             return read(draft, head, limit);
         } catch (ExecutionException e) {
@@ -178,12 +178,18 @@
             return told(code, "", code.isSuccess() && AnswerCheck.isWhole(call, text));
         }
 
-        /** The result is in a header, or in a comment of the last event of a stream. */
+        /**
+         * The result is in a header, in a comment of the last event of a stream, or in the error.
+         */
         private ResultCode code(String body) {
             String number = header("Result", "");
             if (number.isEmpty()) {
                 number = AnswerCheck.streamResult(body);
             }
+            if (number.isEmpty()) {
+                byte[] json = body.getBytes(StandardCharsets.UTF_8);
+                number = Json.parse(json).at("/error/number").asText();
+            }
             try {
                 return number.isEmpty() ? null : ResultCode.ofNumber(Integer.parseInt(number));
             } catch (NumberFormatException e) {
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Declarations.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Declarations.java
@@ -42,7 +42,13 @@
             case DRIFTLESS ->
                     List.of(
                             Traffic.model(
-                                    "route-chat", Urgency.INTERACTIVE, inTheRun, 4, 0.35, 24, inTheRun),
+                                    "route-chat",
+                                    Urgency.INTERACTIVE,
+                                    inTheRun,
+                                    4,
+                                    0.35,
+                                    24,
+                                    inTheRun),
                             Traffic.lookup("pickup-lookup", "pickup", "lookup", 0.25),
                             Traffic.act("pickup-confirmation", "pickup", "confirm", 0.2),
                             Traffic.model(
@@ -72,7 +78,13 @@
                                     24,
                                     inTheRun),
                             Traffic.model(
-                                    "quality-query", Urgency.PROMPT, inTheRun, 2, 0.15, 16, inTheRun),
+                                    "quality-query",
+                                    Urgency.PROMPT,
+                                    inTheRun,
+                                    2,
+                                    0.15,
+                                    16,
+                                    inTheRun),
                             Traffic.model(
                                     "batch-summary",
                                     Urgency.OVERNIGHT,
@@ -153,7 +165,9 @@
         Profile.StoreFigures store = profile.store();
         return new ConfigurationBase(
                 Set.of(BASE_MODEL),
-                traffic.stream().map(Traffic::kind).collect(Collectors.toMap(k -> k.name(), k -> k)),
+                traffic.stream()
+                        .map(Traffic::kind)
+                        .collect(Collectors.toMap(k -> k.name(), k -> k)),
                 members,
                 new Limits(
                         store.loadsPerSecond(),
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
@@ -131,7 +131,11 @@
                                     .filter(p -> p != own)
                                     .map(p -> "http://" + HOST + ':' + p)
                                     .toList());
-            plan("runner-" + (i + 1), Role.APPLICATION_RUNNER, own, List.of("--siblings", siblings));
+            plan(
+                    "runner-" + (i + 1),
+                    Role.APPLICATION_RUNNER,
+                    own,
+                    List.of("--siblings", siblings));
         }
     }
 
@@ -180,27 +184,44 @@
         for (int i = 1; i <= profile.engines(); i++) {
             upstreams.add(
                     Map.of(
-                            "id", "engine-" + i,
-                            "kind", "engine",
-                            "uri", uri("engine-" + i).toString(),
-                            "dataCentre", dataCentre(i),
-                            "region", REGION,
-                            "state", "live",
-                            "baseModel", Declarations.BASE_MODEL,
-                            "adapterSlots", profile.engine().adapterSlots(),
-                            "batchSize", profile.engine().batchSize(),
-                            "checksFencing", i % 4 != 0));
+                            "id",
+                            "engine-" + i,
+                            "kind",
+                            "engine",
+                            "uri",
+                            uri("engine-" + i).toString(),
+                            "dataCentre",
+                            dataCentre(i),
+                            "region",
+                            REGION,
+                            "state",
+                            "live",
+                            "baseModel",
+                            Declarations.BASE_MODEL,
+                            "adapterSlots",
+                            profile.engine().adapterSlots(),
+                            "batchSize",
+                            profile.engine().batchSize(),
+                            "checksFencing",
+                            i % 4 != 0));
         }
         for (int i = 1; i <= profile.runners(); i++) {
             upstreams.add(
                     Map.of(
-                            "id", "runner-" + i,
-                            "kind", "application-runner",
-                            "uri", uri("runner-" + i).toString(),
-                            "dataCentre", dataCentre(i),
-                            "region", REGION,
-                            "state", "live",
-                            "services", profile.services()));
+                            "id",
+                            "runner-" + i,
+                            "kind",
+                            "application-runner",
+                            "uri",
+                            uri("runner-" + i).toString(),
+                            "dataCentre",
+                            dataCentre(i),
+                            "region",
+                            REGION,
+                            "state",
+                            "live",
+                            "services",
+                            profile.services()));
         }
         Files.write(
                 listFile(),
@@ -295,7 +316,9 @@
         return declaration;
     }
 
-    /** Marks an entry of the instance list, such as {@code upstreams/engine-1}, as leaving or live. */
+    /**
+     * Marks an entry of the instance list, such as {@code upstreams/engine-1}, as leaving or live.
+     */
     public void setState(String entry, String state) throws IOException, InterruptedException {
         control.put(uri("list"), "/standin/list/" + entry, Map.of("state", state));
     }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Evidence.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Evidence.java
@@ -66,11 +66,7 @@
                 cutOff.add(ledger.path("id").asText() + ": " + v);
             }
         }
-        long late =
-                ledger.at("/afterMark/runs").asLong() + ledger.at("/afterMark/loads").asLong();
-        if (ledger.path("marked").asBoolean()) {
-            workAfterLeaving.merge(ledger.path("id").asText(), late, Long::sum);
-        }
+        addLateWork(ledger);
         steps += ledger.path("steps").asLong();
         occupied += ledger.path("occupied").asLong();
         places += ledger.path("steps").asLong() * ledger.path("batchSize").asLong();
@@ -81,6 +77,14 @@
         ledger.path("actsByKey").fields().forEachRemaining(f -> sum(actsByKey, f));
         ledger.path("actsByRequest").fields().forEachRemaining(f -> sum(actsByRequest, f));
         actsRecorded += ledger.at("/acts/recorded").asLong();
+        addLateWork(ledger);
+    }
+
+    private void addLateWork(JsonNode ledger) {
+        long late = ledger.at("/afterMark/runs").asLong() + ledger.at("/afterMark/loads").asLong();
+        if (ledger.path("marked").asBoolean()) {
+            workAfterLeaving.merge(ledger.path("id").asText(), late, Long::sum);
+        }
     }
 
     private static void sum(Map<String, Long> into, Map.Entry<String, JsonNode> field) {
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Fleet.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Fleet.java
@@ -29,8 +29,7 @@
 
     /** Starts a process. */
     public synchronized ManagedProcess start(
-            String name, List<String> command, Map<String, String> environment)
-            throws IOException {
+            String name, List<String> command, Map<String, String> environment) throws IOException {
         if (closed) {
             throw new IOException("the run is ending");
         }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/LoadGenerator.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/LoadGenerator.java
@@ -24,8 +24,7 @@
     private final Workload workload;
     private final Balancer balancer;
     private final CallLog log;
-    private final ExecutorService callers =
-            Executors.newCachedThreadPool(Threads.daemon("caller"));
+    private final ExecutorService callers = Executors.newCachedThreadPool(Threads.daemon("caller"));
     private final HttpClient client =
             HttpClient.newBuilder()
                     .version(HttpClient.Version.HTTP_1_1)
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Session.java
@@ -0,0 +1,224 @@
+package org.bronzehill.standin.driver.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.standin.Profile;
+
+/** One run: a deployment under load, what is done to it, and the evidence that is collected. */
+public final class Session implements AutoCloseable {
+
+    private static final long READY_SECONDS = 60;
+    private static final long STOP_SECONDS = 60;
+
+    private final Deployment deployment;
+    private final Fleet fleet;
+    private final Balancer balancer = Balancer.create();
+    private final CallLog log = CallLog.create();
+    private final Evidence evidence = Evidence.create();
+    private final PrintStream out;
+    private final long startNanos = System.nanoTime();
+    private StatusMonitor monitor;
+    private LoadGenerator load;
+
+    /**
+     * Settings of a run.
+     *
+     * @param instances number of entry instances
+     * @param root root of the checkout with {@code bin} and {@code dist}
+     * @param directory directory for logs and declarations
+     */
+    public record Options(Profile profile, int instances, long seed, Path root, Path directory) {}
+
+    private Session(Deployment deployment, Fleet fleet, PrintStream out) {
+        this.deployment = deployment;
+        this.fleet = fleet;
+        this.out = out;
+    }
+
+    /** Starts the processes and waits until every entry instance is ready. */
+    public static Session start(Options options, PrintStream out)
+            throws IOException, InterruptedException {
+        Fleet fleet = Fleet.create(options.directory());
+        try {
+            Deployment deployment =
+                    Deployment.start(
+                            options.profile(),
+                            options.root(),
+                            options.directory(),
+                            fleet,
+                            options.instances(),
+                            options.seed());
+            Session session = new Session(deployment, fleet, out);
+            session.evidence.addDeclaration(deployment.declaration());
+            for (String name : deployment.entryNames()) {
+                deployment.startEntry(name);
+                session.balancer.add(name, deployment.entryUri(name));
+            }
+            session.awaitReady(deployment.entryNames());
+            session.monitor = StatusMonitor.start(deployment, session.evidence);
+            session.say("%d processes started, all instances ready", fleet.running());
+            return session;
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            fleet.close();
+            throw e;
+        }
+    }
+
+    /** Prints a line with the time since the start. */
+    public void say(String format, Object... arguments) {
+        double seconds = (System.nanoTime() - startNanos) / 1e9;
+        out.printf("[%6.1f s] %s%n", seconds, String.format(format, arguments));
+        out.flush();
+    }
+
+    /** Starts to send a workload. */
+    public void startLoad(Workload workload) {
+        load = LoadGenerator.start(workload, balancer, log);
+    }
+
+    /** Sends one call beside the workload. */
+    public void submit(Call call) {
+        load.submit(call);
+    }
+
+    /** Lets the load run and prints its progress. */
+    public void run(long seconds) throws InterruptedException {
+        for (long left = seconds; left > 0; left -= 2) {
+            Thread.sleep(Math.min(2, left) * 1000);
+            List<Told> told = log.told();
+            say(
+                    "%d attempts told, %d ok, %d not run, %d broken; %d open; %d instances ready",
+                    told.size(),
+                    told.stream().filter(Told::isSuccess).count(),
+                    told.stream().filter(Told::saysNotRun).count(),
+                    told.stream().filter(t -> t.code() == null).count(),
+                    log.open(),
+                    balancer.ready().size());
+        }
+    }
+
+    /** Waits until the instances are ready. */
+    public void awaitReady(List<String> names) throws IOException, InterruptedException {
+        long end = System.nanoTime() + READY_SECONDS * 1_000_000_000L;
+        while (!balancer.ready().containsAll(names)) {
+            for (String name : names) {
+                if (!deployment.entry(name).isAlive()) {
+                    throw new IOException(name + " ended early; see its log");
+                }
+            }
+            if (System.nanoTime() > end) {
+                throw new IOException("ready within the limit: only " + balancer.ready());
+            }
+            Thread.sleep(100);
+        }
+    }
+
+    /** Stops an entry instance gracefully and starts it again. */
+    public void replaceGracefully(String name) throws IOException, InterruptedException {
+        say("stopping %s gracefully", name);
+        deployment.setState("instances/" + name, "leaving");
+        ManagedProcess process = deployment.entry(name);
+        process.terminate();
+        String problem = "";
+        if (!process.awaitEnd(STOP_SECONDS)) {
+            problem = "did not end after SIGTERM";
+            process.kill();
+        } else if (process.exitStatus() != 0 && process.exitStatus() != 143) {
+            problem = "ended with status " + process.exitStatus();
+        }
+        synchronized (evidence) {
+            evidence.addGracefulStop(name, problem);
+        }
+        restart(name);
+    }
+
+    /** Kills an entry instance at once and starts it again. */
+    public void killAndRestart(String name, Duration pause)
+            throws IOException, InterruptedException {
+        say("killing %s", name);
+        deployment.entry(name).kill();
+        Thread.sleep(pause.toMillis());
+        restart(name);
+    }
+
+    private void restart(String name) throws IOException, InterruptedException {
+        balancer.suspect(name);
+        deployment.startEntry(name);
+        deployment.setState("instances/" + name, "live");
+        awaitReady(List.of(name));
+        say("%s is ready again", name);
+    }
+
+    /** Restarts an engine with a cold cache; its ledger is read before. */
+    public void restartEngine(String name) throws IOException, InterruptedException {
+        say("restarting %s", name);
+        JsonNode ledger = deployment.ledger(name);
+        deployment.standin(name).kill();
+        synchronized (evidence) {
+            evidence.addEngine(ledger);
+        }
+        deployment.startStandin(name);
+        deployment.awaitStandin(name);
+    }
+
+    /** Publishes the next declaration; its bound has passed 5 s later. */
+    public void publishNext() throws IOException, InterruptedException {
+        evidence.addDeclaration(deployment.publishNext());
+        long number = deployment.declaration().number();
+        evidence.published(number, load.elapsedMs() + 5000);
+        say("published configuration %d", number);
+    }
+
+    /** Marks an upstream as leaving, waits for the bound and marks its ledger. */
+    public void retire(String upstream) throws IOException, InterruptedException {
+        deployment.setState("upstreams/" + upstream, "leaving");
+        say("%s is marked as leaving", upstream);
+        // The list shows the change 500 ms later; the bound of 5 s counts from then on.
+        run(5);
+        Thread.sleep(500);
+        deployment.control().post(deployment.uri(upstream), "/standin/mark", Map.of());
+    }
+
+    /** Ends the load, reads the ledgers and returns the evidence. */
+    public Evidence finish() throws IOException, InterruptedException {
+        boolean ended = load.finish(Duration.ofSeconds(60));
+        say(ended ? "every call has ended" : "%d calls have not ended", log.open());
+        monitor.close();
+        evidence.addTold(log.told());
+        for (String name : deployment.standinNames("engine-")) {
+            evidence.addEngine(deployment.ledger(name));
+        }
+        for (String name : deployment.standinNames("runner-")) {
+            evidence.addRunner(deployment.ledger(name));
+        }
+        return evidence;
+    }
+
+    public Deployment deployment() {
+        return deployment;
+    }
+
+    public CallLog log() {
+        return log;
+    }
+
+    /** Returns the number of processes that ended with a status. */
+    public long endedWith(int status) {
+        return fleet.endedWith(status);
+    }
+
+    @Override
+    public void close() {
+        if (load != null) {
+            load.close();
+        }
+        balancer.close();
+        fleet.close();
+        out.printf("%d processes left behind%n", fleet.running());
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/StatusMonitor.java
@@ -0,0 +1,62 @@
+package org.bronzehill.standin.driver.internal;
+
+import java.io.IOException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Notes the configuration number that every entry instance shows, again and again. */
+final class StatusMonitor implements AutoCloseable {
+
+    private static final long PERIOD_MS = 300;
+
+    private final Deployment deployment;
+    private final Evidence evidence;
+    private final ScheduledExecutorService executor;
+
+    private StatusMonitor(Deployment deployment, Evidence evidence) {
+        this.deployment = deployment;
+        this.evidence = evidence;
+        // One thread for each instance, so that a paused one delays only its own readings.
+        this.executor =
+                Executors.newScheduledThreadPool(
+                        deployment.entryNames().size(), Threads.daemon("status"));
+    }
+
+    static StatusMonitor start(Deployment deployment, Evidence evidence) {
+        StatusMonitor monitor = new StatusMonitor(deployment, evidence);
+        for (String name : deployment.entryNames()) {
+            monitor.executor.scheduleWithFixedDelay(
+                    () -> monitor.read(name), 0, PERIOD_MS, TimeUnit.MILLISECONDS);
+        }
+        return monitor;
+    }
+
+    private void read(String name) {
+        String incarnation = deployment.incarnation(name);
+        try {
+            long number =
+                    deployment
+                            .control()
+                            .get(deployment.entryUri(name), "/status")
+                            .at("/configuration/number")
+                            .asLong();
+            // The incarnation may have changed during the call; such a reading says nothing.
+            if (number > 0 && incarnation.equals(deployment.incarnation(name))) {
+                synchronized (evidence) {
+                    evidence.sawNumber(incarnation, number);
+                }
+            }
+        } catch (IOException e) {
+            // An instance that is down or paused shows no number.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        executor.shutdownNow();
+        executor.awaitTermination(10, TimeUnit.SECONDS);
+    }
+}
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Traffic.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Traffic.java
@@ -26,16 +26,14 @@
             double share,
             int tokens,
             Duration callerDeadline) {
-        KindSpec kind =
-                new KindSpec(name, urgency, deadline, false, true, weight, "", SILENCE);
+        KindSpec kind = new KindSpec(name, urgency, deadline, false, true, weight, "", SILENCE);
         return new Traffic(kind, "", share, tokens, callerDeadline);
     }
 
     static Traffic lookup(String name, String service, String operation, double share) {
         Duration deadline = Duration.ofSeconds(3);
         KindSpec kind =
-                new KindSpec(
-                        name, Urgency.INTERACTIVE, deadline, false, true, 1, service, SILENCE);
+                new KindSpec(name, Urgency.INTERACTIVE, deadline, false, true, 1, service, SILENCE);
         return new Traffic(kind, operation, share, 0, deadline);
     }
 
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Workload.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Workload.java
@@ -32,11 +32,7 @@
     private int index;
 
     private Workload(
-            Profile profile,
-            List<Traffic> traffic,
-            double perSecond,
-            long shiftAtMs,
-            long seed) {
+            Profile profile, List<Traffic> traffic, double perSecond, long shiftAtMs, long seed) {
         this.profile = profile;
         this.traffic = traffic;
         this.perSecond = perSecond;
@@ -57,8 +53,7 @@
      * @param shiftAtMs time at which other adapters become popular; negative for never
      */
     public static Workload of(Profile profile, double perSecond, long shiftAtMs, long seed) {
-        return new Workload(
-                profile, Declarations.traffic(profile), perSecond, shiftAtMs, seed);
+        return new Workload(profile, Declarations.traffic(profile), perSecond, shiftAtMs, seed);
     }
 
     /** Creates a load of the kinds that are once-only acts. */
@@ -82,9 +77,7 @@
         boolean outsider = model && random.nextDouble() < OUTSIDERS;
         List<String> members = Declarations.members(profile);
         String member =
-                outsider
-                        ? Declarations.OUTSIDER
-                        : members.get(random.nextInt(members.size()));
+                outsider ? Declarations.OUTSIDER : members.get(random.nextInt(members.size()));
         int n = index++;
         return new Call(
                 n,
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ApplicationRunner.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ApplicationRunner.java
@@ -62,6 +62,7 @@
     private void run(Exchange exchange, String service, String operation) {
         String requestId = exchange.header("X-Request-Id");
         String key = exchange.header("Idempotency-Key");
+        countIfMarked("runs");
         Map<String, Object> answer = new HashMap<>();
         answer.put("service", service);
         answer.put("operation", operation);
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
@@ -20,7 +20,6 @@
     private long highestFencing;
     private long sequence;
     private boolean stepping;
-    private boolean marked;
 
     /**
      * Settings of an engine.
@@ -137,9 +136,7 @@
             ledger.count("runs", run.requestId);
             ledger.count("runsByHandle", run.handle);
             ledger.count("handleByRequest", run.requestId + ' ' + run.handle);
-            if (marked) {
-                ledger.count("afterMark", "runs");
-            }
+            countIfMarked("runs");
             adapters.addRunning(run.handle, 1);
             long gap = faults.number("gapEvery");
             boolean cached =
@@ -193,9 +190,7 @@
 
     private void startLoad(String handle, String weights) {
         ledger.count("loads", handle);
-        if (marked) {
-            ledger.count("afterMark", "loads");
-        }
+        countIfMarked("loads");
         if (faults.take("failLoads")) {
             timer.after(1, () -> arrived(handle, false));
         } else if (store == null) {
@@ -274,22 +269,10 @@
                         "prefixes", prefixes.published(nowMs())));
     }
 
-    /** {@code POST /standin/mark}: counts runs and loads that start after it separately. */
-    @Override
-    protected synchronized boolean control(Exchange exchange) {
-        if (!exchange.is("POST", "/standin/mark")) {
-            return false;
-        }
-        marked = true;
-        exchange.respond(200, Map.of("marked", true));
-        return true;
-    }
-
     @Override
     protected synchronized void describe(Map<String, Object> view) {
         view.put("startNumber", startNumber);
         view.put("batchSize", options.figures().batchSize());
-        view.put("marked", marked);
         view.put("steps", batch.steps());
         view.put("occupied", batch.occupied());
         view.put("resident", adapters.view());
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/StandinService.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/StandinService.java
@@ -16,6 +16,7 @@
     protected final Timer timer = Timer.create();
     private final String role;
     private final String id;
+    private volatile boolean marked;
     private HttpServer server;
     private Runnable crashAction = () -> Runtime.getRuntime().halt(CRASH_STATUS);
 
@@ -74,10 +75,14 @@
             exchange.respond(200, faults.view());
         } else if (exchange.is("PUT", "/standin/faults")) {
             setFaults(exchange);
+        } else if (exchange.is("POST", "/standin/mark")) {
+            marked = true;
+            exchange.respond(200, Map.of("marked", true));
         } else if (exchange.is("GET", "/standin/ledger")) {
             Map<String, Object> view = new LinkedHashMap<>();
             view.put("role", role);
             view.put("id", id);
+            view.put("marked", marked);
             describe(view);
             view.putAll(ledger.view());
             exchange.respond(200, view);
@@ -87,6 +92,13 @@
         return true;
     }
 
+    /** Counts work that starts after {@code POST /standin/mark}, as after the bound for leaving. */
+    protected final void countIfMarked(String work) {
+        if (marked) {
+            ledger.count("afterMark", work);
+        }
+    }
+
     private void setFaults(Exchange exchange) {
         List<String> errors = faults.merge(exchange.json());
         if (!errors.isEmpty()) {
--- /dev/null
+++ b/bronzehill-standin/src/test/java/org/bronzehill/standin/driver/internal/LoadGeneratorTest.java
@@ -0,0 +1,119 @@
+package org.bronzehill.standin.driver.internal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.standin.Profile;
+import org.bronzehill.standin.internal.AnswerText;
+import org.bronzehill.standin.internal.Exchange;
+import org.bronzehill.standin.internal.HttpServer;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against callers that give up, that resend refused requests for ever, or see wholes in
+ * parts.
+ */
+public class LoadGeneratorTest {
+
+    private static final Traffic CONFIRM = Declarations.traffic(Profile.DRIFTLESS).get(2);
+    private static final Traffic CHAT = Declarations.traffic(Profile.DRIFTLESS).get(0);
+
+    private static Consumer<Exchange> ready(Consumer<Exchange> work) {
+        return x -> {
+            if (x.path().equals("/health/ready")) {
+                x.respond(200, Map.of());
+            } else {
+                work.accept(x);
+            }
+        };
+    }
+
+    private static List<Told> told(Consumer<Exchange> first, Consumer<Exchange> second)
+            throws InterruptedException {
+        try (HttpServer a = HttpServer.start("127.0.0.1", 0, ready(first));
+                HttpServer b = HttpServer.start("127.0.0.1", 0, ready(second));
+                Balancer balancer = Balancer.create()) {
+            balancer.add("a", URI.create("http://127.0.0.1:" + a.port()));
+            balancer.add("b", URI.create("http://127.0.0.1:" + b.port()));
+            while (balancer.ready().size() < 2) {
+                Thread.sleep(10);
+            }
+            CallLog log = CallLog.create();
+            // One call in 1,000 s: the workload stays silent, only the submitted call is sent.
+            try (LoadGenerator load =
+                    LoadGenerator.start(
+                            Workload.of(Profile.DRIFTLESS, 0.001, -1, 1), balancer, log)) {
+                load.submit(new Call(0, 0, CONFIRM, "", "t", "p", 0, false, "k", true));
+                assertTrue(load.finish(Duration.ofSeconds(30)));
+            }
+            return log.told();
+        }
+    }
+
+    @Test
+    public void actIsSentAgainWithItsKeyThroughAnotherInstanceAfterABrokenConnection()
+            throws InterruptedException {
+        List<Told> told = told(Exchange::abort, x -> x.error(500, x.header("Idempotency-Key")));
+        assertTrue(told.size() > 1);
+        assertEquals(told.get(0).instance(), "a");
+        assertEquals(told.get(0).failure(), "connection broken");
+        assertEquals(told.get(1).instance(), "b");
+        assertEquals(told.get(1).failure(), "status 500 without a result");
+        assertEquals(told.stream().map(Told::requestId).distinct().count(), told.size());
+    }
+
+    @Test
+    public void unreachableInstanceIsNotTakenForABrokenRequest() throws InterruptedException {
+        URI nowhere = URI.create("http://127.0.0.1:1");
+        Told told =
+                Caller.of(java.net.http.HttpClient.newHttpClient(), System.nanoTime())
+                        .send(
+                                new Call(0, 0, CONFIRM, "", "t", "p", 0, false, "k", true),
+                                new Balancer.Target("x", nowhere));
+        assertEquals(told.failure(), "connection refused");
+    }
+
+    @Test
+    public void answerIsWholeOnlyWithItsOwnTextAndItsEnd() {
+        Call call = new Call(0, 0, CHAT, "a", "t", "hello", 2, true, "", true);
+        String text = AnswerText.of("hello", 2);
+        String event = "data: {\"choices\":[{\"delta\":{\"content\":\"" + text + "\"}}]}\n\n";
+        String end = ": X-Bronzehill-Result: 1000\ndata: [DONE]\n\n";
+        assertTrue(AnswerCheck.isWhole(call, event + end));
+        assertFalse(AnswerCheck.isWhole(call, event));
+        assertFalse(AnswerCheck.isWhole(call, event.replace("-1", "-2") + end));
+        assertEquals(AnswerCheck.streamResult(event + end), "1000");
+        assertEquals(AnswerCheck.streamResult(event), "");
+    }
+
+    @Test
+    public void answerOfAnotherActIsNotWhole() {
+        Call call = new Call(0, 0, CONFIRM, "", "t", "request 1", 0, false, "k", true);
+        String own = "{\\\"request\\\":\\\"request 1\\\"}";
+        assertTrue(AnswerCheck.isWhole(call, "{\"key\":\"k\",\"echo\":\"" + own + "\"}"));
+        assertFalse(AnswerCheck.isWhole(call, "{\"key\":\"j\",\"echo\":\"" + own + "\"}"));
+        assertFalse(AnswerCheck.isWhole(call, "{\"key\":\"k\",\"echo\":\"\"}"));
+    }
+
+    @Test
+    public void refusalThatForbidsResendingIsFinal() throws InterruptedException {
+        Consumer<Exchange> refuse = x -> refuse(x, ResultCode.NOT_ENTITLED);
+        List<Told> told = told(refuse, refuse);
+        assertEquals(told.size(), 1);
+        assertTrue(told.get(0).saysNotRun());
+    }
+
+    private static void refuse(Exchange exchange, ResultCode code) {
+        String body = "{\"error\":{\"number\":" + code.number() + "}}";
+        exchange.respond(
+                code.httpStatus(), "application/json", body.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/bronzehill-standin/src/test/java/org/bronzehill/standin/driver/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the load driver. */
+package org.bronzehill.standin.driver.internal;
