--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/EntryCommand.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/EntryCommand.java
@@ -35,9 +35,9 @@
                 dataCentre,
                 "--region",
                 region,
-                "--configuration-uri",
+                "--configuration-uris",
                 configuration.toString(),
-                "--instance-list-uri",
+                "--instance-list-uris",
                 instanceList.toString());
     }
 
