--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/OpenRequest.java
@@ -0,0 +1,156 @@
+package org.bronzehill.core.node;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.bronzehill.config.KindSpec;
+import org.bronzehill.core.engine.EngineResult;
+import org.bronzehill.core.model.ModelRequest;
+import org.bronzehill.core.placement.Route;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.result.RunState;
+
+/** A caller's model request that has not been answered yet, at its origin. */
+final class OpenRequest {
+
+    private final ModelRequest request;
+    private final AccessCheck.Granted granted;
+    private final byte[] fingerprint;
+    private final long deadlineNanos;
+    private final long arrivedNanos;
+    private final Map<Integer, Attempt> attempts = new TreeMap<>();
+    private final Set<String> tried = new HashSet<>();
+    private int made;
+    private int relayed;
+    private long progressNanos;
+    private long retryNanos = -1;
+    private boolean hedged;
+    private EngineResult uncertain;
+
+    OpenRequest(ModelRequest request, AccessCheck.Granted granted, byte[] fingerprint, long now) {
+        this.request = request;
+        this.granted = granted;
+        this.fingerprint = fingerprint;
+        this.arrivedNanos = now;
+        this.deadlineNanos = now + granted.deadline().toNanos();
+    }
+
+    /** An attempt that has not ended. */
+    record Attempt(int number, Route route, long sentNanos) {}
+
+    ModelRequest request() {
+        return request;
+    }
+
+    String id() {
+        return request.requestId();
+    }
+
+    AccessCheck.Granted granted() {
+        return granted;
+    }
+
+    KindSpec kind() {
+        return granted.kind();
+    }
+
+    byte[] fingerprint() {
+        return fingerprint;
+    }
+
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    Duration timeLeft(long now) {
+        return Duration.ofNanos(deadlineNanos - now);
+    }
+
+    Map<Integer, Attempt> attempts() {
+        return attempts;
+    }
+
+    /** Adds an attempt along a route. */
+    Attempt begin(Route route, long now) {
+        Attempt attempt = new Attempt(++made, route, now);
+        attempts.put(attempt.number(), attempt);
+        tried.add(route.engine());
+        retryNanos = -1;
+        return attempt;
+    }
+
+    int made() {
+        return made;
+    }
+
+    /** Returns the engines that earlier attempts used. */
+    Set<String> tried() {
+        return tried;
+    }
+
+    /** Returns the attempt of which the caller has received chunks; 0 if there is none. */
+    int relayed() {
+        return relayed;
+    }
+
+    void progress(int attempt, long now) {
+        relayed = attempt;
+        progressNanos = now;
+    }
+
+    long progressNanos() {
+        return progressNanos;
+    }
+
+    /** Keeps the request until {@code at} without an attempt. */
+    void park(long at) {
+        retryNanos = at;
+    }
+
+    boolean isDue(long now) {
+        return retryNanos >= 0 && now - retryNanos >= 0;
+    }
+
+    boolean isParked() {
+        return retryNanos >= 0;
+    }
+
+    boolean hedged() {
+        return hedged;
+    }
+
+    void markHedged() {
+        hedged = true;
+    }
+
+    /** Remembers the first result that does not prove that the request did not run. */
+    void note(EngineResult result) {
+        if (uncertain == null && result.code().runState() != RunState.NOT_RUN) {
+            uncertain = result;
+        }
+    }
+
+    /**
+     * Returns the result to tell the caller: a later refusal does not prove that an earlier attempt
+     * did not run.
+     */
+    EngineResult truthful(EngineResult last) {
+        boolean claimsNotRun = last.code().runState() == RunState.NOT_RUN;
+        return claimsNotRun && uncertain != null ? uncertain : last;
+    }
+
+    static EngineResult result(ResultCode code, ModelRequest request, long number, String engine) {
+        return new EngineResult(
+                code,
+                request.adapter(),
+                0,
+                number,
+                engine,
+                0,
+                "",
+                Duration.ZERO,
+                Duration.ZERO);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Outbox.java
@@ -0,0 +1,59 @@
+package org.bronzehill.core.node;
+
+import java.util.function.Supplier;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Completes the effects of the components before they leave the core. */
+final class Outbox implements Effects {
+
+    private final Membership membership;
+    private final Supplier<Configuration> configuration;
+    private Effects target = effect -> {};
+
+    Outbox(Membership membership, Supplier<Configuration> configuration) {
+        this.membership = membership;
+        this.configuration = configuration;
+    }
+
+    /** Sets where the effects of the next input go. */
+    Effects into(Effects newTarget) {
+        target = newTarget;
+        return this;
+    }
+
+    @Override
+    public void add(Effect effect) {
+        if (effect instanceof Effect.SendPeer send) {
+            complete(send.instance(), send.envelope());
+        } else if (effect instanceof Effect.StartAttempt start) {
+            target.add(describe(start));
+        }
+        target.add(effect);
+    }
+
+    private void complete(String instance, Envelope.Builder envelope) {
+        envelope.setFrom(membership.self().id())
+                .setFromIncarnation(membership.self().incarnation())
+                .setTo(instance)
+                .setToIncarnation(
+                        membership.peer(instance).map(p -> p.ref().incarnation()).getOrElse(0L))
+                .setConfigurationNumber(configuration.get().number())
+                .setListVersion(membership.list().version());
+    }
+
+    private Effect.DescribeAttempt describe(Effect.StartAttempt start) {
+        AdapterVersion adapter = AdapterVersion.ofHandle(start.handle());
+        return new Effect.DescribeAttempt(
+                start.attemptId(),
+                new Provenance(
+                        adapter == null ? "" : adapter.adapter(),
+                        adapter == null ? 0 : adapter.version(),
+                        configuration.get().number(),
+                        start.engine(),
+                        membership.self().id()));
+    }
+}
