--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/AccessCheck.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/AccessCheck.java
@@ -86,8 +86,7 @@
     }
 
     private static String sha256(String token) {
-        return HexFormat.of()
-                .formatHex(digest().digest(token.getBytes(StandardCharsets.UTF_8)));
+        return HexFormat.of().formatHex(digest().digest(token.getBytes(StandardCharsets.UTF_8)));
     }
 
     /** Returns the fingerprint by which requests that crash upstreams are recognised. */
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreContext.java
@@ -0,0 +1,32 @@
+package org.bronzehill.core.node;
+
+import java.util.function.Supplier;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.core.admission.OverloadPolicy;
+import org.bronzehill.core.admission.RetryBudget;
+import org.bronzehill.core.crash.CrashRegistry;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.time.TimeSource;
+
+/** What the parts of one decision core share. */
+record CoreContext(
+        EntrySettings settings,
+        TimeSource time,
+        IdSequence ids,
+        Membership membership,
+        Supplier<Configuration> inForce,
+        CrashRegistry crashes,
+        RetryBudget retries,
+        OverloadPolicy overload,
+        Gate gate) {
+
+    /** Returns the configuration in force. */
+    Configuration configuration() {
+        return inForce.get();
+    }
+
+    /** Returns the id of this instance. */
+    String selfId() {
+        return settings.self().id();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/DispatchDesk.java
@@ -0,0 +1,82 @@
+package org.bronzehill.core.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.bronzehill.core.engine.EngineRequest;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.protocol.generated.Dispatch;
+import org.bronzehill.protocol.generated.DispatchCancel;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Takes the requests that peers send to engines held here. */
+final class DispatchDesk {
+
+    /**
+     * A pull from a peer takes a few milliseconds; beyond this the origin had better look
+     * elsewhere.
+     */
+    private static final Duration MAX_WAIT = Duration.ofSeconds(1);
+
+    private static final int MAX_WAITING = 1024;
+
+    private final List<Waiting> waiting = new ArrayList<>();
+    private final CoreContext context;
+    private final EngineDesk engines;
+    private final EngineReplies replies;
+
+    DispatchDesk(CoreContext context, EngineDesk engines, EngineReplies replies) {
+        this.context = context;
+        this.engines = engines;
+        this.replies = replies;
+    }
+
+    /** A request that waits for a configuration number that its origin already knows. */
+    private record Waiting(String engine, EngineRequest request, long number, long sinceNanos) {}
+
+    void onDispatch(Envelope envelope, Effects out) {
+        Dispatch message = envelope.getDispatch();
+        EngineRequest request = EngineRequest.of(envelope.getFrom(), message);
+        long number = envelope.getConfigurationNumber();
+        if (context.gate().isDraining()) {
+            replies.refuse(request, ResultCode.DRAINING, out);
+        } else if (number <= context.configuration().number()) {
+            engines.submit(message.getEngine(), request, number, out);
+        } else if (waiting.size() < MAX_WAITING) {
+            waiting.add(
+                    new Waiting(message.getEngine(), request, number, context.time().nanoTime()));
+        } else {
+            replies.refuse(request, ResultCode.CONFIGURATION_BEHIND, out);
+        }
+    }
+
+    void onCancel(Envelope envelope, Effects out) {
+        DispatchCancel message = envelope.getDispatchCancel();
+        String id = message.getRequestId();
+        waiting.removeIf(
+                w ->
+                        w.request().requestId().equals(id)
+                                && w.request().attempt() == message.getAttempt());
+        engines.cancel(id, message.getAttempt(), out);
+    }
+
+    /** Submits the requests whose configuration number has arrived; refuses those out of time. */
+    void onTick(Effects out) {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        long now = context.time().nanoTime();
+        for (Waiting w : List.copyOf(waiting)) {
+            boolean arrived = w.number() <= context.configuration().number();
+            boolean late = now - w.sinceNanos() > MAX_WAIT.toNanos();
+            if (arrived || late) {
+                waiting.remove(w);
+                engines.submit(w.engine(), w.request(), w.number(), out);
+            }
+        }
+    }
+
+    int size() {
+        return waiting.size();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Dispatcher.java
@@ -0,0 +1,94 @@
+package org.bronzehill.core.node;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import org.bronzehill.core.engine.EngineRequest;
+import org.bronzehill.core.membership.Peer;
+import org.bronzehill.core.membership.PeerStatus;
+import org.bronzehill.core.model.ModelRequest;
+import org.bronzehill.protocol.generated.Dispatch;
+import org.bronzehill.protocol.generated.DispatchCancel;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Gives attempts to the holder of the engine's lease: this instance or a peer. */
+final class Dispatcher {
+
+    private final CoreContext context;
+    private final EngineDesk engines;
+
+    Dispatcher(CoreContext context, EngineDesk engines) {
+        this.context = context;
+        this.engines = engines;
+    }
+
+    void send(
+            OpenRequest r,
+            OpenRequest.Attempt attempt,
+            boolean finalHop,
+            Duration left,
+            Effects out) {
+        Dispatch message = message(r, attempt, finalHop, left);
+        String holder = attempt.route().holder();
+        if (isSelf(holder)) {
+            engines.submit(
+                    attempt.route().engine(),
+                    EngineRequest.of(holder, message),
+                    context.configuration().number(),
+                    out);
+        } else {
+            out.add(new Effect.SendPeer(holder, Envelope.newBuilder().setDispatch(message), false));
+        }
+    }
+
+    private static Dispatch message(
+            OpenRequest r, OpenRequest.Attempt attempt, boolean finalHop, Duration left) {
+        ModelRequest q = r.request();
+        return Dispatch.newBuilder()
+                .setRequestId(r.id())
+                .setAttempt(attempt.number())
+                .setEngine(attempt.route().engine())
+                .setMember(r.granted().caller().member().name())
+                .setCaller(r.granted().caller().name())
+                .setKind(q.kind())
+                .setAdapter(q.adapter())
+                .setBody(ByteString.copyFrom(q.body()))
+                .setStream(q.stream())
+                .setDeadlineMs(Math.max(1, left.toMillis()))
+                .setFingerprint(ByteString.copyFrom(r.fingerprint()))
+                .setPrefixHash(q.prefixHash())
+                .setFinalHop(finalHop)
+                .setMaxTokens(q.maxTokens())
+                .build();
+    }
+
+    void cancel(String requestId, OpenRequest.Attempt attempt, Effects out) {
+        String holder = attempt.route().holder();
+        if (isSelf(holder)) {
+            engines.cancel(requestId, attempt.number(), out);
+        } else {
+            out.add(
+                    new Effect.SendPeer(
+                            holder,
+                            Envelope.newBuilder()
+                                    .setDispatchCancel(
+                                            DispatchCancel.newBuilder()
+                                                    .setRequestId(requestId)
+                                                    .setAttempt(attempt.number())),
+                            false));
+        }
+    }
+
+    /** Returns whether the holder of an attempt has died, so that no end will arrive. */
+    boolean isGone(OpenRequest.Attempt attempt) {
+        String holder = attempt.route().holder();
+        if (isSelf(holder)) {
+            return false;
+        }
+        Peer peer = context.membership().peer(holder).getOrNull();
+        return peer == null || peer.status() == PeerStatus.DEAD;
+    }
+
+    private boolean isSelf(String instance) {
+        return instance.equals(context.selfId());
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/DrainSequence.java
@@ -0,0 +1,71 @@
+package org.bronzehill.core.node;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntSupplier;
+import org.bronzehill.core.budget.StoreBudget;
+import org.bronzehill.core.engine.EngineScheduler;
+import org.bronzehill.core.lease.LeaseManager;
+import org.bronzehill.core.lease.Resources;
+import org.bronzehill.core.onceonly.ActCoordinator;
+
+/** The planned stop: finishes what is in flight, hands over, and reports the end. */
+final class DrainSequence {
+
+    private final CoreContext context;
+    private final EngineDesk engines;
+    private final LeaseManager leases;
+    private final StoreBudget budget;
+    private final ActCoordinator acts;
+    private final IntSupplier ownRequests;
+
+    DrainSequence(
+            CoreContext context,
+            EngineDesk engines,
+            LeaseManager leases,
+            StoreBudget budget,
+            ActCoordinator acts,
+            IntSupplier ownRequests) {
+        this.context = context;
+        this.engines = engines;
+        this.leases = leases;
+        this.budget = budget;
+        this.acts = acts;
+        this.ownRequests = ownRequests;
+    }
+
+    /** Lowers the readiness, then tells the peers. */
+    void begin(Effects out) {
+        if (context.gate().isDraining()) {
+            return;
+        }
+        context.gate().onDrain();
+        context.gate().update(out);
+        context.membership().leave(out);
+        engines.held().values().forEach(s -> s.drain(out));
+        onTick(out);
+    }
+
+    /** Goes on as far as the requests in flight allow. */
+    void onTick(Effects out) {
+        if (context.gate().phase() != CoreStatus.Phase.DRAINING || ownRequests.getAsInt() > 0) {
+            return;
+        }
+        for (Map.Entry<String, EngineScheduler> e : List.copyOf(engines.held().entrySet())) {
+            if (e.getValue().inFlight() == 0) {
+                leases.release(Resources.engine(e.getKey()), e.getValue().handover(), out);
+                engines.remove(e.getKey());
+            }
+        }
+        if (!engines.held().isEmpty() || engines.inFlight() > 0 || acts.inFlight() > 0) {
+            return;
+        }
+        String store = Resources.store(context.settings().self().region());
+        if (leases.holds(store)) {
+            leases.release(store, budget.handover(), out);
+        }
+        acts.handOver(out);
+        context.gate().onDrained();
+        out.add(new Effect.Drained());
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
@@ -0,0 +1,171 @@
+package org.bronzehill.core.node;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.bronzehill.core.engine.EngineRequest;
+import org.bronzehill.core.engine.EngineScheduler;
+import org.bronzehill.core.engine.SchedulerContext;
+import org.bronzehill.core.lease.Lease;
+import org.bronzehill.core.lease.Resources;
+import org.bronzehill.core.model.EngineReport;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.protocol.generated.HolderHandover;
+
+/** The schedulers of the engines whose lease this instance holds or has held. */
+final class EngineDesk {
+
+    private final Map<String, EngineScheduler> held = new LinkedHashMap<>();
+    private final List<EngineScheduler> retired = new ArrayList<>();
+    private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
+    private final CoreContext context;
+    private final SchedulerContext schedulers;
+    private final EngineReplies replies;
+
+    EngineDesk(CoreContext context, SchedulerContext schedulers, EngineReplies replies) {
+        this.context = context;
+        this.schedulers = schedulers;
+        this.replies = replies;
+    }
+
+    /** Starts the scheduler of a new lease epoch. */
+    void acquired(Lease lease, Option<HolderHandover> handover, Effects out) {
+        String engine = Resources.engineId(lease.resource());
+        Upstream upstream = upstreams.get(engine);
+        if (upstream == null) {
+            return;
+        }
+        retire(engine, out);
+        EngineScheduler scheduler = EngineScheduler.create(upstream, lease, schedulers);
+        held.put(engine, scheduler);
+        handover.forEach(h -> scheduler.onHandover(h, out));
+    }
+
+    /** Stops giving work to the engine; its running requests finish. */
+    void lost(String resource, Effects out) {
+        retire(Resources.engineId(resource), out);
+    }
+
+    private void retire(String engine, Effects out) {
+        EngineScheduler scheduler = held.remove(engine);
+        if (scheduler != null) {
+            scheduler.leaseLost(out);
+            if (scheduler.inFlight() > 0) {
+                retired.add(scheduler);
+            }
+        }
+    }
+
+    void onInstanceList(InstanceList list, Effects out) {
+        upstreams.clear();
+        list.upstreams().forEach(u -> upstreams.put(u.id(), u));
+        held.forEach(
+                (id, s) -> {
+                    Upstream changed = upstreams.get(id);
+                    if (changed != null) {
+                        s.onUpstream(changed, out);
+                    }
+                });
+    }
+
+    /**
+     * Gives a request to the scheduler of an engine.
+     *
+     * @param number configuration number that the origin knew
+     */
+    void submit(String engine, EngineRequest request, long number, Effects out) {
+        EngineScheduler scheduler = held.get(engine);
+        ResultCode refusal = refusal(scheduler, number);
+        if (refusal != null) {
+            replies.refuse(request, refusal, out);
+        } else {
+            scheduler.submit(request, out);
+        }
+    }
+
+    private ResultCode refusal(EngineScheduler scheduler, long number) {
+        if (!context.gate().mayDispatch()) {
+            return ResultCode.NOT_READY;
+        }
+        if (scheduler == null) {
+            return ResultCode.NO_HOLDER;
+        }
+        return number > context.configuration().number() ? ResultCode.CONFIGURATION_BEHIND : null;
+    }
+
+    /** Cancels an attempt, wherever it runs or waits. */
+    void cancel(String requestId, int attempt, Effects out) {
+        for (EngineScheduler s : all()) {
+            s.cancel(requestId, attempt, out);
+        }
+    }
+
+    private List<EngineScheduler> all() {
+        List<EngineScheduler> all = new ArrayList<>(held.values());
+        all.addAll(retired);
+        return all;
+    }
+
+    /** Delivers an event to the scheduler that knows its attempt or order. */
+    void offer(Predicate<EngineScheduler> delivery) {
+        for (EngineScheduler s : all()) {
+            if (delivery.test(s)) {
+                break;
+            }
+        }
+        retired.removeIf(s -> s.inFlight() == 0);
+    }
+
+    void onReport(EngineReport report, Effects out) {
+        EngineScheduler scheduler = held.get(report.engine());
+        if (scheduler != null) {
+            scheduler.onReport(report, out);
+        }
+    }
+
+    void onReportFailed(String engine, Effects out) {
+        EngineScheduler scheduler = held.get(engine);
+        if (scheduler != null) {
+            scheduler.onReportFailed(out);
+        }
+    }
+
+    void onPermit(String engine, long sequence, Effects out) {
+        EngineScheduler scheduler = held.get(engine);
+        if (scheduler != null) {
+            scheduler.onPermit(sequence, out);
+        }
+    }
+
+    void onIntentAcknowledged(String resource, String handle, Effects out) {
+        EngineScheduler scheduler = held.get(Resources.engineId(resource));
+        if (scheduler != null) {
+            scheduler.onIntentAcknowledged(handle, out);
+        }
+    }
+
+    void onTick(Effects out) {
+        all().forEach(s -> s.onTick(out));
+        retired.removeIf(s -> s.inFlight() == 0);
+    }
+
+    /** Returns the schedulers by engine. */
+    Map<String, EngineScheduler> held() {
+        return held;
+    }
+
+    /** Forgets the scheduler of an engine whose lease was given up. */
+    void remove(String engine) {
+        held.remove(engine);
+    }
+
+    /** Returns the number of requests that run or wait at the engines. */
+    int inFlight() {
+        return all().stream().mapToInt(EngineScheduler::inFlight).sum();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Fleet.java
@@ -0,0 +1,74 @@
+package org.bronzehill.core.node;
+
+import java.util.List;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.model.UpstreamKind;
+import org.bronzehill.core.onceonly.ActPeers;
+
+/** View of the fleet for the once-only protocol. */
+final class Fleet implements ActPeers {
+
+    private final Membership membership;
+
+    Fleet(Membership membership) {
+        this.membership = membership;
+    }
+
+    @Override
+    public String selfId() {
+        return membership.self().id();
+    }
+
+    @Override
+    public long selfIncarnation() {
+        return membership.self().incarnation();
+    }
+
+    @Override
+    public long listVersion() {
+        return membership.list().version();
+    }
+
+    @Override
+    public List<String> listed() {
+        return membership.list().instances().stream()
+                .map(i -> i.ref())
+                .filter(this::isInRegion)
+                .map(InstanceRef::id)
+                .sorted()
+                .toList();
+    }
+
+    @Override
+    public List<String> live() {
+        List<String> listed = listed();
+        return membership.live().stream().map(InstanceRef::id).filter(listed::contains).toList();
+    }
+
+    @Override
+    public long liveIncarnation(String instance) {
+        if (instance.equals(selfId())) {
+            return selfIncarnation();
+        }
+        return membership
+                .peer(instance)
+                .filter(p -> p.status().isLive())
+                .map(p -> p.ref().incarnation())
+                .getOrElse(0L);
+    }
+
+    @Override
+    public List<Upstream> runners(String service) {
+        return membership.list().upstreams().stream()
+                .filter(u -> u.kind() == UpstreamKind.APPLICATION_RUNNER)
+                .filter(u -> u.acceptsWork() && u.services().contains(service))
+                .filter(u -> u.region().equals(membership.self().region()))
+                .toList();
+    }
+
+    private boolean isInRegion(InstanceRef ref) {
+        return ref.region().equals(membership.self().region());
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Gate.java
@@ -0,0 +1,96 @@
+package org.bronzehill.core.node;
+
+import java.util.function.BooleanSupplier;
+import org.bronzehill.core.result.ResultCode;
+
+/** Decides whether the instance may take requests, and raises or lowers its readiness. */
+final class Gate {
+
+    private final BooleanSupplier caughtUp;
+    private final BooleanSupplier reachesEngine;
+    private CoreStatus.Phase phase = CoreStatus.Phase.CHECKING;
+    private String reason = "starting";
+    private boolean listRead;
+    private Boolean reported;
+
+    /**
+     * Creates a gate that is closed until the first checks have passed.
+     *
+     * @param caughtUp whether the configuration number in force is the highest one known
+     * @param reachesEngine whether the holder of any engine can be reached, if there are engines
+     */
+    Gate(BooleanSupplier caughtUp, BooleanSupplier reachesEngine) {
+        this.caughtUp = caughtUp;
+        this.reachesEngine = reachesEngine;
+    }
+
+    void onListRead() {
+        listRead = true;
+    }
+
+    /** Closes the gate until the instance list and the configuration number are known again. */
+    void onPause() {
+        listRead = false;
+        if (phase == CoreStatus.Phase.READY) {
+            phase = CoreStatus.Phase.CHECKING;
+        }
+        reason = "re-checking after a pause";
+    }
+
+    void onDrain() {
+        phase = CoreStatus.Phase.DRAINING;
+        reason = "shutting down";
+    }
+
+    void onDrained() {
+        phase = CoreStatus.Phase.DRAINED;
+        reason = "shut down";
+    }
+
+    /** Repeats the checks and reports a change of the readiness. */
+    void update(Effects out) {
+        if (phase == CoreStatus.Phase.CHECKING && listRead && caughtUp.getAsBoolean()) {
+            phase = CoreStatus.Phase.READY;
+        }
+        boolean engines = reachesEngine.getAsBoolean();
+        boolean ready = phase == CoreStatus.Phase.READY && engines;
+        if (phase == CoreStatus.Phase.READY) {
+            reason = engines ? "" : "the holder of no engine can be reached";
+        } else if (phase == CoreStatus.Phase.CHECKING && !listRead) {
+            reason = "the instance list has not been read";
+        } else if (phase == CoreStatus.Phase.CHECKING) {
+            reason = "the configuration number is not confirmed";
+        }
+        if (reported == null || reported != ready) {
+            reported = ready;
+            out.add(new Effect.SetReady(ready, reason));
+        }
+    }
+
+    /** Returns whether work may be given to an upstream or a peer. */
+    boolean mayDispatch() {
+        return phase == CoreStatus.Phase.READY
+                || (phase == CoreStatus.Phase.DRAINING && listRead && caughtUp.getAsBoolean());
+    }
+
+    /** Returns why a new request is refused, or null. */
+    ResultCode refusal() {
+        return switch (phase) {
+            case CHECKING -> ResultCode.NOT_READY;
+            case READY -> null;
+            case DRAINING, DRAINED -> ResultCode.DRAINING;
+        };
+    }
+
+    CoreStatus.Phase phase() {
+        return phase;
+    }
+
+    boolean isDraining() {
+        return phase == CoreStatus.Phase.DRAINING || phase == CoreStatus.Phase.DRAINED;
+    }
+
+    String reason() {
+        return reason;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Leases.java
@@ -0,0 +1,43 @@
+package org.bronzehill.core.node;
+
+import io.vavr.control.Option;
+import org.bronzehill.core.budget.StoreBudget;
+import org.bronzehill.core.lease.Lease;
+import org.bronzehill.core.lease.LeaseListener;
+import org.bronzehill.core.lease.Resources;
+import org.bronzehill.protocol.generated.HolderHandover;
+
+/** Tells the engine desk or the store budget about the leases that concern them. */
+final class Leases implements LeaseListener {
+
+    private EngineDesk engines;
+    private StoreBudget budget;
+
+    void bind(EngineDesk newEngines, StoreBudget newBudget) {
+        engines = newEngines;
+        budget = newBudget;
+    }
+
+    @Override
+    public void acquired(Lease lease, Option<HolderHandover> handover, Effects out) {
+        if (Resources.isEngine(lease.resource())) {
+            engines.acquired(lease, handover, out);
+        } else {
+            budget.acquired(lease, handover, out);
+        }
+        out.add(new Effect.Measure(Signal.LEASE_TAKEOVERS, lease.resource(), 1));
+    }
+
+    @Override
+    public void lost(String resource, Effects out) {
+        if (Resources.isEngine(resource)) {
+            engines.lost(resource, out);
+        }
+        out.add(new Effect.Measure(Signal.LEASE_LOSSES, resource, 1));
+    }
+
+    @Override
+    public void intentAcknowledged(String resource, String handle, Effects out) {
+        engines.onIntentAcknowledged(resource, handle, out);
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -38,8 +38,7 @@
     private final RetryBudget budget;
     private final Dispatcher dispatcher;
 
-    ModelRequests(
-            CoreContext context, AccessCheck access, Router router, Dispatcher dispatcher) {
+    ModelRequests(CoreContext context, AccessCheck access, Router router, Dispatcher dispatcher) {
         this.context = context;
         this.access = access;
         this.router = router;
@@ -101,9 +100,6 @@
                         preferred);
         Either<ResultCode, Route> route = router.route(query);
         if (route.isLeft()) {
-            if (!r.tried().isEmpty() && route.getLeft() == ResultCode.NO_UPSTREAM) {
-                r.tried().clear();
-            }
             ended(r, 0, result(r, route.getLeft(), ""), out);
             return;
         }
@@ -143,41 +139,39 @@
             return;
         }
         boolean relayed = r.relayed() != 0;
-        if (!RetryRules.mayRetry(result.code(), r.kind().repeatable(), relayed)
-                || r.made() >= context.settings().maxAttempts()) {
-            finish(r, attempt, result, out);
-        } else {
+        if (RetryRules.mayRetry(result.code(), r.kind().repeatable(), relayed)) {
             retry(r, attempt, result, out);
+        } else {
+            finish(r, attempt, result, out);
         }
     }
 
     private void retry(OpenRequest r, int attempt, EngineResult result, Effects out) {
-        long now = context.time().nanoTime();
         if (attempt != 0) {
             out.add(new Effect.AbandonAttempt(r.id(), attempt));
         }
         if (result.code() == ResultCode.REDIRECT && !result.redirectTo().isEmpty()) {
             attempt(r, result.redirectTo(), out);
-            return;
-        }
-        boolean waits = attempt == 0 || RetryRules.keepsEngine(result.code());
-        if (waits) {
-            if (now - r.arrivedNanos() > MAX_PARKED.toNanos() && attempt == 0) {
-                finish(r, attempt, result, out);
-                return;
-            }
-            if (RetryRules.keepsEngine(result.code())) {
-                r.tried().clear();
-            }
-            r.park(now + PARK.toNanos());
-            return;
+        } else if (attempt == 0 || RetryRules.keepsEngine(result.code())) {
+            parkOrFinish(r, attempt, result, out);
+        } else if (r.counted() < context.settings().maxAttempts() && budget.tryTake()) {
+            out.add(new Effect.Measure(Signal.RETRIES, result.code().name(), 1));
+            r.count();
+            attempt(r, "", out);
+        } else {
+            finish(r, attempt, result, out);
         }
-        if (!budget.tryTake()) {
+    }
+
+    /** Nothing was given to an engine, so waiting for its holder costs nobody anything. */
+    private void parkOrFinish(OpenRequest r, int attempt, EngineResult result, Effects out) {
+        long now = context.time().nanoTime();
+        if (r.parkedFor(now) > MAX_PARKED.toNanos()) {
             finish(r, attempt, result, out);
             return;
         }
-        out.add(new Effect.Measure(Signal.RETRIES, result.code().name(), 1));
-        attempt(r, "", out);
+        r.tried().clear();
+        r.park(now, now + PARK.toNanos());
     }
 
     private void finish(OpenRequest r, int attempt, EngineResult result, Effects out) {
@@ -274,7 +268,7 @@
                 out.add(new Effect.Measure(Signal.SILENT_CONNECTIONS, "answer", 1));
                 finish(r, r.relayed(), result(r, ResultCode.SILENT_CONNECTION, ""), out);
             } else if (r.isDue(now) && context.gate().mayDispatch()) {
-                r.park(now + PARK.toNanos());
+                r.park(now, now + PARK.toNanos());
                 attempt(r, "", out);
             } else {
                 checkHolders(r, out);
@@ -311,7 +305,7 @@
                         && !r.hedged()
                         && r.relayed() == 0
                         && r.attempts().size() == 1
-                        && r.made() < context.settings().maxAttempts();
+                        && r.counted() < context.settings().maxAttempts();
         if (!eligible || !context.gate().mayDispatch()) {
             return;
         }
@@ -323,10 +317,10 @@
         r.markHedged();
         ModelRequest q = r.request();
         Either<ResultCode, Route> other =
-                router.route(
-                        new RouteQuery(q.adapter(), q.kind(), q.prefixHash(), r.tried(), ""));
+                router.route(new RouteQuery(q.adapter(), q.kind(), q.prefixHash(), r.tried(), ""));
         if (other.isRight() && budget.tryTake()) {
             out.add(new Effect.Measure(Signal.HEDGES, q.kind(), 1));
+            r.count();
             OpenRequest.Attempt second = r.begin(other.get(), now);
             router.sent(other.get());
             dispatcher.send(r, second, true, r.timeLeft(now), out);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/OpenRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/OpenRequest.java
@@ -26,6 +26,8 @@
     private int relayed;
     private long progressNanos;
     private long retryNanos = -1;
+    private long parkedSince = -1;
+    private int counted = 1;
     private boolean hedged;
     private EngineResult uncertain;
 
@@ -105,16 +107,30 @@
     }
 
     /** Keeps the request until {@code at} without an attempt. */
-    void park(long at) {
+    void park(long now, long at) {
+        if (parkedSince < 0) {
+            parkedSince = now;
+        }
         retryNanos = at;
     }
 
-    boolean isDue(long now) {
-        return retryNanos >= 0 && now - retryNanos >= 0;
+    /** Returns the time since the request was first kept without an attempt. */
+    long parkedFor(long now) {
+        return parkedSince < 0 ? 0 : now - parkedSince;
+    }
+
+    /** Returns the number of attempts that count towards the bound. */
+    int counted() {
+        return counted;
     }
 
-    boolean isParked() {
-        return retryNanos >= 0;
+    /** Counts a retry or hedge. */
+    void count() {
+        counted++;
+    }
+
+    boolean isDue(long now) {
+        return retryNanos >= 0 && now - retryNanos >= 0;
     }
 
     boolean hedged() {
@@ -143,14 +159,6 @@
 
     static EngineResult result(ResultCode code, ModelRequest request, long number, String engine) {
         return new EngineResult(
-                code,
-                request.adapter(),
-                0,
-                number,
-                engine,
-                0,
-                "",
-                Duration.ZERO,
-                Duration.ZERO);
+                code, request.adapter(), 0, number, engine, 0, "", Duration.ZERO, Duration.ZERO);
     }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Refusals.java
@@ -0,0 +1,31 @@
+package org.bronzehill.core.node;
+
+import java.time.Duration;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.core.result.ResultCode;
+
+/** Refuses requests that the instance does not take at all. */
+final class Refusals {
+
+    private final CoreContext context;
+
+    Refusals(CoreContext context) {
+        this.context = context;
+    }
+
+    void refuse(String requestId, String adapter, ResultCode code, Effects out) {
+        long number = context.configuration().number();
+        out.add(
+                new Effect.Answer(
+                        requestId,
+                        0,
+                        code,
+                        new Provenance(adapter, 0, number, "", context.selfId()),
+                        -1,
+                        null,
+                        Duration.ZERO,
+                        Duration.ZERO,
+                        context.gate().reason()));
+        out.add(new Effect.Measure(Signal.REFUSALS, code.name(), 1));
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/RetryRules.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/RetryRules.java
@@ -33,9 +33,7 @@
 
     private static final Set<ResultCode> FAILURES =
             EnumSet.of(
-                    ResultCode.UPSTREAM_FAILED,
-                    ResultCode.TRUNCATED,
-                    ResultCode.SILENT_CONNECTION);
+                    ResultCode.UPSTREAM_FAILED, ResultCode.TRUNCATED, ResultCode.SILENT_CONNECTION);
 
     private RetryRules() {}
 
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/AnswerSink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/AnswerSink.java
@@ -18,7 +18,7 @@
     private static final long PROGRESS_INTERVAL_NANOS = 500_000_000L;
 
     /** A request has few attempts; the bound only keeps the set small whatever is received. */
-    private static final int MAX_DISCARDED = 16;
+    private static final int MAX_DISCARDED = 64;
 
     private final RequestInfo info;
     private final RelayListener listener;
