--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryProcess.java
@@ -0,0 +1,284 @@
+package org.bronzehill.entry;
+
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.server.EmbeddedServer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.node.EntryCore;
+import org.bronzehill.core.node.EntrySettings;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.time.SystemTimeSource;
+import org.bronzehill.entry.duty.CoreThread;
+import org.bronzehill.entry.duty.EffectRunner;
+import org.bronzehill.entry.duty.PeerInbox;
+import org.bronzehill.entry.duty.Readiness;
+import org.bronzehill.entry.http.Gateway;
+import org.bronzehill.entry.http.HttpSettings;
+import org.bronzehill.entry.http.StatusPages;
+import org.bronzehill.entry.peer.PeerAddresses;
+import org.bronzehill.entry.peer.PeerLinks;
+import org.bronzehill.entry.peer.PeerServer;
+import org.bronzehill.entry.relay.SinkTable;
+import org.bronzehill.entry.settings.ProgramSettings;
+import org.bronzehill.entry.telemetry.AuditLog;
+import org.bronzehill.entry.telemetry.Metrics;
+import org.bronzehill.entry.telemetry.Tracing;
+import org.bronzehill.entry.upstream.EngineClient;
+import org.bronzehill.entry.upstream.InputSink;
+import org.bronzehill.entry.upstream.PlatformClient;
+import org.bronzehill.entry.upstream.ServiceClient;
+import org.bronzehill.entry.upstream.UpstreamUris;
+import org.jboss.logging.Logger;
+
+/** One running entry instance: wires transports, core thread and HTTP server together. */
+public final class EntryProcess {
+
+    private static final Logger LOG = Logger.getLogger(EntryProcess.class);
+
+    private static final int EVENT_LOOPS = 2;
+    private static final int AUDIT_RING = 16_384;
+    private static final int INCARNATION_RANDOM_BITS = 16;
+
+    /** Largest body that the HTTP server reads; the configured limit is checked by the core. */
+    private static final String MAX_REQUEST_SIZE = "6MB";
+
+    /** Time for the last bytes of answers and messages to leave the sockets. */
+    private static final long FLUSH_MS = 300;
+
+    private final ProgramSettings settings;
+    private final Metrics metrics = Metrics.create();
+    private final Readiness readiness = new Readiness();
+    private final Tracing tracing;
+    private final AuditLog audit;
+    private final EventLoopGroup loops;
+    private final SinkTable sinks;
+    private final PeerLinks links;
+    private final PeerServer peerServer;
+    private final CoreThread core;
+    private final EmbeddedServer http;
+    private final long incarnation;
+
+    private EntryProcess(ProgramSettings settings) {
+        this.settings = settings;
+        RandomGenerator random = new SecureRandom();
+        incarnation =
+                (System.currentTimeMillis() << INCARNATION_RANDOM_BITS)
+                        | random.nextInt(1 << INCARNATION_RANDOM_BITS);
+        String id = settings.identity().id();
+        tracing = Tracing.create(id, settings.traces().exporter(), settings.traces().endpoint());
+        audit = AuditLog.start(id, AUDIT_RING);
+        loops =
+                new MultiThreadIoEventLoopGroup(
+                        EVENT_LOOPS,
+                        new DefaultThreadFactory("transport"),
+                        NioIoHandler.newFactory());
+        RelayEvents relay = new RelayEvents(metrics, tracing, audit);
+        sinks = SinkTable.create(relay, settings.bounds().openRequests());
+        PeerInbox inbox = PeerInbox.create(sinks, tracing);
+        PeerAddresses addresses = new PeerAddresses();
+        links = PeerLinks.create(loops, addresses, inbox, settings.bounds().peerQueue());
+        peerServer = PeerServer.create(loops, inbox);
+        InetSocketAddress peerAddress =
+                peerServer.listen(settings.ports().host(), settings.ports().peer());
+        core = core(random, peerAddress, addresses, relay, inbox);
+        http = http();
+    }
+
+    private CoreThread core(
+            RandomGenerator random,
+            InetSocketAddress peerAddress,
+            PeerAddresses addresses,
+            RelayEvents relay,
+            PeerInbox inbox) {
+        LateInputs inputs = new LateInputs(tracing);
+        UpstreamUris uris = new UpstreamUris();
+        EffectRunner effects =
+                EffectRunner.create(
+                        new EffectRunner.Transports(
+                                settings.identity().id(),
+                                addresses,
+                                links,
+                                uris,
+                                EngineClient.create(loops, uris, inputs),
+                                ServiceClient.create(loops, uris, inputs),
+                                PlatformClient.create(
+                                        loops,
+                                        settings.configurationUris(),
+                                        settings.instanceListUris(),
+                                        inputs)),
+                        sinks,
+                        metrics,
+                        tracing,
+                        readiness);
+        CoreThread thread =
+                CoreThread.create(
+                        settings.bounds().ringSize(),
+                        EntryCore.create(
+                                coreSettings(peerAddress), SystemTimeSource.instance(), random),
+                        effects,
+                        metrics::inputLost);
+        inputs.bind(thread);
+        effects.bind(thread);
+        inbox.bind(thread);
+        relay.bind(thread);
+        return thread;
+    }
+
+    private EntrySettings coreSettings(InetSocketAddress peerAddress) {
+        EntrySettings defaults =
+                EntrySettings.of(
+                        new InstanceRef(
+                                settings.identity().id(),
+                                incarnation,
+                                settings.ports().host(),
+                                peerAddress.getPort(),
+                                settings.identity().dataCentre(),
+                                settings.identity().region()));
+        return new EntrySettings(
+                defaults.self(),
+                defaults.maxAttempts(),
+                defaults.pauseLimit(),
+                defaults.listInterval(),
+                settings.hedgeAfter());
+    }
+
+    private EmbeddedServer http() {
+        ApplicationContext context =
+                ApplicationContext.builder()
+                        .properties(
+                                Map.of(
+                                        "micronaut.server.host",
+                                        settings.ports().host(),
+                                        "micronaut.server.port",
+                                        settings.ports().http(),
+                                        "micronaut.server.max-request-size",
+                                        MAX_REQUEST_SIZE,
+                                        "micronaut.server.netty.server-type",
+                                        "full_content",
+                                        "endpoints.all.enabled",
+                                        false))
+                        .banner(false)
+                        .build();
+        context.registerSingleton(
+                Gateway.create(settings.identity().id(), incarnation, core, sinks, audit, tracing));
+        context.registerSingleton(new HttpSettings(settings.defaultKind()));
+        context.registerSingleton(readiness);
+        context.registerSingleton(metrics);
+        context.registerSingleton(
+                StatusPages.create(
+                        core,
+                        Map.of(
+                                "ring", core::queued,
+                                "peerLinks", links::queued,
+                                "answers", sinks::size,
+                                "spans", tracing::open),
+                        () -> core.accept(new Input.DrainRequested())));
+        context.start();
+        return context.getBean(EmbeddedServer.class);
+    }
+
+    /** Starts an instance; it becomes ready by itself. */
+    public static EntryProcess start(ProgramSettings settings) {
+        EntryProcess process = new EntryProcess(settings);
+        process.gauges();
+        process.core.start();
+        process.http.start();
+        LOG.infof(
+                "instance %s listens on port %d for callers",
+                settings.identity().id(), process.http.getPort());
+        return process;
+    }
+
+    private void gauges() {
+        metrics.gauge("ring_inputs", "Inputs that wait for the core", core::queued);
+        metrics.gauge("peer_link_messages", "Messages that wait for peers", links::queued);
+        metrics.gauge("open_answers", "Answers in progress", sinks::size);
+    }
+
+    /** Returns the port for callers. */
+    public int httpPort() {
+        return http.getPort();
+    }
+
+    /** Returns a future that completes when a graceful shutdown has finished its requests. */
+    public CompletableFuture<Void> whenDrained() {
+        return readiness.whenDrained();
+    }
+
+    /** Finishes the requests in flight, then closes everything. */
+    public void shutDown() {
+        core.accept(new Input.DrainRequested());
+        try {
+            readiness.whenDrained().get(settings.drainLimit().toMillis(), TimeUnit.MILLISECONDS);
+            LOG.infof("instance %s has finished all requests", settings.identity().id());
+        } catch (TimeoutException e) {
+            LOG.errorf(
+                    "graceful shutdown exceeded its limit of %d ms; %d answers are cut off",
+                    settings.drainLimit().toMillis(), sinks.size());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            LOG.error("graceful shutdown failed", e);
+        }
+        awaitFlush();
+        close();
+    }
+
+    private void awaitFlush() {
+        try {
+            long end = System.nanoTime() + settings.drainLimit().toNanos();
+            while (sinks.delivering() > 0 && System.nanoTime() - end < 0) {
+                Thread.sleep(10);
+            }
+            Thread.sleep(FLUSH_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Closes everything without waiting for requests. */
+    public void close() {
+        http.stop();
+        core.close();
+        links.close();
+        peerServer.close();
+        audit.close();
+        try {
+            tracing.close();
+        } catch (Exception e) {
+            LOG.warn("spans may be lost", e);
+        }
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+    }
+
+    /** Inputs of the upstream clients, which are created before the core thread. */
+    private static final class LateInputs implements InputSink {
+        private final Tracing tracing;
+        private volatile InputSink target = input -> {};
+
+        LateInputs(Tracing tracing) {
+            this.tracing = tracing;
+        }
+
+        void bind(InputSink newTarget) {
+            target = newTarget;
+        }
+
+        @Override
+        public void accept(Input input) {
+            tracing.observe(input);
+            target.accept(input);
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/RelayEvents.java
@@ -0,0 +1,48 @@
+package org.bronzehill.entry;
+
+import java.util.concurrent.TimeUnit;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.entry.relay.RelayListener;
+import org.bronzehill.entry.relay.RequestOutcome;
+import org.bronzehill.entry.telemetry.AuditLog;
+import org.bronzehill.entry.telemetry.Metrics;
+import org.bronzehill.entry.telemetry.Tracing;
+import org.bronzehill.entry.upstream.InputSink;
+
+/** Tells the core about the relay of answers, and records how they ended. */
+final class RelayEvents implements RelayListener {
+
+    private final Metrics metrics;
+    private final Tracing tracing;
+    private final AuditLog audit;
+    private volatile InputSink inputs = input -> {};
+
+    RelayEvents(Metrics metrics, Tracing tracing, AuditLog audit) {
+        this.metrics = metrics;
+        this.tracing = tracing;
+        this.audit = audit;
+    }
+
+    void bind(InputSink newInputs) {
+        inputs = newInputs;
+    }
+
+    @Override
+    public void progress(String requestId, int attempt, long chunks) {
+        inputs.accept(new Input.AnswerProgress(requestId, attempt, chunks));
+    }
+
+    @Override
+    public void callerGone(String requestId) {
+        inputs.accept(new Input.CallerGone(requestId));
+    }
+
+    @Override
+    public void ended(RequestOutcome outcome) {
+        long nanos = System.nanoTime() - outcome.request().startNanos();
+        audit.record(outcome, nanos);
+        tracing.endRequest(outcome.request().requestId(), outcome.code());
+        String kind = outcome.provenance() == null ? "" : outcome.request().kind();
+        metrics.ended(kind, outcome.code(), nanos / (double) TimeUnit.SECONDS.toNanos(1));
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/ChunkMessages.java
@@ -0,0 +1,25 @@
+package org.bronzehill.entry.duty;
+
+import com.google.protobuf.UnsafeByteOperations;
+import org.bronzehill.protocol.generated.DispatchChunk;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Builds the messages that carry chunks to the origin without passing the core thread. */
+final class ChunkMessages {
+
+    private ChunkMessages() {}
+
+    static Envelope of(
+            String from, String to, String requestId, int attempt, long sequence, byte[] data) {
+        return Envelope.newBuilder()
+                .setFrom(from)
+                .setTo(to)
+                .setDispatchChunk(
+                        DispatchChunk.newBuilder()
+                                .setRequestId(requestId)
+                                .setAttempt(attempt)
+                                .setSequence(sequence)
+                                .setData(UnsafeByteOperations.unsafeWrap(data)))
+                .build();
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/CoreThread.java
@@ -0,0 +1,154 @@
+package org.bronzehill.entry.duty;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.EntryCore;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.entry.upstream.InputSink;
+import org.jboss.logging.Logger;
+import org.jctools.queues.MpscArrayQueue;
+
+/**
+ * The thread that makes all decisions. Inputs wait in a bounded ring buffer; a full one refuses and
+ * never blocks. New requests are refused before the ring is full, so that the ends of the requests
+ * in flight still find room.
+ */
+public final class CoreThread implements InputSink, AutoCloseable {
+
+    private static final Logger LOG = Logger.getLogger(CoreThread.class);
+    private static final long TICK_NANOS = Duration.ofMillis(50).toNanos();
+    private static final int BATCH = 256;
+
+    private final MpscArrayQueue<Object> ring;
+    private final int requestThreshold;
+    private final EntryCore core;
+    private final Effects effects;
+    private final Runnable onLost;
+    private final Thread thread = new Thread(this::run, "core");
+    private volatile boolean stopped;
+    private volatile boolean parked;
+
+    private CoreThread(int capacity, EntryCore core, Effects effects, Runnable onLost) {
+        this.ring = new MpscArrayQueue<>(capacity);
+        this.requestThreshold = ring.capacity() * 3 / 4;
+        this.core = core;
+        this.effects = effects;
+        this.onLost = onLost;
+        thread.setDaemon(true);
+    }
+
+    /**
+     * Creates a thread that does not run yet.
+     *
+     * @param capacity size of the ring buffer
+     * @param onLost called for each input that found the ring buffer full
+     */
+    public static CoreThread create(
+            int capacity, EntryCore core, Effects effects, Runnable onLost) {
+        return new CoreThread(capacity, core, effects, onLost);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        thread.start();
+    }
+
+    /**
+     * Queues a new request; false, with nothing queued, if the ring buffer is three quarters full.
+     */
+    public boolean offerRequest(Input input) {
+        boolean queued = ring.offerIfBelowThreshold(input, requestThreshold);
+        wake();
+        return queued;
+    }
+
+    /** Queues an input; one that finds the ring buffer full is lost like a lost message. */
+    @Override
+    public void accept(Input input) {
+        if (!ring.offer(input)) {
+            onLost.run();
+        }
+        wake();
+    }
+
+    /** Runs a read of the core's state on the core thread; fails if the ring buffer is full. */
+    public <T> CompletableFuture<T> query(Function<EntryCore, T> read) {
+        Query<T> query = new Query<>(read, new CompletableFuture<>());
+        if (!ring.offerIfBelowThreshold(query, requestThreshold)) {
+            query.result()
+                    .completeExceptionally(
+                            new IllegalStateException("the core's ring buffer is full"));
+        }
+        wake();
+        return query.result();
+    }
+
+    private record Query<T>(Function<EntryCore, T> read, CompletableFuture<T> result) {
+        void run(EntryCore core) {
+            result.complete(read.apply(core));
+        }
+    }
+
+    private void wake() {
+        if (parked) {
+            LockSupport.unpark(thread);
+        }
+    }
+
+    private void run() {
+        long nextTick = System.nanoTime();
+        while (!stopped) {
+            long now = System.nanoTime();
+            if (now - nextTick >= 0) {
+                nextTick = now + TICK_NANOS;
+                handle(new Input.Tick());
+            }
+            int handled = ring.drain(this::handle, BATCH);
+            if (handled == 0) {
+                park(nextTick);
+            }
+        }
+    }
+
+    /** The flag is set before the queue is checked again, so that no wake-up is missed. */
+    private void park(long nextTick) {
+        parked = true;
+        if (ring.isEmpty() && !stopped) {
+            LockSupport.parkNanos(this, Math.max(1, nextTick - System.nanoTime()));
+        }
+        parked = false;
+    }
+
+    /** A fault in one input must not end the thread: all other requests depend on it. */
+    private void handle(Object item) {
+        try {
+            if (item instanceof Query<?> query) {
+                query.run(core);
+            } else {
+                core.handle((Input) item, effects);
+            }
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "the core failed on %s", item.getClass().getSimpleName());
+        }
+    }
+
+    /** Returns the number of inputs that wait. */
+    public int queued() {
+        return ring.size();
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        LockSupport.unpark(thread);
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(2));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/PeerInbox.java
@@ -0,0 +1,58 @@
+package org.bronzehill.entry.duty;
+
+import org.bronzehill.core.node.Input;
+import org.bronzehill.entry.peer.PeerListener;
+import org.bronzehill.entry.relay.SinkTable;
+import org.bronzehill.entry.telemetry.Tracing;
+import org.bronzehill.entry.upstream.InputSink;
+import org.bronzehill.protocol.generated.DispatchChunk;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** Passes the messages of peers to the core; chunks go to the caller's answer directly. */
+public final class PeerInbox implements PeerListener {
+
+    private final SinkTable sinks;
+    private final Tracing tracing;
+    private volatile InputSink inputs;
+
+    private PeerInbox(SinkTable sinks, Tracing tracing) {
+        this.sinks = sinks;
+        this.tracing = tracing;
+    }
+
+    /** Creates an inbox; {@link #bind} completes it. */
+    public static PeerInbox create(SinkTable sinks, Tracing tracing) {
+        return new PeerInbox(sinks, tracing);
+    }
+
+    /** Sets where the messages for the core go. */
+    public void bind(InputSink newInputs) {
+        inputs = newInputs;
+    }
+
+    @Override
+    public void received(Envelope envelope) {
+        if (envelope.hasDispatchChunk()) {
+            DispatchChunk chunk = envelope.getDispatchChunk();
+            sinks.chunk(
+                    chunk.getRequestId(),
+                    chunk.getAttempt(),
+                    chunk.getSequence(),
+                    chunk.getData().toByteArray());
+            return;
+        }
+        tracing.received(envelope);
+        InputSink target = inputs;
+        if (target != null) {
+            target.accept(new Input.PeerReceived(envelope));
+        }
+    }
+
+    @Override
+    public void unreachable(String instance) {
+        InputSink target = inputs;
+        if (target != null) {
+            target.accept(new Input.PeerUnreachable(instance));
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/Readiness.java
@@ -0,0 +1,41 @@
+package org.bronzehill.entry.duty;
+
+import java.util.concurrent.CompletableFuture;
+import org.jboss.logging.Logger;
+
+/** Readiness signal for the balancer, and the end of a graceful shutdown. */
+public final class Readiness {
+
+    private static final Logger LOG = Logger.getLogger(Readiness.class);
+
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private volatile boolean ready;
+    private volatile String reason = "starting";
+
+    /** Sets the signal. */
+    public void set(boolean newReady, String newReason) {
+        ready = newReady;
+        reason = newReason;
+        LOG.infof("readiness is %s%s", newReady, newReason.isEmpty() ? "" : ": " + newReason);
+    }
+
+    /** Notes that the graceful shutdown has finished. */
+    public void drained() {
+        drained.complete(null);
+    }
+
+    /** Returns a future that completes at the end of the graceful shutdown. */
+    public CompletableFuture<Void> whenDrained() {
+        return drained;
+    }
+
+    /** Returns whether the balancer may send new requests. */
+    public boolean isReady() {
+        return ready;
+    }
+
+    /** Returns why the instance is not ready; empty if it is. */
+    public String reason() {
+        return reason;
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/CallerHeaders.java
@@ -0,0 +1,59 @@
+package org.bronzehill.entry.http;
+
+import io.micronaut.http.HttpHeaders;
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.bronzehill.core.result.ResultCode;
+
+/**
+ * Headers of a caller's request.
+ *
+ * @param deadline null if the caller named none
+ */
+record CallerHeaders(String token, String kind, String key, Duration deadline, String traceparent) {
+
+    private static final String BEARER = "Bearer ";
+    private static final int MAX_KEY = 255;
+
+    /** Reads the headers; a left value is the code of the refusal. */
+    static Either<ResultCode, CallerHeaders> read(HttpHeaders headers, String defaultKind) {
+        String authorization = text(headers, "Authorization");
+        String token =
+                authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())
+                        ? authorization.substring(BEARER.length()).strip()
+                        : "";
+        String key = text(headers, "Idempotency-Key");
+        if (key.length() > MAX_KEY) {
+            return Either.left(ResultCode.MALFORMED_REQUEST);
+        }
+        String kind = text(headers, "X-Bronzehill-Kind");
+        return deadline(text(headers, "X-Bronzehill-Deadline-Ms"))
+                .map(
+                        deadline ->
+                                new CallerHeaders(
+                                        token,
+                                        kind.isEmpty() ? defaultKind : kind,
+                                        key,
+                                        deadline,
+                                        text(headers, "traceparent")));
+    }
+
+    private static String text(HttpHeaders headers, String name) {
+        String value = headers.get(name);
+        return value == null ? "" : value.strip();
+    }
+
+    private static Either<ResultCode, Duration> deadline(String text) {
+        if (text.isEmpty()) {
+            return Either.right(null);
+        }
+        try {
+            long ms = Long.parseLong(text);
+            return ms > 0
+                    ? Either.right(Duration.ofMillis(ms))
+                    : Either.left(ResultCode.BAD_DEADLINE);
+        } catch (NumberFormatException e) {
+            return Either.left(ResultCode.BAD_DEADLINE);
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/Gateway.java
@@ -0,0 +1,112 @@
+package org.bronzehill.entry.http;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.entry.duty.CoreThread;
+import org.bronzehill.entry.relay.Reply;
+import org.bronzehill.entry.relay.RequestInfo;
+import org.bronzehill.entry.relay.SinkTable;
+import org.bronzehill.entry.telemetry.AuditLog;
+import org.bronzehill.entry.telemetry.Tracing;
+
+/** Hands callers' requests to the core and refuses those for which there is no room. */
+public final class Gateway {
+
+    private final AtomicLong sequence = new AtomicLong();
+    private final String entry;
+    private final String idPrefix;
+    private final CoreThread core;
+    private final SinkTable sinks;
+    private final AuditLog audit;
+    private final Tracing tracing;
+
+    private Gateway(
+            String entry,
+            long incarnation,
+            CoreThread core,
+            SinkTable sinks,
+            AuditLog audit,
+            Tracing tracing) {
+        this.entry = entry;
+        this.idPrefix = entry + '-' + Long.toString(incarnation, Character.MAX_RADIX) + '-';
+        this.core = core;
+        this.sinks = sinks;
+        this.audit = audit;
+        this.tracing = tracing;
+    }
+
+    /** Creates the gateway of one incarnation of an instance. */
+    public static Gateway create(
+            String entry,
+            long incarnation,
+            CoreThread core,
+            SinkTable sinks,
+            AuditLog audit,
+            Tracing tracing) {
+        return new Gateway(entry, incarnation, core, sinks, audit, tracing);
+    }
+
+    /** A request on its way. */
+    record Accepted(RequestInfo info, CompletableFuture<Reply> reply) {}
+
+    /** Returns the id of a new request; the incarnation makes it unique over restarts. */
+    RequestInfo info(String kind, String adapter) {
+        String id = idPrefix + Long.toString(sequence.incrementAndGet(), Character.MAX_RADIX);
+        return new RequestInfo(id, kind, adapter, System.nanoTime());
+    }
+
+    /** Gives a request to the core. */
+    Accepted submit(
+            RequestInfo info, String span, String traceparent, boolean stream, Input input) {
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        if (!sinks.open(info, stream, reply)) {
+            return new Accepted(info, refused(info, ResultCode.TABLE_FULL));
+        }
+        tracing.startRequest(info.requestId(), span, traceparent);
+        if (audit.isBehind() || !core.offerRequest(input)) {
+            sinks.answer(refusal(info, ResultCode.TABLE_FULL, ""));
+        }
+        return new Accepted(info, reply);
+    }
+
+    /** Refuses a request that the core need not see. */
+    Accepted refuse(RequestInfo info, ResultCode code, String detail) {
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        if (!sinks.open(info, false, reply)) {
+            return new Accepted(info, refused(info, ResultCode.TABLE_FULL));
+        }
+        sinks.answer(refusal(info, code, detail));
+        return new Accepted(info, reply);
+    }
+
+    private CompletableFuture<Reply> refused(RequestInfo info, ResultCode code) {
+        return CompletableFuture.completedFuture(sinks.refusal(info, refusal(info, code, "")));
+    }
+
+    private Effect.Answer refusal(RequestInfo info, ResultCode code, String detail) {
+        return new Effect.Answer(
+                info.requestId(),
+                0,
+                code,
+                new Provenance(info.adapter(), 0, 0, "", entry),
+                -1,
+                null,
+                Duration.ZERO,
+                Duration.ZERO,
+                detail);
+    }
+
+    /** Ends a request whose caller has closed its connection. */
+    void callerGone(String requestId) {
+        sinks.callerGone(requestId);
+    }
+
+    String entry() {
+        return entry;
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/PlainServiceController.java
@@ -0,0 +1,72 @@
+package org.bronzehill.entry.http;
+
+import io.micronaut.core.annotation.Nullable;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.PathVariable;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Produces;
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.bronzehill.core.model.ServiceRequest;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.entry.relay.RequestInfo;
+
+/** Calls to plain services on the application runners. */
+@Controller
+final class PlainServiceController {
+
+    private static final byte[] NO_BODY = {};
+
+    private final Gateway gateway;
+
+    PlainServiceController(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    @Post("/v1/services/{service}/{operation}")
+    @Consumes(MediaType.ALL)
+    @Produces(MediaType.ALL)
+    CompletableFuture<MutableHttpResponse<?>> call(
+            HttpRequest<?> request,
+            @PathVariable String service,
+            @PathVariable String operation,
+            @Nullable @Body byte[] body) {
+        Gateway.Accepted accepted =
+                accept(request, service, operation, body == null ? NO_BODY : body);
+        CallerWatch.watch(
+                request, accepted.reply(), () -> gateway.callerGone(accepted.info().requestId()));
+        return accepted.reply()
+                .thenApply(reply -> Responses.of(accepted.info(), gateway.entry(), reply));
+    }
+
+    private Gateway.Accepted accept(
+            HttpRequest<?> request, String service, String operation, byte[] body) {
+        Either<ResultCode, CallerHeaders> headers = CallerHeaders.read(request.getHeaders(), "");
+        if (headers.isLeft()) {
+            return gateway.refuse(gateway.info("", ""), headers.getLeft(), "");
+        }
+        CallerHeaders h = headers.get();
+        RequestInfo info = gateway.info(h.kind(), "");
+        ServiceRequest call =
+                new ServiceRequest(
+                        info.requestId(),
+                        h.token(),
+                        h.kind(),
+                        service,
+                        operation,
+                        h.key(),
+                        h.deadline(),
+                        body,
+                        request.getContentType()
+                                .map(MediaType::toString)
+                                .orElse(MediaType.APPLICATION_JSON));
+        return gateway.submit(
+                info, "service call", h.traceparent(), false, new Input.ServiceRequested(call));
+    }
+}
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerFrames.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerFrames.java
@@ -15,7 +15,9 @@
 /** Frame format of peer links: a 4-byte length, then an {@link Envelope}. */
 final class PeerFrames {
 
-    /** A request body of at most 1 MiB by default, or a shard of at most 1 MB, with room to spare. */
+    /**
+     * A request body of at most 1 MiB by default, or a shard of at most 1 MB, with room to spare.
+     */
     static final int MAX_FRAME_BYTES = 8 << 20;
 
     private static final int LENGTH_BYTES = 4;
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLink.java
@@ -117,7 +117,9 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(1 << 18, 1 << 20))
+                .option(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(1 << 18, 1 << 20))
                 .handler(new Initializer())
                 .connect(target.get())
                 .addListener((ChannelFuture f) -> connected(f));
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/CollectSink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/CollectSink.java
@@ -39,14 +39,13 @@
     void onEnd(Effect.Answer answer) {
         if (answer.code().isSuccess() && answer.body() == null) {
             reply.complete(
-                    new Reply(
+                    Reply.whole(
                             answer.code().httpStatus(),
                             "application/json",
                             Map.of(),
                             answer.provenance() != null ? answer.provenance() : provenance,
                             answer.code(),
-                            body.toByteArray(),
-                            null));
+                            body.toByteArray()));
         } else {
             reply.complete(Replies.of(info(), answer));
         }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/Replies.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/Replies.java
@@ -18,23 +18,21 @@
     /** Returns the answer of a plain service, or the error that ended the request. */
     static Reply of(RequestInfo info, Effect.Answer answer) {
         if (answer.body() != null) {
-            return new Reply(
+            return Reply.whole(
                     answer.body().httpStatus(),
                     answer.body().contentType(),
                     Map.of(),
                     answer.provenance(),
                     answer.code(),
-                    answer.body().body(),
-                    null);
+                    answer.body().body());
         }
-        return new Reply(
+        return Reply.whole(
                 answer.code().httpStatus(),
                 "application/json",
                 headers(answer),
                 answer.provenance(),
                 answer.code(),
-                ErrorBody.json(info, answer).getBytes(StandardCharsets.UTF_8),
-                null);
+                ErrorBody.json(info, answer).getBytes(StandardCharsets.UTF_8));
     }
 
     private static Map<String, String> headers(Effect.Answer answer) {
@@ -48,7 +46,8 @@
             headers.put("Retry-After", String.valueOf(Math.max(1, wait.toSeconds())));
         }
         if (resend == Resend.NO || resend == Resend.AFTER_LOOKUP) {
-            // OpenAI client libraries resend 409 and 5xx on their own unless this header forbids it.
+            // OpenAI client libraries resend 409 and 5xx on their own unless this header forbids
+            // it.
             headers.put("x-should-retry", "false");
         }
         return headers;
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/SinkTable.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/SinkTable.java
@@ -11,6 +11,7 @@
 
     private final ConcurrentHashMap<String, AnswerSink> sinks = new ConcurrentHashMap<>();
     private final AtomicInteger size = new AtomicInteger();
+    private final AtomicInteger delivering = new AtomicInteger();
     private final RelayListener listener;
     private final int capacity;
 
@@ -30,6 +31,7 @@
             size.decrementAndGet();
             return false;
         }
+        reply.thenAccept(this::delivering);
         AnswerSink sink =
                 stream
                         ? new StreamSink(info, listener, reply)
@@ -41,6 +43,25 @@
         return true;
     }
 
+    private void delivering(Reply reply) {
+        delivering.incrementAndGet();
+        reply.whenDelivered().whenComplete((r, e) -> delivering.decrementAndGet());
+    }
+
+    /** Returns the reply of a request that is refused without a place in the table. */
+    public Reply refusal(RequestInfo info, Effect.Answer answer) {
+        listener.ended(
+                new RequestOutcome(
+                        info,
+                        answer.code(),
+                        answer.provenance(),
+                        0,
+                        0,
+                        answer.loadStall(),
+                        answer.detail()));
+        return Replies.of(info, answer);
+    }
+
     /** Relays one chunk of an attempt. */
     public void chunk(String requestId, int attempt, long sequence, byte[] data) {
         AnswerSink sink = sinks.get(requestId);
@@ -82,6 +103,11 @@
         }
     }
 
+    /** Returns the number of streams whose last event has not been taken yet. */
+    public int delivering() {
+        return delivering.get();
+    }
+
     /** Returns the number of answers in progress. */
     public int size() {
         return size.get();
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/StreamSink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/StreamSink.java
@@ -16,10 +16,9 @@
     private static final int BUFFERED_EVENTS = 4096;
 
     private final CompletableFuture<Reply> reply;
+    private final CompletableFuture<Void> delivered = new CompletableFuture<>();
     private final Sinks.Many<Reply.StreamEvent> events =
-            Sinks.many()
-                    .unicast()
-                    .onBackpressureBuffer(new ArrayBlockingQueue<>(BUFFERED_EVENTS));
+            Sinks.many().unicast().onBackpressureBuffer(new ArrayBlockingQueue<>(BUFFERED_EVENTS));
 
     StreamSink(RequestInfo info, RelayListener listener, CompletableFuture<Reply> reply) {
         super(info, listener);
@@ -36,7 +35,8 @@
                         source,
                         null,
                         null,
-                        events.asFlux()));
+                        events.asFlux().doFinally(signal -> delivered.complete(null)),
+                        delivered));
     }
 
     @Override
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/ProgramSettings.java
@@ -0,0 +1,75 @@
+package org.bronzehill.entry.settings;
+
+import io.vavr.control.Either;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.entry.telemetry.Tracing;
+
+/** Checked settings of the program. */
+public record ProgramSettings(
+        Identity identity,
+        Ports ports,
+        List<URI> configurationUris,
+        List<URI> instanceListUris,
+        Duration drainLimit,
+        Bounds bounds,
+        Duration hedgeAfter,
+        Traces traces,
+        String defaultKind,
+        String logLevel) {
+
+    /** Largest bound that a setting may raise a queue to. */
+    private static final int MAX_QUEUE = 1 << 20;
+
+    public ProgramSettings {
+        configurationUris = List.copyOf(configurationUris);
+        instanceListUris = List.copyOf(instanceListUris);
+    }
+
+    /** Who the instance is. */
+    public record Identity(String id, String dataCentre, String region) {}
+
+    /** Where the instance listens. */
+    public record Ports(String host, int http, int peer) {}
+
+    /** Bounds of the queues and tables outside the core. */
+    public record Bounds(int ringSize, int peerQueue, int openRequests) {}
+
+    /** Where spans go. */
+    public record Traces(Tracing.Exporter exporter, String endpoint) {}
+
+    /** Reads flags, then environment variables; a left value lists all errors. */
+    public static Either<List<String>, ProgramSettings> read(
+            Map<String, String> flags, Map<String, String> environment) {
+        SettingsReader in = new SettingsReader(flags, environment);
+        ProgramSettings settings =
+                new ProgramSettings(
+                        new Identity(
+                                in.required("id"),
+                                in.required("data-centre"),
+                                in.required("region")),
+                        new Ports(
+                                in.address("host", "127.0.0.1"),
+                                in.number("http-port", 8080, 0, 65_535),
+                                in.number("peer-port", 7070, 0, 65_535)),
+                        in.uris("configuration-uris"),
+                        in.uris("instance-list-uris"),
+                        Duration.ofMillis(in.number("drain-limit-ms", 600_000, 0, 86_400_000)),
+                        new Bounds(
+                                in.number("ring-size", 16_384, 64, MAX_QUEUE),
+                                in.number("peer-queue", 8_192, 64, MAX_QUEUE),
+                                in.number("open-requests", 4_096, 1, MAX_QUEUE)),
+                        Duration.ofMillis(in.number("hedge-after-ms", 2_000, 0, 3_600_000)),
+                        new Traces(
+                                in.choice(
+                                        "trace-exporter",
+                                        Tracing.Exporter.OFF,
+                                        Tracing.Exporter.class),
+                                in.text("trace-endpoint", "http://127.0.0.1:4317")),
+                        in.text("default-kind", ""),
+                        in.level("log-level", "INFO"));
+        return in.errors().isEmpty() ? Either.right(settings) : Either.left(in.errors());
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/SettingsReader.java
@@ -0,0 +1,127 @@
+package org.bronzehill.entry.settings;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.logging.Level;
+import java.util.regex.Pattern;
+
+/** Reads values from flags and environment variables and collects all errors in them. */
+final class SettingsReader {
+
+    private static final String PREFIX = "BRONZEHILL_";
+
+    /** Names are not resolved: the platform gives addresses by IP number. */
+    private static final Pattern ADDRESS =
+            Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}|[0-9a-fA-F:]*:[0-9a-fA-F:.]*");
+
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+
+    private final Map<String, String> flags;
+    private final Map<String, String> environment;
+    private final List<String> errors = new ArrayList<>();
+
+    SettingsReader(Map<String, String> flags, Map<String, String> environment) {
+        this.flags = flags;
+        this.environment = environment;
+    }
+
+    List<String> errors() {
+        return List.copyOf(errors);
+    }
+
+    private static String variable(String name) {
+        return PREFIX + name.toUpperCase(Locale.ROOT).replace('-', '_');
+    }
+
+    String text(String name, String fallback) {
+        String flag = flags.get(name);
+        return flag != null ? flag : environment.getOrDefault(variable(name), fallback);
+    }
+
+    String required(String name) {
+        String value = text(name, "");
+        if (!NAME.matcher(value).matches()) {
+            error(name, "must be a name of letters, digits, '.', '_' and '-'", value);
+        }
+        return value;
+    }
+
+    String address(String name, String fallback) {
+        String value = text(name, fallback);
+        if (!ADDRESS.matcher(value).matches()) {
+            error(name, "must be an IP address", value);
+        }
+        return value;
+    }
+
+    int number(String name, int fallback, int min, int max) {
+        String value = text(name, String.valueOf(fallback));
+        try {
+            int number = Integer.parseInt(value);
+            if (number >= min && number <= max) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Reported together with numbers out of range.
+        }
+        error(name, "must be a number from " + min + " to " + max, value);
+        return fallback;
+    }
+
+    List<URI> uris(String name) {
+        List<URI> uris = new ArrayList<>();
+        for (String part : text(name, "").split(",")) {
+            URI uri = uri(part.strip());
+            if (uri == null) {
+                error(name, "must be addresses of the form http://host:port", part);
+            } else {
+                uris.add(uri);
+            }
+        }
+        return uris;
+    }
+
+    private static URI uri(String text) {
+        try {
+            URI uri = URI.create(text);
+            boolean whole =
+                    "http".equals(uri.getScheme()) && uri.getHost() != null && uri.getPort() > 0;
+            return whole ? uri : null;
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    <E extends Enum<E>> E choice(String name, E fallback, Class<E> type) {
+        String value = text(name, fallback.name().toLowerCase(Locale.ROOT));
+        for (E e : type.getEnumConstants()) {
+            if (e.name().equalsIgnoreCase(value)) {
+                return e;
+            }
+        }
+        error(
+                name,
+                "must be one of "
+                        + Arrays.toString(type.getEnumConstants()).toLowerCase(Locale.ROOT),
+                value);
+        return fallback;
+    }
+
+    String level(String name, String fallback) {
+        String value = text(name, fallback);
+        try {
+            return Level.parse(value).getName();
+        } catch (IllegalArgumentException e) {
+            error(name, "must be a log level such as INFO", value);
+            return fallback;
+        }
+    }
+
+    private void error(String name, String rule, String value) {
+        errors.add("--" + name + " (" + variable(name) + ") " + rule + ", not '" + value + "'");
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/AuditLog.java
@@ -0,0 +1,102 @@
+package org.bronzehill.entry.telemetry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.entry.relay.RequestOutcome;
+import org.jboss.logging.Logger;
+import org.jctools.queues.MpscArrayQueue;
+
+/**
+ * Writes one JSON line for each ended request. Records wait in a bounded ring buffer; new requests
+ * are refused while {@link #isBehind}, so that a record finds room when its request ends.
+ */
+public final class AuditLog implements AutoCloseable {
+
+    private static final Logger AUDIT = Logger.getLogger("org.bronzehill.audit");
+    private static final Logger LOG = Logger.getLogger(AuditLog.class);
+    private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final MpscArrayQueue<Entry> ring;
+    private final String entry;
+    private final Thread thread = new Thread(this::run, "audit");
+    private volatile boolean stopped;
+
+    private record Entry(Instant time, RequestOutcome outcome, long durationNanos) {}
+
+    private AuditLog(String entry, int capacity) {
+        this.entry = entry;
+        this.ring = new MpscArrayQueue<>(capacity);
+        thread.setDaemon(true);
+    }
+
+    /** Creates a log whose thread runs. */
+    public static AuditLog start(String entry, int capacity) {
+        AuditLog log = new AuditLog(entry, capacity);
+        log.thread.start();
+        return log;
+    }
+
+    /** Queues the record of an ended request. */
+    public void record(RequestOutcome outcome, long durationNanos) {
+        if (!ring.offer(new Entry(Instant.now(), outcome, durationNanos))) {
+            LOG.errorf("audit record of request %s is lost", outcome.request().requestId());
+        }
+    }
+
+    /** Returns whether so many records wait that no new request may be taken. */
+    public boolean isBehind() {
+        return ring.size() > ring.capacity() / 2;
+    }
+
+    private void run() {
+        while (!stopped || !ring.isEmpty()) {
+            Entry next = ring.poll();
+            if (next == null) {
+                LockSupport.parkNanos(IDLE_NANOS);
+            } else {
+                AUDIT.info(json(next));
+            }
+        }
+    }
+
+    private String json(Entry e) {
+        RequestOutcome o = e.outcome();
+        Provenance p = o.provenance();
+        ObjectNode node = mapper.createObjectNode();
+        node.put("time", e.time().toString());
+        node.put("requestId", o.request().requestId());
+        node.put("kind", o.request().kind());
+        node.put("adapter", p == null ? o.request().adapter() : p.adapter());
+        node.put("adapterVersion", p == null ? 0 : p.version());
+        node.put("configuration", p == null ? 0 : p.configurationNumber());
+        node.put("upstream", p == null ? "" : p.upstream());
+        node.put("entry", entry);
+        node.put("result", o.code().number());
+        node.put("resultName", o.code().name());
+        node.put("attempt", o.attempt());
+        node.put("chunks", o.chunks());
+        node.put("loadStallMs", o.loadStall() == null ? 0 : o.loadStall().toMillis());
+        node.put("durationMs", TimeUnit.NANOSECONDS.toMillis(e.durationNanos()));
+        try {
+            return mapper.writeValueAsString(node);
+        } catch (JsonProcessingException ex) {
+            throw new IllegalStateException("a JSON tree is always serializable", ex);
+        }
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(2));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Metrics.java
@@ -0,0 +1,163 @@
+package org.bronzehill.entry.telemetry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.bronzehill.core.node.Signal;
+import org.bronzehill.core.result.ResultCode;
+
+/** Metrics of the instance in the Prometheus text format. */
+public final class Metrics {
+
+    /** Labels come from kinds, engines and codes; the bound protects against an endless supply. */
+    private static final int MAX_LABELS = 512;
+
+    private static final String OTHER = "other";
+    private static final String PREFIX = "bronzehill_";
+
+    private static final Set<Signal> GAUGES =
+            Set.of(
+                    Signal.QUEUE_LENGTH,
+                    Signal.RETRY_BUDGET_TOKENS,
+                    Signal.LEASES_HELD,
+                    Signal.STORE_TOKENS,
+                    Signal.CONFIGURATION_NUMBER,
+                    Signal.CONFIGURATION_AGE_SECONDS,
+                    Signal.PEERS_ALIVE);
+
+    private static final Set<Signal> HISTOGRAMS =
+            Set.of(
+                    Signal.LOAD_STALL_SECONDS,
+                    Signal.BATCH_EFFICIENCY_RATIO,
+                    Signal.QUEUE_WAIT_SECONDS);
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Map<Signal, Recorder> recorders = new EnumMap<>(Signal.class);
+    private final Set<String> labels = new HashSet<>();
+    private final Counter results;
+    private final Histogram durations;
+    private final Counter lostInputs;
+    private final Counter fullPeerQueues;
+
+    private interface Recorder {
+        void record(String label, double value);
+    }
+
+    private Metrics() {
+        for (Signal s : Signal.values()) {
+            recorders.put(s, recorder(s));
+        }
+        results =
+                Counter.builder()
+                        .name(PREFIX + "requests_total")
+                        .help("Requests by result code")
+                        .labelNames("kind", "result")
+                        .register(registry);
+        durations =
+                Histogram.builder()
+                        .name(PREFIX + "request_duration_seconds")
+                        .help("Time from arrival to the end of the answer")
+                        .labelNames("kind")
+                        .classicOnly()
+                        .register(registry);
+        lostInputs =
+                Counter.builder()
+                        .name(PREFIX + "inputs_lost_total")
+                        .help("Inputs that found the core's ring buffer full")
+                        .register(registry);
+        fullPeerQueues =
+                Counter.builder()
+                        .name(PREFIX + "peer_queue_full_total")
+                        .help("Messages refused by a full queue to a peer")
+                        .labelNames("peer")
+                        .register(registry);
+    }
+
+    /** Creates metrics with a registry of their own. */
+    public static Metrics create() {
+        return new Metrics();
+    }
+
+    private Recorder recorder(Signal signal) {
+        String name = PREFIX + signal.name().toLowerCase(Locale.ROOT);
+        String help = signal.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+        if (GAUGES.contains(signal)) {
+            Gauge gauge =
+                    Gauge.builder().name(name).help(help).labelNames("label").register(registry);
+            return (label, value) -> gauge.labelValues(label).set(value);
+        }
+        if (HISTOGRAMS.contains(signal)) {
+            Histogram histogram =
+                    Histogram.builder()
+                            .name(name)
+                            .help(help)
+                            .labelNames("label")
+                            .classicOnly()
+                            .register(registry);
+            return (label, value) -> histogram.labelValues(label).observe(value);
+        }
+        Counter counter =
+                Counter.builder()
+                        .name(name + "_total")
+                        .help(help)
+                        .labelNames("label")
+                        .register(registry);
+        return (label, value) -> counter.labelValues(label).inc(Math.max(0, value));
+    }
+
+    /** Records a measurement of the core; called on the core thread only. */
+    public void record(Signal signal, String label, double value) {
+        String bounded = labels.contains(label) || labels.size() < MAX_LABELS ? label : OTHER;
+        labels.add(bounded);
+        recorders.get(signal).record(bounded, value);
+    }
+
+    /** Counts the end of a request. */
+    public void ended(String kind, ResultCode code, double seconds) {
+        results.labelValues(kind, code.name()).inc();
+        durations.labelValues(kind).observe(seconds);
+    }
+
+    /** Counts an input that found the core's ring buffer full. */
+    public void inputLost() {
+        lostInputs.inc();
+    }
+
+    /** Counts a message that found the queue to a peer full. */
+    public void peerQueueFull(String peer) {
+        fullPeerQueues.labelValues(peer).inc();
+    }
+
+    /** Adds a value that is read whenever the metrics are. */
+    public void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    /** Returns the Prometheus text format. */
+    public String text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/BodyCollector.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/BodyCollector.java
@@ -54,8 +54,7 @@
     @Override
     public void onComplete() {
         if (tooLarge) {
-            onFailed.accept(
-                    FailureReason.BROKEN, "answer is larger than " + MAX_BYTES + " bytes");
+            onFailed.accept(FailureReason.BROKEN, "answer is larger than " + MAX_BYTES + " bytes");
         } else {
             onWhole.accept(new Whole(status, headers, body.toByteArray()));
         }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineAttempt.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineAttempt.java
@@ -30,8 +30,7 @@
     private boolean done;
     private boolean ended;
 
-    EngineAttempt(
-            Effect.StartAttempt start, byte[] head, ChunkTarget target, InputSink inputs) {
+    EngineAttempt(Effect.StartAttempt start, byte[] head, ChunkTarget target, InputSink inputs) {
         this.start = start;
         this.head = head;
         this.target = target;
@@ -100,7 +99,9 @@
             return;
         }
         if (status != 200) {
-            fail(reasonOfStatus(), "status " + status + ": " + error.toString(StandardCharsets.UTF_8));
+            fail(
+                    reasonOfStatus(),
+                    "status " + status + ": " + error.toString(StandardCharsets.UTF_8));
         } else if (start.stream() && !done) {
             fail(FailureReason.BROKEN, "the stream ended without [DONE]");
         } else {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineClient.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineClient.java
@@ -52,16 +52,14 @@
             Effect.StartAttempt start, byte[] head, String traceparent, ChunkTarget target) {
         long id = start.attemptId();
         if (uris.of(start.engine()).isEmpty()) {
-            inputs.accept(
-                    new Input.AttemptFailed(id, FailureReason.NOT_SENT, 0, "unknown engine"));
+            inputs.accept(new Input.AttemptFailed(id, FailureReason.NOT_SENT, 0, "unknown engine"));
             return;
         }
         byte[] body;
         try {
             body = rewrite(start);
         } catch (IOException e) {
-            inputs.accept(
-                    new Input.AttemptFailed(id, FailureReason.NOT_SENT, 0, "malformed body"));
+            inputs.accept(new Input.AttemptFailed(id, FailureReason.NOT_SENT, 0, "malformed body"));
             return;
         }
         Map<String, String> headers = new HashMap<>();
@@ -106,7 +104,9 @@
         return MAPPER.writeValueAsBytes(object);
     }
 
-    /** Cancels an attempt; the engine is told as well, because it may not notice a closed socket. */
+    /**
+     * Cancels an attempt; the engine is told as well, because it may not notice a closed socket.
+     */
     public void cancel(long attemptId) {
         Running attempt = running.get(attemptId);
         if (attempt == null) {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EventParser.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EventParser.java
@@ -6,7 +6,9 @@
 /** Splits a body of server-sent events into the data of its events. */
 final class EventParser {
 
-    /** One event carries one token or a few; the bound only limits what a faulty engine can cause. */
+    /**
+     * One event carries one token or a few; the bound only limits what a faulty engine can cause.
+     */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private static final byte[] PREFIX = {'d', 'a', 't', 'a', ':'};
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/HttpExchange.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/HttpExchange.java
@@ -76,9 +76,12 @@
         }
         deadline =
                 loop.schedule(
-                () -> fail(written ? FailureReason.TIMED_OUT : FailureReason.NOT_SENT, "deadline"),
-                call.deadline().toMillis(),
-                TimeUnit.MILLISECONDS);
+                        () ->
+                                fail(
+                                        written ? FailureReason.TIMED_OUT : FailureReason.NOT_SENT,
+                                        "deadline"),
+                        call.deadline().toMillis(),
+                        TimeUnit.MILLISECONDS);
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -170,7 +173,10 @@
             if (message instanceof HttpResponse response) {
                 Map<String, String> headers = new HashMap<>();
                 response.headers()
-                        .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+                        .forEach(
+                                h ->
+                                        headers.put(
+                                                h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
                 listener.onHead(response.status().code(), headers);
             }
             if (message instanceof HttpContent content) {
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/PlatformClient.java
@@ -0,0 +1,196 @@
+package org.bronzehill.entry.upstream;
+
+import io.netty.channel.EventLoopGroup;
+import io.vavr.control.Either;
+import java.net.URI;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.Manifest;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.Input;
+import org.jboss.logging.Logger;
+
+/**
+ * Client of the platform's configuration service and instance list. Each may be published at
+ * several addresses; a failed read uses the next one the next time.
+ */
+public final class PlatformClient {
+
+    private static final Logger LOG = Logger.getLogger(PlatformClient.class);
+
+    private static final Duration READ_DEADLINE = Duration.ofSeconds(2);
+    private static final int NOT_MODIFIED = 304;
+
+    private final EventLoopGroup loops;
+    private final List<URI> configurationUris;
+    private final List<URI> listUris;
+    private final InputSink inputs;
+    private final AtomicInteger configurationIndex = new AtomicInteger();
+    private final AtomicInteger listIndex = new AtomicInteger();
+    private volatile Known known = new Known(0, Set.of());
+
+    /** Shards that the core holds after it has read this number here. */
+    private record Known(long number, Set<String> shards) {}
+
+    private PlatformClient(
+            EventLoopGroup loops,
+            List<URI> configurationUris,
+            List<URI> listUris,
+            InputSink inputs) {
+        this.loops = loops;
+        this.configurationUris = configurationUris;
+        this.listUris = listUris;
+        this.inputs = inputs;
+    }
+
+    /** Creates a client that reports to the core through {@code inputs}. */
+    public static PlatformClient create(
+            EventLoopGroup loops,
+            List<URI> configurationUris,
+            List<URI> listUris,
+            InputSink inputs) {
+        return new PlatformClient(
+                loops, List.copyOf(configurationUris), List.copyOf(listUris), inputs);
+    }
+
+    /**
+     * Reads the configuration. A starting instance reads every address and takes the highest
+     * number; otherwise one address is read or watched.
+     */
+    public void readConfiguration(long have, Duration maxWait) {
+        if (have != known.number()) {
+            // The core holds a number that it has from a peer, with other shards.
+            known = new Known(have, Set.of());
+        }
+        if (have == 0 && configurationUris.size() > 1) {
+            readHighest();
+            return;
+        }
+        URI base = pick(configurationUris, configurationIndex);
+        readManifest(
+                base,
+                have,
+                maxWait,
+                manifest -> readShards(base, manifest),
+                reason -> {
+                    configurationIndex.incrementAndGet();
+                    inputs.accept(new Input.ConfigurationReadFailed(reason));
+                });
+    }
+
+    private void readHighest() {
+        HighestManifest highest =
+                new HighestManifest(
+                        configurationUris.size(),
+                        this::readShards,
+                        reason -> inputs.accept(new Input.ConfigurationReadFailed(reason)));
+        for (URI base : configurationUris) {
+            readManifest(
+                    base,
+                    0,
+                    Duration.ZERO,
+                    manifest -> highest.found(base, manifest),
+                    highest::failed);
+        }
+    }
+
+    private void readManifest(
+            URI base,
+            long have,
+            Duration maxWait,
+            Consumer<Manifest> onManifest,
+            Consumer<String> onFailed) {
+        URI uri = base.resolve("/v1/manifest?have=" + have + "&wait_ms=" + maxWait.toMillis());
+        get(
+                uri,
+                READ_DEADLINE.plus(maxWait),
+                whole -> {
+                    if (whole.status() == NOT_MODIFIED) {
+                        onManifest.accept(new Manifest(have, "", List.of()));
+                        return;
+                    }
+                    Either<String, Manifest> manifest =
+                            whole.status() == 200
+                                    ? ImageCodec.decodeManifest(whole.body())
+                                    : Either.left(uri + " answered status " + whole.status());
+                    manifest.peek(onManifest).peekLeft(onFailed);
+                },
+                onFailed);
+    }
+
+    private void readShards(URI base, Manifest manifest) {
+        Set<String> wanted = new HashSet<>(manifest.shards());
+        if (!manifest.base().isEmpty()) {
+            wanted.add(manifest.base());
+        }
+        Set<String> missing = new HashSet<>(wanted);
+        missing.removeAll(known.shards());
+        Map<String, byte[]> content = new HashMap<>();
+        if (missing.isEmpty()) {
+            inputs.accept(new Input.ConfigurationRead(new ConfigurationImage(manifest, content)));
+            return;
+        }
+        ShardReads reads =
+                new ShardReads(
+                        missing,
+                        all -> {
+                            known = new Known(manifest.number(), Set.copyOf(wanted));
+                            inputs.accept(
+                                    new Input.ConfigurationRead(
+                                            new ConfigurationImage(manifest, all)));
+                        },
+                        reason -> inputs.accept(new Input.ConfigurationReadFailed(reason)));
+        for (String hash : missing) {
+            get(
+                    base.resolve("/v1/shards/" + hash),
+                    READ_DEADLINE,
+                    whole -> reads.answered(hash, whole),
+                    reads::failed);
+        }
+    }
+
+    /** Reads the instance list. */
+    public void readInstanceList(Consumer<InstanceList> onRead) {
+        URI uri = pick(listUris, listIndex).resolve("/v1/instances");
+        get(
+                uri,
+                READ_DEADLINE,
+                whole ->
+                        InstanceListParser.parse(whole.body())
+                                .peek(onRead)
+                                .peekLeft(reason -> listFailed(uri, reason)),
+                reason -> listFailed(uri, reason));
+    }
+
+    private void listFailed(URI uri, String reason) {
+        listIndex.incrementAndGet();
+        LOG.debugf("cannot read the instance list at %s: %s", uri, reason);
+    }
+
+    private static URI pick(List<URI> uris, AtomicInteger index) {
+        return uris.get(Math.floorMod(index.get(), uris.size()));
+    }
+
+    private void get(
+            URI uri,
+            Duration deadline,
+            Consumer<BodyCollector.Whole> onWhole,
+            Consumer<String> onFailed) {
+        HttpExchange.prepare(
+                        HttpCall.get(uri, deadline),
+                        BodyCollector.create(
+                                onWhole,
+                                (FailureReason reason, String detail) -> onFailed.accept(detail)),
+                        loops.next())
+                .begin();
+    }
+}
