--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Engine.java
@@ -20,7 +20,6 @@
     private long highestFencing;
     private long sequence;
     private boolean stepping;
-    private boolean marked;
 
     /**
      * Settings of an engine.
@@ -137,9 +136,7 @@
             ledger.count("runs", run.requestId);
             ledger.count("runsByHandle", run.handle);
             ledger.count("handleByRequest", run.requestId + ' ' + run.handle);
-            if (marked) {
-                ledger.count("afterMark", "runs");
-            }
+            countIfMarked("runs");
             adapters.addRunning(run.handle, 1);
             long gap = faults.number("gapEvery");
             boolean cached =
@@ -193,9 +190,7 @@
 
     private void startLoad(String handle, String weights) {
         ledger.count("loads", handle);
-        if (marked) {
-            ledger.count("afterMark", "loads");
-        }
+        countIfMarked("loads");
         if (faults.take("failLoads")) {
             timer.after(1, () -> arrived(handle, false));
         } else if (store == null) {
@@ -270,18 +265,8 @@
                         "highestFencing", checksFencing() ? highestFencing : 0,
                         "handles", adapters.view(),
                         "running", batch.running(),
-                        "waiting", batch.waiting()));
-    }
-
-    /** {@code POST /standin/mark}: counts runs and loads that start after it separately. */
-    @Override
-    protected synchronized boolean control(Exchange exchange) {
-        if (!exchange.is("POST", "/standin/mark")) {
-            return false;
-        }
-        marked = true;
-        exchange.respond(200, Map.of("marked", true));
-        return true;
+                        "waiting", batch.waiting(),
+                        "prefixes", prefixes.published(nowMs())));
     }
 
     @Override
