Add trace format and virtual-time harness with fakes at the interfaces of EntryCore

The harness runs several decision cores over fakes of engines, runners, weight store, configuration service, instance list and message links.

--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/package-info.java
@@ -0,0 +1,2 @@
+/** Deployments and the seeded trace generator. */
+package org.bronzehill.replay.generate;
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/EventLog.java
@@ -0,0 +1,35 @@
+package org.bronzehill.replay.harness;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Ordered record of one run; bounded by the length of its trace. */
+public final class EventLog {
+
+    private final List<LogEvent> events = new ArrayList<>();
+
+    /** Creates a log with the given events, for tests of checkers. */
+    public static EventLog of(LogEvent... events) {
+        EventLog log = new EventLog();
+        for (LogEvent e : events) {
+            log.add(e);
+        }
+        return log;
+    }
+
+    /** Appends an event. */
+    public void add(LogEvent event) {
+        events.add(event);
+    }
+
+    /** Returns all events. */
+    public List<LogEvent> events() {
+        return events;
+    }
+
+    /** Returns the events of one type. */
+    public <T extends LogEvent> Stream<T> of(Class<T> type) {
+        return events.stream().filter(type::isInstance).map(type::cast);
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/Replay.java
@@ -0,0 +1,27 @@
+package org.bronzehill.replay.harness;
+
+import org.bronzehill.replay.generate.Deployment;
+import org.bronzehill.replay.trace.Trace;
+
+/** Runs a trace through decision code on virtual time. */
+public final class Replay {
+
+    /** Time before the first record, in which the instances find each other. */
+    public static final long WARM_UP_MS = 5000;
+
+    private Replay() {}
+
+    /** Runs the trace through the real decision code. */
+    public static RunResult run(Trace trace) {
+        return run(trace, DecisionCore.entryCore());
+    }
+
+    /** Runs the trace through the decision code of {@code factory}. */
+    public static RunResult run(Trace trace, DecisionCore.Factory factory) {
+        Deployment d = Deployment.named(trace.header().deployment());
+        World world = World.create(d, factory, trace.header().seed());
+        world.schedule(trace.records());
+        world.runUntilMs(trace.header().durationMs());
+        return world.result();
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/WeightStore.java
@@ -0,0 +1,89 @@
+package org.bronzehill.replay.harness;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.bronzehill.config.Limits;
+
+/**
+ * Rate-limited weight store. Loads beyond the rate wait in order; a transfer takes 250 ms, and
+ * proportionally longer when more than the allowed number are in flight.
+ */
+public final class WeightStore {
+
+    /** Time of one transfer at full speed. */
+    public static final long TRANSFER_NANOS = 250 * VirtualTime.MS;
+
+    private final VirtualTime time;
+    private final Limits limits;
+    private final RandomGenerator random;
+    private final Deque<Consumer<Boolean>> waiting = new ArrayDeque<>();
+    private double tokens;
+    private long refilled;
+    private int transferring;
+    private boolean wakeUpSet;
+    private double failingShare;
+    private long loads;
+
+    WeightStore(VirtualTime time, Limits limits, RandomGenerator random) {
+        this.time = time;
+        this.limits = limits;
+        this.random = random;
+        this.tokens = limits.storeFullSpeed();
+    }
+
+    /** Transfers one adapter; {@code done} is told whether it arrived. */
+    void load(Consumer<Boolean> done) {
+        waiting.add(done);
+        startNext();
+    }
+
+    /** Makes this share of all loads fail. */
+    void failShare(double share) {
+        failingShare = share;
+    }
+
+    /** Returns the number of transfers started. */
+    long loads() {
+        return loads;
+    }
+
+    private void startNext() {
+        refill();
+        while (!waiting.isEmpty() && tokens >= 1) {
+            tokens -= 1;
+            start(waiting.poll());
+        }
+        if (!waiting.isEmpty() && !wakeUpSet) {
+            wakeUpSet = true;
+            double wait = (1 - tokens) / limits.storeLoadsPerSecond();
+            time.after((long) (wait * 1e9) + 1, this::wakeUp);
+        }
+    }
+
+    private void wakeUp() {
+        wakeUpSet = false;
+        startNext();
+    }
+
+    private void refill() {
+        double gained = (time.now() - refilled) / 1e9 * limits.storeLoadsPerSecond();
+        tokens = Math.min(limits.storeFullSpeed(), tokens + gained);
+        refilled = time.now();
+    }
+
+    private void start(Consumer<Boolean> done) {
+        loads++;
+        transferring++;
+        double inFlight = transferring + waiting.size();
+        double slowdown = Math.max(1, inFlight / limits.storeInFlight());
+        boolean fails = random.nextDouble() < failingShare;
+        time.after(
+                (long) (TRANSFER_NANOS * slowdown),
+                () -> {
+                    transferring--;
+                    done.accept(!fails);
+                });
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/record/package-info.java
@@ -0,0 +1,2 @@
+/** Recording of live inputs in the trace format. */
+package org.bronzehill.replay.record;
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Trace format: records, reader and writer. */
+package org.bronzehill.replay.trace;
