--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/check/EntitlementChecker.java
@@ -0,0 +1,128 @@
+package org.bronzehill.replay.check;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.bronzehill.config.AdapterSpec;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.MemberSpec;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.replay.generate.Deployment;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.RunResult;
+
+/**
+ * P1: a request runs only on the adapter and version to which its caller was entitled under a
+ * number that was in force at the holder between the arrival of the request and its run; a
+ * successful answer names such a number.
+ */
+public final class EntitlementChecker implements Checker {
+
+    /** Numbers in force at one instance, in order of time. */
+    private record Change(long at, long number) {}
+
+    @Override
+    public List<Violation> check(RunResult run) {
+        List<Violation> found = new ArrayList<>();
+        Map<String, LogEvent.Arrived> arrived = new HashMap<>();
+        Map<String, List<Change>> inForce = new HashMap<>();
+        Map<String, String> holders = new HashMap<>();
+        for (LogEvent e : run.log().events()) {
+            if (e instanceof LogEvent.Arrived a) {
+                arrived.put(a.request(), a);
+            } else if (e instanceof LogEvent.InForce f) {
+                inForce.computeIfAbsent(f.entry(), k -> new ArrayList<>())
+                        .add(new Change(f.at(), f.number()));
+            } else if (e instanceof LogEvent.Accepted a) {
+                holders.put(a.request() + ' ' + a.attempt() + ' ' + a.engine(), a.holder());
+            } else if (e instanceof LogEvent.Ran r) {
+                String holder = holders.get(r.request() + ' ' + r.attempt() + ' ' + r.engine());
+                LogEvent.Arrived a = arrived.get(r.request());
+                TreeSet<Long> numbers = numbers(inForce.get(holder), a.at());
+                checkRun(run, r, a, numbers, found);
+            } else if (e instanceof LogEvent.Answered a && a.code().isSuccess()) {
+                checkAnswer(run, a, arrived.get(a.request()), found);
+            }
+        }
+        return found;
+    }
+
+    /** Returns the numbers in force since {@code from}, with the one that was in force then. */
+    private static TreeSet<Long> numbers(List<Change> changes, long from) {
+        TreeSet<Long> numbers = new TreeSet<>();
+        long before = 0;
+        for (Change c : changes == null ? List.<Change>of() : changes) {
+            if (c.at() <= from) {
+                before = c.number();
+            } else {
+                numbers.add(c.number());
+            }
+        }
+        numbers.add(before);
+        return numbers;
+    }
+
+    private static void checkRun(
+            RunResult run,
+            LogEvent.Ran r,
+            LogEvent.Arrived a,
+            TreeSet<Long> numbers,
+            List<Violation> found) {
+        AdapterVersion ran = AdapterVersion.ofHandle(r.handle());
+        boolean allowed =
+                numbers.stream().anyMatch(n -> isEntitled(run.published().get(n), a, ran));
+        if (!allowed) {
+            found.add(
+                    new Violation(
+                            "P1",
+                            r.at(),
+                            r.request()
+                                    + " of "
+                                    + a.caller()
+                                    + " for "
+                                    + a.adapter()
+                                    + " ran on "
+                                    + r.handle()
+                                    + " of "
+                                    + r.engine()
+                                    + " under numbers "
+                                    + numbers));
+        }
+    }
+
+    private static void checkAnswer(
+            RunResult run, LogEvent.Answered a, LogEvent.Arrived arrived, List<Violation> found) {
+        if (arrived == null || arrived.adapter().isEmpty()) {
+            return;
+        }
+        AdapterVersion named =
+                new AdapterVersion(a.provenance().adapter(), a.provenance().version());
+        long number = a.provenance().configurationNumber();
+        if (!isEntitled(run.published().get(number), arrived, named)) {
+            found.add(
+                    new Violation(
+                            "P1",
+                            a.at(),
+                            a.request() + " names " + named + " under number " + number));
+        }
+    }
+
+    private static boolean isEntitled(Configuration c, LogEvent.Arrived a, AdapterVersion version) {
+        if (c == null || version == null || !version.adapter().equals(a.adapter())) {
+            return false;
+        }
+        AdapterSpec spec = c.adapter(a.adapter()).getOrNull();
+        String hash =
+                ImageCodec.hash(Deployment.tokenOf(a.caller()).getBytes(StandardCharsets.UTF_8));
+        MemberSpec member = c.caller(hash).map(Configuration.Caller::member).getOrNull();
+        return spec != null
+                && member != null
+                && spec.versionFor(a.kind()) == version.version()
+                && member.groups().contains(spec.group())
+                && member.kinds().contains(a.kind());
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/check/EvictionChecker.java
@@ -0,0 +1,29 @@
+package org.bronzehill.replay.check;
+
+import java.util.List;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.RunResult;
+
+/** P2: an adapter that is serving a request is never evicted. */
+public final class EvictionChecker implements Checker {
+
+    @Override
+    public List<Violation> check(RunResult run) {
+        return run.log()
+                .of(LogEvent.Evicted.class)
+                .filter(e -> !e.cutOff().isEmpty())
+                .map(
+                        e ->
+                                new Violation(
+                                        "P2",
+                                        e.at(),
+                                        e.holder()
+                                                + " evicted "
+                                                + e.handle()
+                                                + " from "
+                                                + e.engine()
+                                                + " while it served "
+                                                + e.cutOff()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/check/LeavingChecker.java
@@ -0,0 +1,50 @@
+package org.bronzehill.replay.check;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.RunResult;
+
+/** P6: a leaving upstream receives no new work later than 5 s after the list has named it. */
+public final class LeavingChecker implements Checker {
+
+    static final long BOUND_NANOS = 5_000_000_000L;
+
+    @Override
+    public List<Violation> check(RunResult run) {
+        Map<String, Long> leavingSince = new HashMap<>();
+        List<Violation> found = new ArrayList<>();
+        for (LogEvent e : run.log().events()) {
+            if (e instanceof LogEvent.ListPublished p) {
+                if (p.state().equals("live")) {
+                    leavingSince.remove(p.upstream());
+                } else {
+                    leavingSince.putIfAbsent(p.upstream(), p.at());
+                }
+                continue;
+            }
+            String upstream = receiver(e);
+            Long since = leavingSince.get(upstream);
+            if (since != null && e.at() - since > BOUND_NANOS) {
+                found.add(
+                        new Violation(
+                                "P6",
+                                e.at(),
+                                upstream + " leaves since " + since / 1e9 + " s but got " + e));
+            }
+        }
+        return found;
+    }
+
+    private static String receiver(LogEvent e) {
+        if (e instanceof LogEvent.Accepted a) {
+            return a.engine();
+        }
+        if (e instanceof LogEvent.Ordered o && o.outcome().equals("STARTED")) {
+            return o.engine();
+        }
+        return e instanceof LogEvent.Called c ? c.runner() : "";
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/check/NotRunChecker.java
@@ -0,0 +1,44 @@
+package org.bronzehill.replay.check;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.result.RunState;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.RunResult;
+
+/** P4: a request that was refused as not run has not run before and does not run afterwards. */
+public final class NotRunChecker implements Checker {
+
+    @Override
+    public List<Violation> check(RunResult run) {
+        Map<String, String> effects = new HashMap<>();
+        for (LogEvent e : run.log().events()) {
+            if (e instanceof LogEvent.Ran r) {
+                effects.put(r.request(), "ran on " + r.engine() + " as attempt " + r.attempt());
+            } else if (e instanceof LogEvent.Executed x) {
+                effects.put(x.request(), "was carried out by " + x.runner());
+            }
+        }
+        List<Violation> found = new ArrayList<>();
+        run.log()
+                .of(LogEvent.Answered.class)
+                .filter(a -> a.code().runState() == RunState.NOT_RUN)
+                .filter(a -> effects.containsKey(a.request()))
+                .forEach(
+                        a ->
+                                found.add(
+                                        new Violation(
+                                                "P4",
+                                                a.at(),
+                                                a.request()
+                                                        + " was refused with "
+                                                        + a.code()
+                                                        + " by "
+                                                        + a.entry()
+                                                        + " but "
+                                                        + effects.get(a.request()))));
+        return found;
+    }
+}
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/EntryProgram.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/EntryProgram.java
@@ -30,6 +30,7 @@
     private boolean paused;
     private boolean ready;
     private boolean draining;
+    private long drainingSince;
     private long inForce = -1;
 
     EntryProgram(World world, InstanceRef self, DecisionCore core) {
@@ -171,6 +172,7 @@
 
     void drain() {
         draining = true;
+        drainingSince = world.time().now();
         process("draining");
         deliver(new Input.DrainRequested());
     }
@@ -179,6 +181,19 @@
         return draining;
     }
 
+    void logDrainState(boolean finished) {
+        world.log()
+                .add(
+                        new LogEvent.DrainState(
+                                world.time().now(),
+                                id(),
+                                drainingSince,
+                                finished,
+                                callers.count(),
+                                upstreams.attemptsInFlight(),
+                                upstreams.callsInFlight()));
+    }
+
     private void process(String what) {
         world.log().add(new LogEvent.Process(world.time().now(), id(), self.incarnation(), what));
     }
@@ -238,6 +253,7 @@
         } else if (effect instanceof Effect.Measure m) {
             world.measured(m);
         } else if (effect instanceof Effect.Drained) {
+            logDrainState(true);
             process("drained");
             world.drained(this);
         } else {
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/LogEvent.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/LogEvent.java
@@ -99,4 +99,20 @@
 
     /** A partition began, or ended if {@code sides} is empty. */
     record Network(long at, List<List<String>> sides) implements LogEvent {}
+
+    /**
+     * A draining instance reported the end of its shutdown, or was still draining when the run
+     * ended.
+     *
+     * @param drainingSince time at which the shutdown was asked for
+     */
+    record DrainState(
+            long at,
+            String entry,
+            long drainingSince,
+            boolean finished,
+            int openRequests,
+            int attempts,
+            int calls)
+            implements LogEvent {}
 }
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/UpstreamSide.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/UpstreamSide.java
@@ -129,6 +129,7 @@
     private final EntryProgram program;
     private final World world;
     private final Map<Long, Attempt> attempts = new HashMap<>();
+    private int calls;
 
     UpstreamSide(EntryProgram program, World world) {
         this.program = program;
@@ -139,6 +140,10 @@
         return world.engine(id);
     }
 
+    int callsInFlight() {
+        return calls;
+    }
+
     int attemptsInFlight() {
         return attempts.size();
     }
@@ -270,12 +275,14 @@
 
     private Consumer<Input.ServiceAnswer> once(long callId, long deadlineNanos) {
         boolean[] ended = new boolean[1];
+        calls++;
         world.time()
                 .after(
                         deadlineNanos,
                         () -> {
                             if (!ended[0]) {
                                 ended[0] = true;
+                                calls--;
                                 program.deliver(
                                         new Input.ServiceFailed(
                                                 callId, FailureReason.TIMED_OUT, "no answer"));
@@ -288,6 +295,7 @@
                                 () -> {
                                     if (!ended[0]) {
                                         ended[0] = true;
+                                        calls--;
                                         program.deliver(new Input.ServiceAnswered(callId, answer));
                                     }
                                 });
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/World.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/World.java
@@ -330,6 +330,9 @@
 
     /** Returns the result of the run so far. */
     public RunResult result() {
+        programs.values().stream()
+                .filter(p -> p.isRunning() && p.isDraining())
+                .forEach(p -> p.logDrainState(false));
         Map<String, BatchMeter> meters = new LinkedHashMap<>();
         engines.forEach((id, e) -> meters.put(id, e.meter()));
         return new RunResult(
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/random/RandomRun.java
@@ -0,0 +1,105 @@
+package org.bronzehill.replay.random;
+
+import java.io.PrintStream;
+import java.util.List;
+import org.bronzehill.replay.check.Checkers;
+import org.bronzehill.replay.check.Violation;
+import org.bronzehill.replay.harness.DecisionCore;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.Replay;
+import org.bronzehill.replay.harness.RunResult;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceFormat;
+
+/** Runs randomized fault schedules and reports the seeds that violate a property. */
+public final class RandomRun {
+
+    private static final int SHRINK_RUNS = 200;
+    private static final int MAX_EVENTS = 40;
+    private static final long BEFORE_NANOS = 3_000_000_000L;
+
+    private final DecisionCore.Factory factory;
+    private final PrintStream out;
+
+    private RandomRun(DecisionCore.Factory factory, PrintStream out) {
+        this.factory = factory;
+        this.out = out;
+    }
+
+    /** Creates a runner that reports to {@code out}. */
+    public static RandomRun create(DecisionCore.Factory factory, PrintStream out) {
+        return new RandomRun(factory, out);
+    }
+
+    /** Runs the seeds from {@code first}; returns the number of seeds that failed. */
+    public int run(long first, int count, boolean shorten) {
+        int failed = 0;
+        for (long seed = first; seed < first + count; seed++) {
+            Trace trace = RandomSchedule.of(seed);
+            List<Violation> violations = check(trace);
+            if (!violations.isEmpty()) {
+                failed++;
+                report(seed, trace, violations, shorten);
+            }
+        }
+        out.println(count + " seeds from " + first + ", " + failed + " failed");
+        return failed;
+    }
+
+    private List<Violation> check(Trace trace) {
+        try {
+            return Checkers.check(Replay.run(trace, factory));
+        } catch (RuntimeException e) {
+            StackTraceElement at = e.getStackTrace().length > 0 ? e.getStackTrace()[0] : null;
+            return List.of(new Violation("exception", 0, e + " at " + at));
+        }
+    }
+
+    private void report(long seed, Trace trace, List<Violation> violations, boolean shorten) {
+        out.println(
+                "seed "
+                        + seed
+                        + " ("
+                        + trace.header().deployment()
+                        + ", "
+                        + trace.header().title()
+                        + ") failed; run it with: bronzehill replay --random --first "
+                        + seed
+                        + " --seeds 1 --shorten");
+        violations.stream().limit(5).forEach(v -> out.println("  " + v));
+        if (violations.size() > 5) {
+            out.println("  and " + (violations.size() - 5) + " more");
+        }
+        if (shorten) {
+            String property = violations.get(0).property();
+            Trace shorter =
+                    Shrinker.shrink(
+                            trace,
+                            t -> check(t).stream().anyMatch(v -> v.property().equals(property)),
+                            SHRINK_RUNS);
+            history(shorter, property);
+        }
+    }
+
+    private void history(Trace shorter, String property) {
+        out.println("  shortened trace:");
+        shorter.records().forEach(r -> out.println("    " + TraceFormat.line(r)));
+        if (property.equals("exception")) {
+            return;
+        }
+        RunResult run = Replay.run(shorter, factory);
+        Violation v =
+                Checkers.check(run).stream()
+                        .filter(x -> x.property().equals(property))
+                        .findFirst()
+                        .orElseThrow();
+        out.println("  " + v);
+        List<LogEvent> before =
+                run.log().events().stream()
+                        .filter(e -> e.at() <= v.at() && e.at() >= v.at() - BEFORE_NANOS)
+                        .toList();
+        before.stream()
+                .skip(Math.max(0, before.size() - MAX_EVENTS))
+                .forEach(e -> out.println("    " + e));
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/random/RandomSchedule.java
@@ -0,0 +1,31 @@
+package org.bronzehill.replay.random;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.bronzehill.replay.generate.Deployment;
+import org.bronzehill.replay.generate.Scenario;
+import org.bronzehill.replay.generate.TraceGenerator;
+import org.bronzehill.replay.trace.Trace;
+
+/** Draws a small deployment, traffic and up to five faults, together or twice, from a seed. */
+public final class RandomSchedule {
+
+    private static final int MAX_FAULTS = 5;
+    private static final TraceGenerator.Load LOAD = new TraceGenerator.Load(12, 1.0, 25, 20);
+
+    private RandomSchedule() {}
+
+    /** Returns the trace of a seed. */
+    public static Trace of(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        String name = random.nextBoolean() ? "driftless-small" : "sialkot-small";
+        Scenario[] all = Scenario.values();
+        int faults = 1 + random.nextInt(MAX_FAULTS);
+        List<Scenario> chosen = new ArrayList<>();
+        for (int i = 0; i < faults; i++) {
+            chosen.add(all[random.nextInt(all.length)]);
+        }
+        return TraceGenerator.generate(Deployment.named(name), LOAD, chosen, seed);
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/random/Shrinker.java
@@ -0,0 +1,44 @@
+package org.bronzehill.replay.random;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceRecord;
+
+/** Shortens a failing trace by leaving out records as long as it still fails. */
+public final class Shrinker {
+
+    private final Predicate<Trace> fails;
+    private int runsLeft;
+
+    private Shrinker(Predicate<Trace> fails, int maxRuns) {
+        this.fails = fails;
+        this.runsLeft = maxRuns;
+    }
+
+    /** Returns a short trace that still fails, after at most {@code maxRuns} runs. */
+    public static Trace shrink(Trace trace, Predicate<Trace> fails, int maxRuns) {
+        return new Shrinker(fails, maxRuns).shrink(trace);
+    }
+
+    private Trace shrink(Trace trace) {
+        List<TraceRecord> kept = new ArrayList<>(trace.records());
+        int chunk = Math.max(1, kept.size() / 2);
+        while (chunk >= 1 && runsLeft > 0) {
+            int from = 0;
+            while (from < kept.size() && runsLeft > 0) {
+                List<TraceRecord> shorter = new ArrayList<>(kept.subList(0, from));
+                shorter.addAll(kept.subList(Math.min(kept.size(), from + chunk), kept.size()));
+                runsLeft--;
+                if (fails.test(trace.with(shorter))) {
+                    kept = shorter;
+                } else {
+                    from += chunk;
+                }
+            }
+            chunk /= 2;
+        }
+        return trace.with(kept);
+    }
+}
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/trace/TraceRecord.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/trace/TraceRecord.java
@@ -68,7 +68,11 @@
             String operation,
             String key,
             long budgetMs)
-            implements TraceRecord {}
+            implements TraceRecord {
+        public Service {
+            key = key == null ? "" : key;
+        }
+    }
 
     /** The caller closes its connection. */
     record CallerGone(long at, String id) implements TraceRecord {}
