--- a/bronzehill-replay/src/test/java/org/bronzehill/replay/check/CheckersTest.java
+++ b/bronzehill-replay/src/test/java/org/bronzehill/replay/check/CheckersTest.java
@@ -182,6 +182,12 @@
                 "refusal of an act that ran",
                 log(executed("k", "q"), answered(ResultCode.NO_WITNESSES, true, 0))
             },
+        };
+    }
+
+    @DataProvider
+    Object[][] brokenOperation() {
+        return new Object[][] {
             {"P5", "act twice", log(executed("k", "a"), executed("k", "b"))},
             {
                 "P6",
@@ -230,6 +236,11 @@
         };
     }
 
+    @Test(dataProvider = "brokenOperation")
+    public void findsViolationsOfOperation(String property, String name, LogEvent[] events) {
+        assertEquals(violated(events), List.of(property), name);
+    }
+
     @Test(dataProvider = "broken")
     public void findsViolations(String property, String name, LogEvent[] events) {
         assertEquals(violated(events), List.of(property), name);
