--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/baseline/BaselineCore.java
@@ -0,0 +1,389 @@
+package org.bronzehill.replay.baseline;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.ConfigurationStore;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.KindSpec;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.ModelRequest;
+import org.bronzehill.core.model.Provenance;
+import org.bronzehill.core.model.ServiceRequest;
+import org.bronzehill.core.model.UpstreamKind;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.EntrySettings;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.IdSequence;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.node.OrderKind;
+import org.bronzehill.core.node.OrderOutcome;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.replay.harness.DecisionCore;
+
+/**
+ * A simple policy as baseline. Only the first entry instance becomes ready and takes all requests,
+ * so that the baseline pays nothing for cooperation; this favours the baseline.
+ */
+public final class BaselineCore implements DecisionCore {
+
+    private static final int MAX_ATTEMPTS = 3;
+    private static final String LEADER = "entry-0";
+
+    private final EngineChoice choice;
+    private final String self;
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final ConfigurationStore configuration = ConfigurationStore.create();
+    private final IdSequence ids = IdSequence.create();
+    private final Map<String, EngineView> engines = new HashMap<>();
+    private final Map<Long, BaselineRequest> attempts = new HashMap<>();
+    private final Map<String, BaselineRequest> open = new HashMap<>();
+    private final Map<Long, ServiceRequest> calls = new HashMap<>();
+    private final Map<Long, Runnable> orders = new HashMap<>();
+    private final Map<Long, OrderOutcome> outcomes = new HashMap<>();
+    private InstanceList list = InstanceList.EMPTY;
+    private Effects out;
+
+    private BaselineCore(
+            EngineChoice choice, EntrySettings settings, TimeSource time, RandomGenerator random) {
+        this.choice = choice;
+        this.self = settings.self().id();
+        this.time = time;
+        this.random = random;
+    }
+
+    /** Returns the factory of the policy with that choice of engine. */
+    public static DecisionCore.Factory factory(EngineChoice choice) {
+        return (settings, time, random) -> new BaselineCore(choice, settings, time, random);
+    }
+
+    @Override
+    public long configurationNumber() {
+        return configuration.current().number();
+    }
+
+    @Override
+    public void handle(Input input, Effects effects) {
+        if (!self.equals(LEADER)) {
+            return;
+        }
+        out = effects;
+        if (input instanceof Input.Tick) {
+            onTick();
+        } else if (input instanceof Input.ConfigurationRead r) {
+            configuration.offer(r.image());
+            readConfiguration();
+            becomeReady();
+        } else if (input instanceof Input.ConfigurationReadFailed) {
+            readConfiguration();
+        } else if (input instanceof Input.InstanceListRead r) {
+            onList(r.list());
+        } else if (input instanceof Input.ModelRequested r) {
+            model(r.request());
+        } else if (input instanceof Input.ServiceRequested r) {
+            service(r.request());
+        } else if (input instanceof Input.OrderAnswered a) {
+            outcomes.put(a.orderId(), a.outcome());
+            orders.remove(a.orderId()).run();
+        } else {
+            onAttempt(input);
+        }
+    }
+
+    private void onAttempt(Input input) {
+        if (input instanceof Input.AttemptStarted s) {
+            started(attempts.get(s.attemptId()));
+        } else if (input instanceof Input.AttemptFinished f) {
+            finished(attempts.remove(f.attemptId()), f.chunks());
+        } else if (input instanceof Input.AttemptFailed f) {
+            failed(attempts.remove(f.attemptId()), f.reason());
+        } else if (input instanceof Input.ServiceAnswered a) {
+            answerService(calls.remove(a.callId()), a.answer());
+        } else if (input instanceof Input.ServiceFailed f) {
+            answerService(calls.remove(f.callId()), null);
+        } else if (input instanceof Input.CallerGone g) {
+            gone(open.get(g.requestId()));
+        }
+    }
+
+    private static void started(BaselineRequest r) {
+        if (r != null) {
+            r.started();
+        }
+    }
+
+    private void onTick() {
+        if (configurationNumber() == 0 && list.version() == 0) {
+            readConfiguration();
+        }
+        if (list.version() == 0 || random.nextInt(20) == 0) {
+            out.add(new Effect.ReadInstanceList(list.version()));
+        }
+        for (BaselineRequest r : List.copyOf(open.values())) {
+            if (time.nanoTime() > r.dueNanos()) {
+                end(r, r.hasStarted() ? ResultCode.DEADLINE_PASSED : ResultCode.LOAD_FAILED, 0);
+            }
+        }
+    }
+
+    private void readConfiguration() {
+        out.add(new Effect.ReadConfiguration(configurationNumber(), Duration.ofSeconds(30)));
+    }
+
+    private void becomeReady() {
+        if (configurationNumber() > 0 && list.version() > 0) {
+            out.add(new Effect.SetReady(true, ""));
+        }
+    }
+
+    private void onList(InstanceList next) {
+        list = next;
+        next.upstreams().stream()
+                .filter(u -> u.kind() == UpstreamKind.ENGINE)
+                .forEach(
+                        u ->
+                                engines.computeIfAbsent(
+                                        u.id(),
+                                        id -> new EngineView(id, u.shape().adapterSlots())));
+        becomeReady();
+    }
+
+    private void model(ModelRequest q) {
+        Configuration c = configuration.current();
+        KindSpec kind = c.kind(q.kind()).getOrNull();
+        int version = c.adapter(q.adapter()).map(a -> a.versionFor(q.kind())).getOrElse(0);
+        long budget = (q.budget() == null ? kind.deadline() : q.budget()).toNanos();
+        AdapterVersion adapter = new AdapterVersion(q.adapter(), version);
+        BaselineRequest r = new BaselineRequest(q, kind, adapter, time.nanoTime() + budget);
+        open.put(q.requestId(), r);
+        if (isEntitled(c, q)) {
+            assign(r);
+        } else {
+            end(r, ResultCode.NOT_ENTITLED, 0);
+        }
+    }
+
+    private static boolean isEntitled(Configuration c, ModelRequest q) {
+        String hash = ImageCodec.hash(q.token().getBytes(StandardCharsets.UTF_8));
+        return c.caller(hash)
+                .flatMap(
+                        caller ->
+                                c.adapter(q.adapter())
+                                        .filter(
+                                                a ->
+                                                        caller.member()
+                                                                .groups()
+                                                                .contains(a.group())))
+                .isDefined();
+    }
+
+    private void assign(BaselineRequest r) {
+        List<EngineView> live = new ArrayList<>();
+        list.upstreams().stream()
+                .filter(u -> u.acceptsWork() && engines.containsKey(u.id()))
+                .forEach(u -> live.add(engines.get(u.id())));
+        EngineView e = choice.choose(r.adapter().adapter(), live, random);
+        r.assigned(e);
+        e.opened();
+        place(r);
+    }
+
+    private void place(BaselineRequest r) {
+        EngineView e = r.engine();
+        EngineView.Resident resident = e.resident(r.adapter());
+        if (resident == null) {
+            AdapterVersion victim = e.hasFreeSlot() ? null : e.victim();
+            if (victim == null && !e.hasFreeSlot()) {
+                e.blocked().add(r);
+                return;
+            }
+            if (victim != null) {
+                order(e, OrderKind.EVICT, e.handle(victim), victim, () -> {});
+                e.remove(victim);
+            }
+            resident = e.add(r.adapter());
+            load(e, r.adapter(), resident);
+        }
+        if (resident.isLoading()) {
+            resident.waiting().add(r);
+        } else {
+            send(r);
+        }
+    }
+
+    private void load(EngineView e, AdapterVersion adapter, EngineView.Resident resident) {
+        long[] id = new long[1];
+        id[0] =
+                order(
+                        e,
+                        OrderKind.LOAD,
+                        e.handle(adapter),
+                        adapter,
+                        () -> {
+                            boolean arrived = outcomes.remove(id[0]) == OrderOutcome.DONE;
+                            if (e.resident(adapter) != resident) {
+                                return;
+                            }
+                            List<BaselineRequest> waiting = resident.arrived();
+                            if (arrived) {
+                                waiting.forEach(this::send);
+                            } else {
+                                e.remove(adapter);
+                                waiting.stream().filter(r -> !r.isEnded()).forEach(this::retry);
+                            }
+                        });
+    }
+
+    private long order(
+            EngineView e, OrderKind kind, String handle, AdapterVersion adapter, Runnable done) {
+        long id = ids.next();
+        orders.put(
+                id,
+                () -> {
+                    done.run();
+                    outcomes.remove(id);
+                });
+        out.add(new Effect.OrderEngine(id, e.id(), kind, handle, adapter, "", id, ""));
+        return id;
+    }
+
+    private void send(BaselineRequest r) {
+        if (r.isEnded()) {
+            return;
+        }
+        EngineView e = r.engine();
+        e.use(r.adapter(), 1);
+        r.sent(ids.next());
+        attempts.put(r.attemptId(), r);
+        Duration left = Duration.ofNanos(Math.max(1, r.dueNanos() - time.nanoTime()));
+        out.add(
+                new Effect.StartAttempt(
+                        r.attemptId(),
+                        e.id(),
+                        e.handle(r.adapter()),
+                        r.request().requestId(),
+                        r.attempt(),
+                        self,
+                        r.request().body(),
+                        true,
+                        new Effect.AttemptLimits(
+                                left, r.kind().silence(), r.kind().urgency().ordinal())));
+    }
+
+    private void finished(BaselineRequest r, long chunks) {
+        if (r != null) {
+            r.engine().use(r.adapter(), -1);
+            end(r, ResultCode.OK, chunks);
+        }
+    }
+
+    private void failed(BaselineRequest r, FailureReason reason) {
+        if (r == null) {
+            return;
+        }
+        EngineView e = r.engine();
+        e.use(r.adapter(), -1);
+        if (reason == FailureReason.BROKEN || reason == FailureReason.REFUSED) {
+            e.restarted().stream().filter(w -> w != r && !w.isEnded()).forEach(this::retry);
+        }
+        if (r.isEnded()) {
+            return;
+        }
+        if (r.hasStarted() || r.attempt() >= MAX_ATTEMPTS) {
+            end(r, ResultCode.UPSTREAM_FAILED, 0);
+        } else {
+            retry(r);
+        }
+    }
+
+    private void retry(BaselineRequest r) {
+        r.engine().closed();
+        assign(r);
+    }
+
+    private void gone(BaselineRequest r) {
+        if (r != null) {
+            end(r, ResultCode.CANCELLED, 0);
+        }
+    }
+
+    private void end(BaselineRequest r, ResultCode code, long chunks) {
+        if (r.isEnded()) {
+            return;
+        }
+        r.end();
+        open.remove(r.request().requestId());
+        String engine = "";
+        if (r.engine() != null) {
+            engine = r.engine().id();
+            r.engine().closed();
+            if (attempts.containsKey(r.attemptId())) {
+                out.add(new Effect.CancelAttempt(r.attemptId()));
+            }
+            List<BaselineRequest> blocked = List.copyOf(r.engine().blocked());
+            r.engine().blocked().clear();
+            blocked.stream().filter(b -> !b.isEnded()).forEach(this::place);
+        }
+        out.add(
+                new Effect.Answer(
+                        r.request().requestId(),
+                        r.attempt(),
+                        code,
+                        new Provenance(
+                                r.adapter().adapter(),
+                                r.adapter().version(),
+                                configurationNumber(),
+                                engine,
+                                self),
+                        chunks,
+                        null,
+                        Duration.ZERO,
+                        Duration.ZERO,
+                        ""));
+    }
+
+    private void service(ServiceRequest q) {
+        List<String> runners =
+                list.upstreams().stream()
+                        .filter(u -> u.acceptsWork() && u.services().contains(q.service()))
+                        .map(u -> u.id())
+                        .toList();
+        long id = ids.next();
+        calls.put(id, q);
+        out.add(
+                new Effect.CallService(
+                        id,
+                        runners.get(random.nextInt(runners.size())),
+                        q.service(),
+                        q.operation(),
+                        q.key(),
+                        q.body(),
+                        q.contentType(),
+                        q.requestId(),
+                        Duration.ofSeconds(5)));
+    }
+
+    private void answerService(ServiceRequest q, Input.ServiceAnswer body) {
+        ResultCode code = body == null ? ResultCode.UPSTREAM_FAILED : ResultCode.OK;
+        out.add(
+                new Effect.Answer(
+                        q.requestId(),
+                        0,
+                        code,
+                        new Provenance("", 0, configurationNumber(), "", self),
+                        -1,
+                        body,
+                        Duration.ZERO,
+                        Duration.ZERO,
+                        ""));
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/baseline/BaselineRequest.java
@@ -0,0 +1,79 @@
+package org.bronzehill.replay.baseline;
+
+import org.bronzehill.config.KindSpec;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.model.ModelRequest;
+
+/** An open model request of a baseline. */
+final class BaselineRequest {
+
+    private final ModelRequest request;
+    private final KindSpec kind;
+    private final AdapterVersion adapter;
+    private final long dueNanos;
+    private int attempt;
+    private boolean started;
+    private boolean ended;
+    private long attemptId;
+    private EngineView engine;
+
+    BaselineRequest(ModelRequest request, KindSpec kind, AdapterVersion adapter, long dueNanos) {
+        this.request = request;
+        this.kind = kind;
+        this.adapter = adapter;
+        this.dueNanos = dueNanos;
+    }
+
+    ModelRequest request() {
+        return request;
+    }
+
+    KindSpec kind() {
+        return kind;
+    }
+
+    AdapterVersion adapter() {
+        return adapter;
+    }
+
+    long dueNanos() {
+        return dueNanos;
+    }
+
+    int attempt() {
+        return attempt;
+    }
+
+    EngineView engine() {
+        return engine;
+    }
+
+    void assigned(EngineView next) {
+        engine = next;
+    }
+
+    void sent(long id) {
+        attempt++;
+        attemptId = id;
+    }
+
+    long attemptId() {
+        return attemptId;
+    }
+
+    void started() {
+        started = true;
+    }
+
+    boolean hasStarted() {
+        return started;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    void end() {
+        ended = true;
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/baseline/EngineView.java
@@ -0,0 +1,121 @@
+package org.bronzehill.replay.baseline;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.model.AdapterVersion;
+
+/** What a baseline knows about an engine: exact, because only the baseline uses the engine. */
+final class EngineView {
+
+    /** A loaded or loading adapter and the requests that wait for it. */
+    static final class Resident {
+        private boolean loading = true;
+        private int inUse;
+        private final List<BaselineRequest> waiting = new ArrayList<>();
+
+        boolean isLoading() {
+            return loading;
+        }
+
+        List<BaselineRequest> arrived() {
+            loading = false;
+            List<BaselineRequest> all = List.copyOf(waiting);
+            waiting.clear();
+            return all;
+        }
+
+        List<BaselineRequest> waiting() {
+            return waiting;
+        }
+    }
+
+    private final String id;
+    private final int slots;
+    private final LinkedHashMap<AdapterVersion, Resident> residents =
+            new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<AdapterVersion, Long> epochs = new HashMap<>();
+    private final List<BaselineRequest> blocked = new ArrayList<>();
+    private long epoch;
+    private int open;
+
+    EngineView(String id, int slots) {
+        this.id = id;
+        this.slots = slots;
+    }
+
+    String id() {
+        return id;
+    }
+
+    int open() {
+        return open;
+    }
+
+    void opened() {
+        open++;
+    }
+
+    void closed() {
+        open--;
+    }
+
+    List<BaselineRequest> blocked() {
+        return blocked;
+    }
+
+    Resident resident(AdapterVersion adapter) {
+        return residents.get(adapter);
+    }
+
+    boolean hasFreeSlot() {
+        return residents.size() < slots;
+    }
+
+    /** Returns the least recently used adapter that is neither in use nor loading, or null. */
+    AdapterVersion victim() {
+        for (Map.Entry<AdapterVersion, Resident> e : residents.entrySet()) {
+            Resident r = e.getValue();
+            if (!r.loading && r.inUse == 0) {
+                return e.getKey();
+            }
+        }
+        return null;
+    }
+
+    /** Starts loading an adapter under a new handle. */
+    Resident add(AdapterVersion adapter) {
+        Resident r = new Resident();
+        residents.put(adapter, r);
+        epochs.put(adapter, ++epoch);
+        return r;
+    }
+
+    String handle(AdapterVersion adapter) {
+        return adapter.handle(epochs.get(adapter));
+    }
+
+    Resident remove(AdapterVersion adapter) {
+        epochs.remove(adapter);
+        return residents.remove(adapter);
+    }
+
+    void use(AdapterVersion adapter, int change) {
+        Resident r = residents.get(adapter);
+        if (r != null) {
+            r.inUse += change;
+        }
+    }
+
+    /** Forgets everything after a restart; returns the requests that waited for adapters. */
+    List<BaselineRequest> restarted() {
+        List<BaselineRequest> waiting = new ArrayList<>(blocked);
+        residents.values().forEach(r -> waiting.addAll(r.waiting));
+        blocked.clear();
+        residents.clear();
+        epochs.clear();
+        return waiting;
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/baseline/package-info.java
@@ -0,0 +1,2 @@
+/** Baseline policies that the experiment compares with. */
+package org.bronzehill.replay.baseline;
