--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/ExperimentCommand.java
@@ -0,0 +1,98 @@
+package org.bronzehill.cli;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.bronzehill.replay.experiment.Experiment;
+import org.bronzehill.replay.experiment.Plot;
+import org.bronzehill.replay.experiment.ReportTable;
+import org.bronzehill.replay.experiment.ShiftRecovery;
+import org.bronzehill.replay.experiment.Targets;
+import org.bronzehill.replay.generate.Deployment;
+import org.bronzehill.replay.generate.Scenario;
+import org.bronzehill.replay.generate.TraceGenerator;
+import org.bronzehill.replay.harness.Replay;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceFormat;
+
+/** Compares the policy with its baselines and bounds on the same trace. */
+@Command(
+        name = "experiment",
+        description = "Compares the policy with baselines and a bound on the same trace")
+public final class ExperimentCommand implements Callable<Integer> {
+
+    @Arguments(title = "TRACE", description = "Trace file; without it, generated traffic is used")
+    private String trace;
+
+    @Option(name = "--out", title = "DIR", description = "Directory for the CSV and SVG files")
+    private String out = "out/experiment";
+
+    @Option(name = "--deployment", title = "NAME", description = "driftless, sialkot or all")
+    private String deployment = "all";
+
+    @Option(name = "--seed", title = "SEED")
+    private long seed = 1;
+
+    @Option(name = "--seconds", title = "N", description = "Duration of the traffic")
+    private int seconds = 300;
+
+    @Option(name = "--measure-from", title = "SECONDS", description = "Start of the measurement")
+    private int measureFrom = 120;
+
+    @Option(name = "--rate", title = "N", description = "Requests per second")
+    private double rate = 30;
+
+    @Option(name = "--exponent", title = "X", description = "Exponent of the popularity")
+    private double exponent = 1.2;
+
+    @Override
+    public Integer call() throws IOException {
+        if (trace != null) {
+            report(TraceFormat.read(Path.of(trace)), measureFrom, false);
+            return 0;
+        }
+        for (String d : List.of("driftless", "sialkot")) {
+            if (deployment.equals("all") || deployment.equals(d)) {
+                report(generate(d, Scenario.STEADY, seconds), measureFrom, false);
+                report(generate(d, Scenario.POPULARITY_SHIFT, 2 * seconds), measureFrom, true);
+            }
+        }
+        return 0;
+    }
+
+    private Trace generate(String name, Scenario scenario, int duration) {
+        return TraceGenerator.generate(
+                Deployment.named(name),
+                new TraceGenerator.Load(rate, exponent, duration, 20),
+                List.of(scenario),
+                seed);
+    }
+
+    private void report(Trace t, int fromSeconds, boolean shift) throws IOException {
+        Experiment.Result r = Experiment.run(t, fromSeconds * 1000L + Replay.WARM_UP_MS);
+        List<Targets.Check> checks = new ArrayList<>();
+        if (shift) {
+            long traffic = t.header().durationMs() - 20_000 - Replay.WARM_UP_MS;
+            long middle = (Replay.WARM_UP_MS + traffic / 2) * 1_000_000;
+            checks.add(
+                    ShiftRecovery.check(
+                            r.policy(Experiment.POLICY).outcomes(),
+                            r.deployment().limits(),
+                            middle,
+                            fromSeconds * 1_000_000_000L));
+        } else {
+            checks.addAll(Targets.check(r));
+        }
+        System.out.println(ReportTable.text(r, checks));
+        Path dir = Files.createDirectories(Path.of(out));
+        String name = r.deployment().name() + '-' + t.header().title().replace('+', '-');
+        Files.writeString(dir.resolve(name + ".csv"), ReportTable.csv(r));
+        Files.writeString(dir.resolve(name + ".svg"), Plot.svg(r));
+    }
+}
--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/GenerateCommand.java
@@ -0,0 +1,65 @@
+package org.bronzehill.cli;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.bronzehill.replay.expect.ExpectationFile;
+import org.bronzehill.replay.expect.ExpectationGenerator;
+import org.bronzehill.replay.generate.Deployment;
+import org.bronzehill.replay.generate.Scenario;
+import org.bronzehill.replay.generate.TraceGenerator;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceFormat;
+
+/** Writes a trace from a seed, and its expectations. */
+@Command(name = "generate-trace", description = "Writes a trace and its expectations from a seed")
+public final class GenerateCommand implements Callable<Integer> {
+
+    @Arguments(title = "TRACE", description = "Trace file to write; .gz compresses it")
+    @Required
+    private String trace;
+
+    @Option(name = "--expect", title = "FILE", description = "Expectation file to write")
+    private String expect;
+
+    @Option(name = "--deployment", title = "NAME", description = "driftless or sialkot")
+    private String deployment = "driftless";
+
+    @Option(name = "--scenario", title = "LIST", description = "Scenarios, joined by +")
+    private String scenario = "steady";
+
+    @Option(name = "--seed", title = "SEED")
+    private long seed = 1;
+
+    @Option(name = "--seconds", title = "N", description = "Duration of the traffic")
+    private int seconds = 40;
+
+    @Option(name = "--rate", title = "N", description = "Requests per second")
+    private double rate = 10;
+
+    @Option(name = "--exponent", title = "X", description = "Exponent of the popularity")
+    private double exponent = 1.2;
+
+    @Override
+    public Integer call() throws IOException {
+        List<Scenario> scenarios =
+                Arrays.stream(scenario.split("\\+")).map(Scenario::ofLabel).toList();
+        Trace t =
+                TraceGenerator.generate(
+                        Deployment.named(deployment),
+                        new TraceGenerator.Load(rate, exponent, seconds, 20),
+                        scenarios,
+                        seed);
+        TraceFormat.write(t, Path.of(trace));
+        if (expect != null) {
+            ExpectationFile.write(ExpectationGenerator.of(t), Path.of(expect));
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/ReplayCommand.java
@@ -0,0 +1,97 @@
+package org.bronzehill.cli;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.replay.check.Checkers;
+import org.bronzehill.replay.check.Violation;
+import org.bronzehill.replay.expect.ExpectationFile;
+import org.bronzehill.replay.expect.Expectations;
+import org.bronzehill.replay.harness.DecisionCore;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.Replay;
+import org.bronzehill.replay.harness.RunResult;
+import org.bronzehill.replay.random.RandomRun;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceFormat;
+
+/** Replays a trace, or randomized fault schedules, through the decision code on virtual time. */
+@Command(
+        name = "replay",
+        description = "Replays a trace through the decision code and checks its outcomes")
+public final class ReplayCommand implements Callable<Integer> {
+
+    @Arguments(title = "TRACE", description = "Trace file, plain or compressed with gzip")
+    private String trace;
+
+    @Option(name = "--expect", title = "FILE", description = "Stated outcomes")
+    private String expect;
+
+    @Option(name = "--random", description = "Run randomized fault schedules instead of a trace")
+    private boolean random;
+
+    @Option(name = "--seeds", title = "N", description = "Number of random schedules")
+    private int seeds = 100;
+
+    @Option(name = "--first", title = "SEED", description = "First seed")
+    private long first = 1;
+
+    @Option(name = "--shorten", description = "Shorten the history of failing seeds")
+    private boolean shorten;
+
+    @Option(name = "--log", description = "Print every event")
+    private boolean log;
+
+    @Override
+    public Integer call() throws IOException {
+        if (random) {
+            int failed =
+                    RandomRun.create(DecisionCore.entryCore(), System.out)
+                            .run(first, seeds, shorten);
+            return failed == 0 ? 0 : 1;
+        }
+        if (trace == null) {
+            System.err.println("either TRACE or --random is required");
+            return 2;
+        }
+        return replay(TraceFormat.read(Path.of(trace)));
+    }
+
+    private int replay(Trace t) throws IOException {
+        RunResult run = Replay.run(t);
+        if (log) {
+            run.log().events().forEach(System.out::println);
+        }
+        List<Violation> violations = Checkers.check(run);
+        violations.forEach(System.out::println);
+        int mismatches = 0;
+        if (expect != null) {
+            List<Expectations.Mismatch> found =
+                    Expectations.compare(t, run, ExpectationFile.read(Path.of(expect)));
+            found.forEach(System.out::println);
+            mismatches = found.size();
+        }
+        System.out.println(
+                t.header().title()
+                        + ": "
+                        + run.log().of(LogEvent.Arrived.class).count()
+                        + " requests, "
+                        + violations.size()
+                        + " violations, "
+                        + mismatches
+                        + " mismatches");
+        if (violations.isEmpty() && mismatches == 0) {
+            return 0;
+        }
+        System.out.println(
+                ResultCode.EXPECTATION_FAILED.number()
+                        + " "
+                        + ResultCode.EXPECTATION_FAILED.summary());
+        return 1;
+    }
+}
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/baseline/EngineChoice.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/baseline/EngineChoice.java
@@ -24,9 +24,7 @@
                     .min(
                             Comparator.comparingInt(EngineView::open)
                                     .thenComparing(
-                                            e ->
-                                                    (engines.indexOf(e) + offset)
-                                                            % engines.size()))
+                                            e -> (engines.indexOf(e) + offset) % engines.size()))
                     .orElseThrow();
         }
     },
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/ExpectationGenerator.java
@@ -0,0 +1,133 @@
+package org.bronzehill.replay.expect;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.bronzehill.replay.generate.Deployment;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceRecord;
+
+/**
+ * States the outcomes of a generated trace from its records alone, without running anything: what a
+ * caller may be told, and which versions may answer it.
+ */
+public final class ExpectationGenerator {
+
+    private static final double STEADY_SUCCESS = 0.97;
+    private static final double FAULTY_SUCCESS = 0.75;
+
+    private final Trace trace;
+    private final Set<String> gone = new HashSet<>();
+    private final Map<String, List<TraceRecord.Publish>> changes = new HashMap<>();
+    private boolean engineFaults;
+    private boolean instanceLoss;
+    private boolean otherFaults;
+
+    private ExpectationGenerator(Trace trace) {
+        this.trace = trace;
+    }
+
+    /** Returns the expectations of a trace. */
+    public static List<Expectation> of(Trace trace) {
+        ExpectationGenerator g = new ExpectationGenerator(trace);
+        trace.records().forEach(g::note);
+        List<Expectation> all = new ArrayList<>();
+        boolean faulty = g.engineFaults || g.instanceLoss || g.otherFaults;
+        all.add(Expectation.ofTrace(faulty ? FAULTY_SUCCESS : STEADY_SUCCESS));
+        trace.records().forEach(r -> g.expect(r, all));
+        return all;
+    }
+
+    private void note(TraceRecord r) {
+        if (r instanceof TraceRecord.CallerGone c) {
+            gone.add(c.id());
+        } else if (r instanceof TraceRecord.Publish p) {
+            p.pins()
+                    .keySet()
+                    .forEach(a -> changes.computeIfAbsent(a, k -> new ArrayList<>()).add(p));
+        } else if (r instanceof TraceRecord.EngineRestart
+                || r instanceof TraceRecord.Silence
+                || r instanceof TraceRecord.Pause
+                || r instanceof TraceRecord.Model m && m.crashes()) {
+            engineFaults = true;
+        } else if (r instanceof TraceRecord.Kill) {
+            instanceLoss = true;
+            engineFaults = true;
+        } else if (!(r instanceof TraceRecord.Model) && !(r instanceof TraceRecord.Service)) {
+            otherFaults = true;
+        }
+    }
+
+    private void expect(TraceRecord r, List<Expectation> all) {
+        String id = Expectations.idOf(r);
+        if (id.isEmpty() || gone.contains(id)) {
+            return;
+        }
+        if (r instanceof TraceRecord.Model m) {
+            all.add(Expectation.of(id, modelOutcomes(m), versions(m)));
+        } else if (r instanceof TraceRecord.Service s) {
+            all.add(Expectation.of(id, serviceOutcomes(s), List.of()));
+        }
+    }
+
+    private List<String> modelOutcomes(TraceRecord.Model m) {
+        if (!m.caller().equals(Deployment.callerForAdapter(m.adapter()))) {
+            return withLoss(refusable(new ArrayList<>(List.of("NOT_ENTITLED"))));
+        }
+        List<String> outcomes = new ArrayList<>();
+        if (m.crashes()) {
+            outcomes.addAll(List.of("CRASHES_UPSTREAMS", "MAY_HAVE_RUN"));
+            return withLoss(refusable(outcomes));
+        }
+        outcomes.add("OK");
+        if (engineFaults) {
+            outcomes.add("MAY_HAVE_RUN");
+        }
+        return withLoss(refusable(outcomes));
+    }
+
+    private List<String> serviceOutcomes(TraceRecord.Service s) {
+        List<String> outcomes = new ArrayList<>(List.of("OK"));
+        if (!s.key().isEmpty()) {
+            outcomes.add("RECORDED_ANSWER");
+        }
+        if (engineFaults || otherFaults) {
+            outcomes.add("MAY_HAVE_RUN");
+        }
+        return withLoss(refusable(outcomes));
+    }
+
+    /** Adds the refusals; the share of successes bounds how often they may occur. */
+    private static List<String> refusable(List<String> outcomes) {
+        if (!outcomes.contains("NOT_ENTITLED")) {
+            outcomes.add("NOT_RUN");
+        }
+        return outcomes;
+    }
+
+    private List<String> withLoss(List<String> outcomes) {
+        if (instanceLoss) {
+            outcomes.add(Expectations.NO_ANSWER);
+            if (!outcomes.contains("NOT_RUN")) {
+                outcomes.add("NOT_READY");
+            }
+        }
+        return outcomes;
+    }
+
+    /** Returns the versions pinned at some time between the arrival and the end of the request. */
+    private List<Integer> versions(TraceRecord.Model m) {
+        TreeSet<Integer> versions = new TreeSet<>();
+        int before = 1;
+        for (TraceRecord.Publish p : changes.getOrDefault(m.adapter(), List.of())) {
+            versions.add(before);
+            before = p.pins().get(m.adapter());
+        }
+        versions.add(before);
+        return List.copyOf(versions);
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/Expectations.java
@@ -0,0 +1,110 @@
+package org.bronzehill.replay.expect;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.RunResult;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceFormat;
+import org.bronzehill.replay.trace.TraceRecord;
+
+/** Compares a run with the stated outcomes of its trace. */
+public final class Expectations {
+
+    /** Outcome of a request whose instance ended before it answered. */
+    static final String NO_ANSWER = "NO_ANSWER";
+
+    private Expectations() {}
+
+    /** Describes a difference: the record, what was expected, and what was seen. */
+    public record Mismatch(String record, String expected, String seen) {
+
+        @Override
+        public String toString() {
+            return "record " + record + "\n  expected " + expected + "\n  seen     " + seen;
+        }
+    }
+
+    /** Returns every difference between the run and the expectations. */
+    public static List<Mismatch> compare(
+            Trace trace, RunResult run, List<Expectation> expectations) {
+        Map<String, LogEvent.Answered> answers = new HashMap<>();
+        run.log().of(LogEvent.Answered.class).forEach(a -> answers.put(a.request(), a));
+        Map<String, TraceRecord> records = new HashMap<>();
+        trace.records().forEach(r -> records.put(idOf(r), r));
+        List<Mismatch> found = new ArrayList<>();
+        for (Expectation e : expectations) {
+            if (e.request().isEmpty()) {
+                compareShare(run, e, found);
+            } else {
+                compareOne(e, records.get(e.request()), answers.get(e.request()), found);
+            }
+        }
+        return found;
+    }
+
+    /** Returns the identifier of the request in a record, or an empty text. */
+    static String idOf(TraceRecord r) {
+        if (r instanceof TraceRecord.Model m) {
+            return m.id();
+        }
+        return r instanceof TraceRecord.Service s ? s.id() : "";
+    }
+
+    private static void compareOne(
+            Expectation e, TraceRecord r, LogEvent.Answered a, List<Mismatch> found) {
+        String record = r == null ? "with id " + e.request() + " is absent" : TraceFormat.line(r);
+        boolean outcome = e.outcomes().isEmpty() || matches(e.outcomes(), a);
+        boolean model = a != null && a.code().isSuccess() && r instanceof TraceRecord.Model;
+        boolean version =
+                !model || e.versions().isEmpty() || e.versions().contains(a.provenance().version());
+        if (!outcome || !version) {
+            String expected = e.outcomes() + (version ? "" : " of version " + e.versions());
+            found.add(new Mismatch(record, expected, seen(a)));
+        }
+    }
+
+    private static boolean matches(List<String> outcomes, LogEvent.Answered a) {
+        if (a == null) {
+            return outcomes.contains(NO_ANSWER);
+        }
+        return outcomes.contains(a.code().name())
+                || !a.code().isSuccess()
+                        && a.code() != ResultCode.INTERNAL
+                        && outcomes.contains(a.code().runState().name());
+    }
+
+    private static String seen(LogEvent.Answered a) {
+        if (a == null) {
+            return NO_ANSWER;
+        }
+        return a.code()
+                + " from "
+                + a.provenance()
+                + (a.detail().isEmpty() ? "" : ", ")
+                + a.detail();
+    }
+
+    private static void compareShare(RunResult run, Expectation e, List<Mismatch> found) {
+        long entitled =
+                run.log()
+                        .of(LogEvent.Answered.class)
+                        .filter(a -> a.code() != ResultCode.NOT_ENTITLED)
+                        .count();
+        long success =
+                run.log()
+                        .of(LogEvent.Answered.class)
+                        .filter(a -> a.code().isSuccess() && a.whole())
+                        .count();
+        if (success < e.minSuccess() * entitled) {
+            found.add(
+                    new Mismatch(
+                            "all requests",
+                            "a share of at least " + e.minSuccess() + " succeeds",
+                            success + " of " + entitled));
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/experiment/Outcomes.java
@@ -0,0 +1,70 @@
+package org.bronzehill.replay.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.replay.check.Deadlines;
+import org.bronzehill.replay.harness.LogEvent;
+import org.bronzehill.replay.harness.RunResult;
+
+/** Derives the outcome of every request from the event log, alike for every policy. */
+public final class Outcomes {
+
+    private Outcomes() {}
+
+    /**
+     * Returns the outcomes of the requests that arrived at or after {@code fromNanos}; leaves out
+     * those that a policy has to refuse and those whose caller left.
+     */
+    public static List<RequestOutcome> of(RunResult run, long fromNanos) {
+        Map<String, LogEvent.Arrived> arrived = new HashMap<>();
+        Map<String, LogEvent.Ran> lastRun = new HashMap<>();
+        Map<String, LogEvent.Answered> answered = new HashMap<>();
+        Set<String> left = new HashSet<>();
+        for (LogEvent e : run.log().events()) {
+            if (e instanceof LogEvent.Arrived a) {
+                arrived.put(a.request(), a);
+            } else if (e instanceof LogEvent.Ran r) {
+                lastRun.put(r.request(), r);
+            } else if (e instanceof LogEvent.Answered a) {
+                answered.put(a.request(), a);
+            } else if (e instanceof LogEvent.CallerLeft l) {
+                left.add(l.request());
+            }
+        }
+        List<RequestOutcome> all = new ArrayList<>();
+        for (LogEvent.Arrived a : arrived.values()) {
+            LogEvent.Answered end = answered.get(a.request());
+            boolean refused = end != null && end.code() == ResultCode.NOT_ENTITLED;
+            if (a.at() >= fromNanos && !refused && !left.contains(a.request())) {
+                all.add(outcome(run, a, lastRun.get(a.request()), end));
+            }
+        }
+        return all;
+    }
+
+    private static RequestOutcome outcome(
+            RunResult run, LogEvent.Arrived a, LogEvent.Ran ran, LogEvent.Answered end) {
+        long budget = Deadlines.of(run, a);
+        boolean success = end != null && end.code().isSuccess() && end.whole();
+        long ended = end == null ? a.at() + budget : end.at();
+        long stall = budget;
+        if (success) {
+            stall = ran == null ? 0 : Math.max(0, ran.handleSince() - a.at());
+        }
+        return new RequestOutcome(
+                a.kind(),
+                a.adapter(),
+                a.caller(),
+                a.at(),
+                ended,
+                budget,
+                stall,
+                success && ended - a.at() <= budget,
+                end == null ? null : end.code());
+    }
+}
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/experiment/Targets.java
@@ -0,0 +1,106 @@
+package org.bronzehill.replay.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.bronzehill.replay.baseline.EngineChoice;
+
+/** Checks the targets of section 10 of the design page. */
+public final class Targets {
+
+    private static final double SHARE = 0.95;
+
+    private Targets() {}
+
+    /**
+     * A target and what was measured.
+     *
+     * @param met null if the target cannot be decided, as when a bound is 0
+     */
+    public record Check(String text, String measured, Boolean met) {
+
+        @Override
+        public String toString() {
+            String verdict = met == null ? "undecided" : met ? "met" : "missed";
+            return verdict + ": " + text + " (" + measured + ")";
+        }
+    }
+
+    /** Returns the checks that apply to the deployment of the result. */
+    public static List<Check> check(Experiment.Result r) {
+        List<Check> checks = new ArrayList<>();
+        PolicyResult own = r.policy(Experiment.POLICY);
+        if (r.deployment().name().startsWith("driftless")) {
+            long stall = own.stall(SHARE, r.urgentModel());
+            long blind = r.policy(EngineChoice.LEAST_LOADED.label()).stall(SHARE, r.urgentModel());
+            checks.add(
+                    atMost(
+                            "p95 load stall of route chat at most 0.2 of least-loaded",
+                            stall,
+                            blind,
+                            0.2));
+            checks.add(
+                    atMost(
+                            "p95 load stall of route chat at most 2 of the clairvoyant bound",
+                            stall,
+                            r.stallBound(),
+                            2));
+            checks.add(
+                    atMost(
+                            "p95 load stall of route chat at most 2 of the bound without prefetch",
+                            stall,
+                            r.demandBound(),
+                            2));
+        } else {
+            double ratio = own.batchEfficiency() / r.batchBound();
+            checks.add(
+                    new Check(
+                            "batch efficiency at least 0.9 of the bound",
+                            number(own.batchEfficiency())
+                                    + " / "
+                                    + number(r.batchBound())
+                                    + " = "
+                                    + number(ratio),
+                            ratio >= 0.9));
+            double best =
+                    r.policies().stream()
+                            .filter(p -> p != own)
+                            .mapToDouble(PolicyResult::batchEfficiency)
+                            .max()
+                            .orElse(0);
+            checks.add(
+                    new Check(
+                            "batch efficiency above every baseline",
+                            number(own.batchEfficiency()) + " against " + number(best),
+                            own.batchEfficiency() > best));
+        }
+        checks.add(urgentMisses(r, own));
+        return checks;
+    }
+
+    private static Check urgentMisses(Experiment.Result r, PolicyResult own) {
+        long urgent = own.outcomes().stream().filter(o -> isUrgent(r, o)).count();
+        long missed = own.outcomes().stream().filter(o -> isUrgent(r, o) && !o.inTime()).count();
+        return new Check(
+                "no deadline of an urgent kind is missed", missed + " of " + urgent, missed == 0);
+    }
+
+    private static boolean isUrgent(Experiment.Result r, RequestOutcome o) {
+        return Experiment.isInteractive(r.deployment(), o.kind());
+    }
+
+    private static Check atMost(String text, long value, long reference, double factor) {
+        String measured =
+                number(value / 1e9)
+                        + " s / "
+                        + number(reference / 1e9)
+                        + " s"
+                        + (reference == 0 ? "" : " = " + number((double) value / reference));
+        Boolean met = reference == 0 && value > 0 ? null : value <= factor * reference;
+        return new Check(text, measured, met);
+    }
+
+    private static String number(double value) {
+        return String.format(Locale.ROOT, "%.3f", value);
+    }
+}
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/Deployment.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/Deployment.java
@@ -231,6 +231,11 @@
         return "caller-" + rank % MEMBERS;
     }
 
+    /** Returns a caller that is entitled to the adapter of that name. */
+    public static String callerForAdapter(String adapter) {
+        return callerFor(Integer.parseInt(adapter.substring(adapter.lastIndexOf('-') + 1)));
+    }
+
     /** Returns the bearer token of a caller. */
     public static String tokenOf(String caller) {
         return "token-" + caller;
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/record/TraceRecorder.java
@@ -0,0 +1,165 @@
+package org.bronzehill.replay.record;
+
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.core.model.EngineReport;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.ListedState;
+import org.bronzehill.core.model.ModelRequest;
+import org.bronzehill.core.model.ServiceRequest;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.replay.trace.TraceFormat;
+import org.bronzehill.replay.trace.TraceHeader;
+import org.bronzehill.replay.trace.TraceRecord;
+
+/**
+ * Writes the inputs of a live entry instance as a trace. Neither bodies nor tokens are written: a
+ * caller appears under its configured name, and a body only by its size. Not thread-safe; belongs
+ * to the thread that delivers inputs.
+ */
+public final class TraceRecorder implements AutoCloseable {
+
+    private static final long NANOS_PER_MS = 1_000_000;
+    private static final int LINE_LIMIT = 1_000_000;
+
+    private final String entry;
+    private final Supplier<Configuration> configuration;
+    private final TimeSource time;
+    private final Writer out;
+    private final long startNanos;
+    private final Map<String, ListedState> upstreams = new HashMap<>();
+    private final Map<String, Long> startNumbers = new HashMap<>();
+    private long number;
+    private int lines;
+
+    private TraceRecorder(
+            String entry, Supplier<Configuration> configuration, TimeSource time, Writer out) {
+        this.entry = entry;
+        this.configuration = configuration;
+        this.time = time;
+        this.out = out;
+        this.startNanos = time.nanoTime();
+    }
+
+    /** Starts a trace of the instance {@code entry} in a deployment known to the replay tool. */
+    public static TraceRecorder create(
+            String entry,
+            String deployment,
+            Supplier<Configuration> configuration,
+            TimeSource time,
+            Writer out)
+            throws IOException {
+        TraceRecorder r = new TraceRecorder(entry, configuration, time, out);
+        r.write(TraceFormat.line(TraceHeader.of(deployment, 0, 0, "recorded at " + entry)));
+        return r;
+    }
+
+    /** Writes the records that follow from an input, if any; stops after a million lines. */
+    public void record(Input input) throws IOException {
+        if (input instanceof Input.ModelRequested m) {
+            model(m.request());
+        } else if (input instanceof Input.ServiceRequested s) {
+            service(s.request());
+        } else if (input instanceof Input.CallerGone g) {
+            write(new TraceRecord.CallerGone(at(), g.requestId()));
+        } else if (input instanceof Input.InstanceListRead l) {
+            list(l.list());
+        } else if (input instanceof Input.EngineReported r) {
+            report(r.report());
+        } else if (input instanceof Input.DrainRequested) {
+            write(new TraceRecord.Drain(at(), entry));
+        } else if (input instanceof Input.ConfigurationReadFailed) {
+            write(new TraceRecord.ConfigurationService(at(), "down"));
+        } else if (input instanceof Input.ConfigurationRead c && c.image().number() > number) {
+            if (number > 0) {
+                write(new TraceRecord.Publish(at(), c.image().number(), Map.of()));
+            }
+            number = c.image().number();
+        }
+    }
+
+    private long at() {
+        return (time.nanoTime() - startNanos) / NANOS_PER_MS;
+    }
+
+    private void model(ModelRequest q) throws IOException {
+        write(
+                new TraceRecord.Model(
+                        at(),
+                        q.requestId(),
+                        entry,
+                        caller(q.token()),
+                        q.kind(),
+                        q.adapter(),
+                        q.budget() == null ? 0 : q.budget().toMillis(),
+                        q.maxTokens(),
+                        false));
+    }
+
+    private void service(ServiceRequest q) throws IOException {
+        write(
+                new TraceRecord.Service(
+                        at(),
+                        q.requestId(),
+                        entry,
+                        caller(q.token()),
+                        q.kind(),
+                        q.operation(),
+                        q.key(),
+                        q.budget() == null ? 0 : q.budget().toMillis()));
+    }
+
+    private String caller(String token) {
+        String hash = ImageCodec.hash(token.getBytes(StandardCharsets.UTF_8));
+        return configuration.get().caller(hash).map(Configuration.Caller::name).getOrElse("");
+    }
+
+    private void list(InstanceList list) throws IOException {
+        for (Upstream u : list.upstreams()) {
+            ListedState before = upstreams.put(u.id(), u.state());
+            if (before != null && before != u.state()) {
+                String state = u.state() == ListedState.LEAVING ? "leaving" : "live";
+                write(new TraceRecord.UpstreamState(at(), u.id(), state));
+            }
+        }
+        for (String id : java.util.List.copyOf(upstreams.keySet())) {
+            if (list.upstreams().stream().noneMatch(u -> u.id().equals(id))) {
+                upstreams.remove(id);
+                startNumbers.remove(id);
+                write(new TraceRecord.UpstreamState(at(), id, "absent"));
+            }
+        }
+    }
+
+    private void report(EngineReport r) throws IOException {
+        Long before = startNumbers.put(r.engine(), r.startNumber());
+        if (before != null && before != r.startNumber()) {
+            write(new TraceRecord.EngineRestart(at(), r.engine(), 0));
+        }
+    }
+
+    private void write(TraceRecord r) throws IOException {
+        write(TraceFormat.line(r));
+    }
+
+    private void write(String line) throws IOException {
+        if (lines < LINE_LIMIT) {
+            lines++;
+            out.write(line);
+            out.write('\n');
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        out.close();
+    }
+}
