--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/ExperimentCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExperimentCommand.java
@@ -1,4 +1,4 @@
-package org.bronzehill.cli;
+package org.bronzehill.cli.command;
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import org.bronzehill.cli.ExitStatus;
 import org.bronzehill.replay.experiment.Experiment;
 import org.bronzehill.replay.experiment.Plot;
 import org.bronzehill.replay.experiment.ReportTable;
@@ -25,7 +26,7 @@
 @Command(
         name = "experiment",
         description = "Compares the policy with baselines and a bound on the same trace")
-public final class ExperimentCommand implements Callable<Integer> {
+public final class ExperimentCommand implements Callable<ExitStatus> {
 
     @Arguments(title = "TRACE", description = "Trace file; without it, generated traffic is used")
     private String trace;
@@ -52,10 +53,10 @@
     private double exponent = 1.2;
 
     @Override
-    public Integer call() throws IOException {
+    public ExitStatus call() throws IOException {
         if (trace != null) {
             report(TraceFormat.read(Path.of(trace)), measureFrom, false);
-            return 0;
+            return ExitStatus.OK;
         }
         for (String d : List.of("driftless", "sialkot")) {
             if (deployment.equals("all") || deployment.equals(d)) {
@@ -63,7 +64,7 @@
                 report(generate(d, Scenario.POPULARITY_SHIFT, 2 * seconds), measureFrom, true);
             }
         }
-        return 0;
+        return ExitStatus.OK;
     }
 
     private Trace generate(String name, Scenario scenario, int duration) {
--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/GenerateCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/GenerateCommand.java
@@ -1,4 +1,4 @@
-package org.bronzehill.cli;
+package org.bronzehill.cli.command;
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Callable;
+import org.bronzehill.cli.ExitStatus;
 import org.bronzehill.replay.expect.ExpectationFile;
 import org.bronzehill.replay.expect.ExpectationGenerator;
 import org.bronzehill.replay.generate.Deployment;
@@ -19,7 +20,7 @@
 
 /** Writes a trace from a seed, and its expectations. */
 @Command(name = "generate-trace", description = "Writes a trace and its expectations from a seed")
-public final class GenerateCommand implements Callable<Integer> {
+public final class GenerateCommand implements Callable<ExitStatus> {
 
     @Arguments(title = "TRACE", description = "Trace file to write; .gz compresses it")
     @Required
@@ -47,7 +48,7 @@
     private double exponent = 1.2;
 
     @Override
-    public Integer call() throws IOException {
+    public ExitStatus call() throws IOException {
         List<Scenario> scenarios =
                 Arrays.stream(scenario.split("\\+")).map(Scenario::ofLabel).toList();
         Trace t =
@@ -60,6 +61,6 @@
         if (expect != null) {
             ExpectationFile.write(ExpectationGenerator.of(t), Path.of(expect));
         }
-        return 0;
+        return ExitStatus.OK;
     }
 }
--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/ReplayCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ReplayCommand.java
@@ -1,4 +1,4 @@
-package org.bronzehill.cli;
+package org.bronzehill.cli.command;
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.cli.ExitStatus;
 import org.bronzehill.replay.check.Checkers;
 import org.bronzehill.replay.check.Violation;
 import org.bronzehill.replay.expect.ExpectationFile;
@@ -24,7 +25,7 @@
 @Command(
         name = "replay",
         description = "Replays a trace through the decision code and checks its outcomes")
-public final class ReplayCommand implements Callable<Integer> {
+public final class ReplayCommand implements Callable<ExitStatus> {
 
     @Arguments(title = "TRACE", description = "Trace file, plain or compressed with gzip")
     private String trace;
@@ -48,21 +49,21 @@
     private boolean log;
 
     @Override
-    public Integer call() throws IOException {
+    public ExitStatus call() throws IOException {
         if (random) {
             int failed =
                     RandomRun.create(DecisionCore.entryCore(), System.out)
                             .run(first, seeds, shorten);
-            return failed == 0 ? 0 : 1;
+            return failed == 0 ? ExitStatus.OK : ExitStatus.MISMATCH;
         }
         if (trace == null) {
             System.err.println("either TRACE or --random is required");
-            return 2;
+            return ExitStatus.FAILED;
         }
         return replay(TraceFormat.read(Path.of(trace)));
     }
 
-    private int replay(Trace t) throws IOException {
+    private ExitStatus replay(Trace t) throws IOException {
         RunResult run = Replay.run(t);
         if (log) {
             run.log().events().forEach(System.out::println);
@@ -86,12 +87,12 @@
                         + mismatches
                         + " mismatches");
         if (violations.isEmpty() && mismatches == 0) {
-            return 0;
+            return ExitStatus.OK;
         }
         System.out.println(
                 ResultCode.EXPECTATION_FAILED.number()
                         + " "
                         + ResultCode.EXPECTATION_FAILED.summary());
-        return 1;
+        return ExitStatus.MISMATCH;
     }
 }
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/EntryProgram.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/EntryProgram.java
@@ -248,6 +248,9 @@
             callers.answer(a);
         } else if (effect instanceof Effect.AbandonAttempt a) {
             callers.abandon(a);
+        } else if (effect instanceof Effect.DescribeAttempt) {
+            // Only fills the headers of the answer, which the harness takes from the answer itself.
+            return;
         } else if (effect instanceof Effect.SetReady r) {
             ready = r.ready();
         } else if (effect instanceof Effect.Measure m) {
