Test evictions, earlier epochs and lost order answers

Cause: the eviction rules had no tests. Change: 13 tests for rules (a) to (d), lost answers, failed loads and stale beliefs; view of the crash registry.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/CrashHistory.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/CrashHistory.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.engine;
 
 import java.util.Collection;
+import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.node.Effects;
 
 /** The part of the crash registry that a scheduler needs. */
@@ -14,4 +15,24 @@
 
     /** Clears the marks of a request that ran to its end. */
     void completed(byte[] fingerprint, Effects out);
+
+    /** Returns the view of a crash registry. */
+    static CrashHistory of(CrashRegistry registry) {
+        return new CrashHistory() {
+            @Override
+            public int marks(byte[] fingerprint) {
+                return registry.marks(fingerprint);
+            }
+
+            @Override
+            public void crashed(Collection<byte[]> fingerprints, Effects out) {
+                registry.crashed(fingerprints, out);
+            }
+
+            @Override
+            public void completed(byte[] fingerprint, Effects out) {
+                registry.completed(fingerprint, out);
+            }
+        };
+    }
 }
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/EvictionTest.java
@@ -0,0 +1,254 @@
+package org.bronzehill.core.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Set;
+import org.bronzehill.core.lease.Lease;
+import org.bronzehill.core.model.ListedState;
+import org.bronzehill.core.node.FailureReason;
+import org.bronzehill.core.node.OrderKind;
+import org.bronzehill.core.node.OrderOutcome;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.protocol.generated.HandleUse;
+import org.bronzehill.protocol.generated.HolderHandover;
+import org.testng.annotations.Test;
+
+/** Evictions, handles of earlier epochs and orders whose answer was lost. */
+public class EvictionTest {
+
+    private static SchedulerFixture full() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.upstream = SchedulerFixture.upstream(ListedState.LIVE, 2, 4, false);
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, true, Set.of()), EvictionRule.SAFE);
+        f.report();
+        f.makeResident("a1");
+        f.makeResident("a2");
+        return f;
+    }
+
+    /**
+     * Guards P2: the order follows only after the intent was recorded, and not for a handle in use.
+     */
+    @Test
+    public void evictsTheUnusedHandleAfterItsIntentWasRecorded() {
+        SchedulerFixture f = full();
+        f.submit("hold", "chat", "a1");
+        f.submit("r3", "chat", "a3");
+        f.grant();
+        assertEquals(f.intents.toString(), "[a2@1#100]");
+        assertTrue(f.orders(OrderKind.EVICT).isEmpty());
+        f.submit("r2", "chat", "a2");
+        assertEquals(f.starts().stream().filter(s -> s.requestId().equals("r2")).count(), 0);
+        f.scheduler.onIntentAcknowledged("a2@1#100", f.out);
+        f.answer(f.lastOrder(OrderKind.EVICT), OrderOutcome.DONE);
+        assertEquals(f.finishedIntents.toString(), "[a2@1#100]");
+        assertEquals(f.lastOrder(OrderKind.LOAD).handle(), "a3@1#100");
+    }
+
+    /** Guards against an eviction of the adapter that is used most. */
+    @Test
+    public void evictsTheLeastUsed() {
+        SchedulerFixture f = full();
+        for (int i = 0; i < 3; i++) {
+            f.submit("u" + i, "chat", "a1");
+            f.finish(f.lastStart());
+        }
+        f.submit("r3", "chat", "a3");
+        f.grant();
+        assertEquals(f.intents.toString(), "[a2@1#100]");
+    }
+
+    /** Guards P2 when everything is in use: the permit is given back and nothing is evicted. */
+    @Test
+    public void returnsThePermitWhenNothingMayBeEvicted() {
+        SchedulerFixture f = full();
+        f.submit("r3", "chat", "a3");
+        f.submit("u1", "chat", "a1");
+        f.submit("u2", "chat", "a2");
+        f.grant();
+        f.advance(200);
+        assertTrue(f.intents.isEmpty());
+        assertTrue(f.returned.get(f.returned.size() - 1).endsWith(":unused"));
+        assertNull(f.code("r3"));
+    }
+
+    /** Guards P2 after an attempt of which nobody knows whether the engine still runs it. */
+    @Test
+    public void keepsAHandleThatMayStillRun() {
+        SchedulerFixture f = full();
+        f.submit("u1", "chat", "a1");
+        f.submit("u2", "chat", "a2");
+        f.scheduler.onAttemptFailed(f.lastStart().attemptId(), FailureReason.SILENT, 0, "", f.out);
+        assertEquals(f.code("u2"), ResultCode.SILENT_CONNECTION);
+        f.submit("r3", "chat", "a3");
+        f.advance(3000);
+        f.report("a1@1#100:1", "a2@1#100:1");
+        assertTrue(f.permits.isEmpty());
+        f.report("a1@1#100:1", "a2@1#100:0");
+        f.grant();
+        assertEquals(f.intents.toString(), "[a2@1#100]");
+    }
+
+    /** Guards rule (c): handles of an earlier epoch stay until no earlier request can run. */
+    @Test
+    public void earlierEpochWaitsForALateReport() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.upstream = SchedulerFixture.upstream(ListedState.LIVE, 1, 4, false);
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, true, Set.of()), EvictionRule.SAFE);
+        f.report("a1@1#50:0");
+        f.submit("own", "chat", "a1");
+        assertEquals(f.lastStart().handle(), "a1@1#50");
+        f.finish(f.lastStart());
+        f.submit("r2", "summary", "a2");
+        f.advance(3900);
+        f.report("a1@1#50:0");
+        assertTrue(f.permits.isEmpty());
+        f.advance(200);
+        f.report("a1@1#50:1");
+        assertTrue(f.permits.isEmpty());
+        f.report("a1@1#50:0");
+        assertEquals(f.permits.size(), 1);
+    }
+
+    /** Guards rule (c), second condition: the longest deadline has passed since the takeover. */
+    @Test
+    public void earlierEpochMayGoAfterTheLongestDeadline() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.upstream = SchedulerFixture.upstream(ListedState.LIVE, 1, 4, false);
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, true, Set.of()), EvictionRule.SAFE);
+        f.report("a1@1#50:1");
+        f.submit("r1", "summary", "a2");
+        assertTrue(f.permits.isEmpty());
+        f.advance(3_600_050);
+        f.submit("r2", "summary", "a2");
+        assertEquals(f.permits.size(), 1);
+    }
+
+    /** Guards rule (b): a handle that an earlier holder may still evict is not used. */
+    @Test
+    public void inheritedIntentIsNotUsed() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.start(
+                new Lease(SchedulerFixture.RESOURCE, 100, true, Set.of("a1@1#50", "a9@1#50")),
+                EvictionRule.SAFE);
+        f.report("a1@1#50:0", "a2@1#50:0");
+        f.submit("r1", "summary", "a1");
+        f.submit("r2", "summary", "a2");
+        f.grant();
+        assertEquals(f.lastOrder(OrderKind.LOAD).handle(), "a1@1#100");
+        f.advance(1000);
+        assertEquals(f.lastStart().handle(), "a2@1#50");
+        f.advance(3200);
+        f.report("a1@1#50:0", "a2@1#50:0");
+        f.advance(50);
+        assertEquals(f.finishedIntents.toString(), "[a9@1#50]");
+    }
+
+    /** Guards rule (b) when the grantors forgot the intents: earlier handles rest for 4 s. */
+    @Test
+    public void unknownHistoryDelaysTheUseOfEarlierHandles() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, false, Set.of()), EvictionRule.SAFE);
+        f.report("a1@1#50:0");
+        f.submit("r1", "chat", "a1");
+        assertTrue(f.starts().isEmpty());
+        f.advance(4000);
+        f.report("a1@1#50:0");
+        assertEquals(f.lastStart().handle(), "a1@1#50");
+    }
+
+    /** Guards the planned handover: its residency is used at once and may be evicted at once. */
+    @Test
+    public void handoverIsTakenOver() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.upstream = SchedulerFixture.upstream(ListedState.LIVE, 2, 4, false);
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, false, Set.of()), EvictionRule.SAFE);
+        HolderHandover handover =
+                HolderHandover.newBuilder()
+                        .setFencing(50)
+                        .addHandles(HandleUse.newBuilder().setHandle("a1@1#50"))
+                        .addHandles(HandleUse.newBuilder().setHandle("a2@1#50").setRunning(1))
+                        .addOpenIntents("a3@1#50")
+                        .build();
+        f.scheduler.onHandover(handover, f.out);
+        f.submit("r1", "chat", "a1");
+        f.finish(f.lastStart());
+        f.submit("r4", "chat", "a4");
+        f.grant();
+        assertEquals(f.intents.toString(), "[a1@1#50]");
+        assertTrue(f.scheduler.handover().getOpenIntentsList().contains("a3@1#50"));
+        assertTrue(f.scheduler.handover().getOpenIntentsList().contains("a1@1#50"));
+    }
+
+    /** Guards against a slot and its requests that wait forever for a lost load answer. */
+    @Test
+    public void lostLoadAnswerIsResolvedFromReports() {
+        SchedulerFixture f = SchedulerFixture.started();
+        f.submit("r1", "summary", "a1");
+        f.submit("r2", "summary", "a2");
+        f.grant();
+        f.grant();
+        f.orders(OrderKind.LOAD).forEach(o -> f.answer(o, OrderOutcome.UNKNOWN));
+        f.advance(1000);
+        f.report("a1@1#100:0");
+        f.advance(1000);
+        assertEquals(f.lastStart().handle(), "a1@1#100");
+        assertTrue(f.permits.isEmpty());
+        f.advance(2000);
+        f.report("a1@1#100:0");
+        f.advance(300);
+        assertEquals(f.permits.size(), 1);
+    }
+
+    /** Guards P2: while an evict order may still arrive, its handle is neither used nor loaded. */
+    @Test
+    public void lostEvictAnswerIsResolvedFromReports() {
+        SchedulerFixture f = full();
+        f.submit("r3", "summary", "a3");
+        f.grant();
+        f.scheduler.onIntentAcknowledged("a1@1#100", f.out);
+        f.answer(f.lastOrder(OrderKind.EVICT), OrderOutcome.UNKNOWN);
+        f.submit("r1", "summary", "a1");
+        f.report("a1@1#100:0", "a2@1#100:0");
+        f.advance(3000);
+        assertEquals(f.starts().size(), 2);
+        f.report("a1@1#100:0", "a2@1#100:0");
+        assertEquals(f.orders(OrderKind.EVICT).size(), 2);
+        f.answer(f.lastOrder(OrderKind.EVICT), OrderOutcome.UNKNOWN);
+        f.advance(3000);
+        f.report("a2@1#100:0");
+        assertEquals(f.finishedIntents.toString(), "[a1@1#100]");
+    }
+
+    /** Guards against a retry storm on a failing store, and requests that wait for it in vain. */
+    @Test
+    public void failedLoadsBackOffAndReturnTheirRequests() {
+        SchedulerFixture f = SchedulerFixture.started();
+        f.submit("r1", "summary", "a1");
+        for (int i = 0; i < LoadPlanner.MAX_FAILURES; i++) {
+            f.grant();
+            f.answer(f.lastOrder(OrderKind.LOAD), OrderOutcome.STORE_FAILED);
+            assertTrue(f.permits.isEmpty());
+            f.advance(250L << i);
+        }
+        assertEquals(f.orders(OrderKind.LOAD).size(), LoadPlanner.MAX_FAILURES);
+        assertEquals(f.code("r1"), ResultCode.LOAD_FAILED);
+    }
+
+    /** Guards against a belief that the engine has long dropped. */
+    @Test
+    public void lateReportWithoutAHandleDropsIt() {
+        SchedulerFixture f = full();
+        f.report();
+        f.submit("r1", "chat", "a1");
+        assertEquals(f.lastStart().requestId(), "r1");
+        f.finish(f.lastStart());
+        f.advance(4500);
+        f.report("a2@1#100:0");
+        f.submit("r2", "chat", "a1");
+        assertFalse(f.lastStart().requestId().equals("r2"));
+    }
+}
