Route by score over an index of the adapters

Cause: the first router scanned all engines and knew neither load nor replicas. Change: index by adapter version, score in seconds with the weights of the policy, bounded-load rendezvous home for cold adapters, replicas of hot adapters with hysteresis, sampled choice of two near-equal engines, window of attempts sent since the last summary.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/model/RendezvousHash.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/model/RendezvousHash.java
@@ -35,7 +35,22 @@
     }
 
     private static long weight(long seed, String name) {
-        return mix(seed ^ mix(hash(name)));
+        return weightOf(seed, nameHash(name));
+    }
+
+    /** Returns the part of a weight that depends on the key only, for use in {@link #weightOf}. */
+    public static long keyHash(String key) {
+        return hash(key);
+    }
+
+    /** Returns the part of a weight that depends on the candidate only. */
+    public static long nameHash(String name) {
+        return mix(hash(name));
+    }
+
+    /** Returns the weight for a key and a candidate that were hashed before. */
+    public static long weightOf(long keyHash, long nameHash) {
+        return mix(keyHash ^ nameHash);
     }
 
     private static long hash(String text) {
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineIndex.java
@@ -0,0 +1,130 @@
+package org.bronzehill.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.model.UpstreamKind;
+import org.bronzehill.core.placement.EngineView.Residence;
+import org.bronzehill.protocol.generated.EngineSummary;
+import org.bronzehill.protocol.generated.ResidentAdapter;
+
+/** The engines of the region, by base model and by the adapters that they have. */
+final class EngineIndex {
+
+    private final Map<String, EngineView> engines = new HashMap<>();
+    private final Map<String, List<EngineView>> models = new HashMap<>();
+    private final Map<AdapterVersion, List<EngineView>> residents = new HashMap<>();
+    private final ReplicaTracker replicas = new ReplicaTracker();
+    private int loading;
+
+    /** Takes over the published engines of a region. */
+    void onInstanceList(InstanceList list, String region) {
+        Map<String, Upstream> listed = new HashMap<>();
+        for (Upstream u : list.upstreams()) {
+            if (u.kind() == UpstreamKind.ENGINE && u.region().equals(region)) {
+                listed.put(u.id(), u);
+            }
+        }
+        engines.values()
+                .removeIf(
+                        e -> {
+                            boolean gone = !listed.containsKey(e.id());
+                            if (gone) {
+                                unindex(e);
+                            }
+                            return gone;
+                        });
+        models.clear();
+        for (Upstream u : listed.values()) {
+            EngineView e = engines.computeIfAbsent(u.id(), i -> new EngineView(u));
+            e.upstream(u);
+            models.computeIfAbsent(e.baseModel(), m -> new ArrayList<>()).add(e);
+        }
+        models.values().forEach(l -> l.sort((a, b) -> a.id().compareTo(b.id())));
+    }
+
+    /** Takes over a summary; summaries of unlisted engines are ignored. */
+    void onSummary(EngineSummary summary, long nowNanos) {
+        EngineView e = engines.get(summary.getEngine());
+        if (e == null || e.isOutdated(summary)) {
+            return;
+        }
+        Map<AdapterVersion, Residence> old = e.adapters();
+        Map<AdapterVersion, Residence> adapters =
+                new HashMap<>(summary.getAdaptersCount() * 4 / 3 + 1);
+        for (ResidentAdapter a : summary.getAdaptersList()) {
+            AdapterVersion version = new AdapterVersion(a.getAdapter(), a.getVersion());
+            adapters.put(version, new Residence(a.getLoading(), a.getWaiting()));
+            if (!old.containsKey(version)) {
+                residents.computeIfAbsent(version, v -> new ArrayList<>(2)).add(e);
+            }
+        }
+        for (AdapterVersion version : old.keySet()) {
+            if (!adapters.containsKey(version)) {
+                unindex(version, e);
+            }
+        }
+        loading -= e.loading();
+        e.update(summary, adapters, nowNanos);
+        loading += e.loading();
+        for (Map.Entry<AdapterVersion, Residence> a : adapters.entrySet()) {
+            if (a.getValue().waiting() > e.batch() / 4 || replicas.isTracked(a.getKey())) {
+                observe(a.getKey(), e.batch(), nowNanos);
+            }
+        }
+    }
+
+    private void observe(AdapterVersion version, int batch, long nowNanos) {
+        int waiting = 0;
+        int resident = 0;
+        for (EngineView e : residents(version)) {
+            Residence r = e.adapters().get(version);
+            waiting += r.waiting();
+            resident += r.loading() ? 0 : 1;
+        }
+        replicas.observe(version, waiting, batch, resident, nowNanos);
+    }
+
+    private void unindex(EngineView e) {
+        loading -= e.loading();
+        e.adapters().keySet().forEach(v -> unindex(v, e));
+    }
+
+    private void unindex(AdapterVersion version, EngineView e) {
+        List<EngineView> list = residents.get(version);
+        if (list != null) {
+            list.remove(e);
+            if (list.isEmpty()) {
+                residents.remove(version);
+            }
+        }
+    }
+
+    /** Returns the engine, or null. */
+    EngineView engine(String id) {
+        return engines.get(id);
+    }
+
+    /** Returns the engines that have or load the adapter version. */
+    List<EngineView> residents(AdapterVersion version) {
+        return residents.getOrDefault(version, List.of());
+    }
+
+    /** Returns the engines with the base model, ordered by id. */
+    List<EngineView> ofModel(String baseModel) {
+        return models.getOrDefault(baseModel, List.of());
+    }
+
+    /** Returns the number of loads in progress or planned in the region. */
+    int loading() {
+        return loading;
+    }
+
+    ReplicaTracker replicas() {
+        return replicas;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineScorer.java
@@ -0,0 +1,83 @@
+package org.bronzehill.core.placement;
+
+import java.time.Duration;
+import org.bronzehill.config.Policy;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.placement.EngineView.Residence;
+
+/**
+ * Scores engines in seconds: stall weight × expected load stall + batch weight × lack of batch gain
+ * + queue delay.
+ */
+final class EngineScorer {
+
+    /** Time of one load when the store is idle. */
+    private static final double LOAD_SECONDS = 0.25;
+
+    /** What a cached prompt prefix saves. */
+    private static final double PREFIX_SECONDS = 0.05;
+
+    /** Delay assumed behind a holder that answers late: the limit up to which it counts as slow. */
+    private static final double SLOW_HOLDER_SECONDS = 0.75;
+
+    /** Handicap of an engine whose summary is overdue by two of its periods. */
+    private static final double STALE_SECONDS = 0.5;
+
+    static final long FRESH_NANOS = Duration.ofSeconds(3).toNanos();
+
+    /**
+     * Share of the batch above which a queue delay is expected. It lies below 1 because several
+     * instances fill the last places at the same time.
+     */
+    private static final double FULL = 0.8;
+
+    private static final double MIN_SERVICE = 0.01;
+    private static final double MAX_SERVICE = 30;
+    private static final double GAIN = 0.02;
+
+    private final EngineIndex index;
+    private final HolderDirectory holders;
+    private double serviceSeconds = 0.5;
+
+    EngineScorer(EngineIndex index, HolderDirectory holders) {
+        this.index = index;
+        this.holders = holders;
+    }
+
+    /** Notes how long an attempt took after its load stall. */
+    void served(double seconds) {
+        double s = Math.min(MAX_SERVICE, Math.max(MIN_SERVICE, seconds));
+        serviceSeconds += GAIN * (s - serviceSeconds);
+    }
+
+    /** Returns the expected time for a new load, given the loads in progress in the region. */
+    double coldStall(double storeLoadsPerSecond) {
+        return LOAD_SECONDS + index.loading() / Math.max(0.1, storeLoadsPerSecond);
+    }
+
+    /** Returns the expected load stall at the engine. */
+    double stall(EngineView e, AdapterVersion version, double coldStall) {
+        Residence r = e.adapters().get(version);
+        return r == null ? coldStall : r.loading() ? coldStall / 2 : 0;
+    }
+
+    double lackOfBatchGain(EngineView e) {
+        return 1 - Math.min(1, (e.load() + 1.0) / e.batch());
+    }
+
+    double queueDelay(EngineView e) {
+        double excess = e.load() + 1 - FULL * e.batch();
+        return excess <= 0 ? 0 : excess / e.batch() * serviceSeconds;
+    }
+
+    double score(EngineView e, Policy policy, double stall, long prefixHash, long nowNanos) {
+        double score =
+                policy.loadStallWeight() * stall
+                        + policy.batchWeight() * lackOfBatchGain(e)
+                        + queueDelay(e);
+        score -= e.hasPrefix(prefixHash) ? PREFIX_SECONDS : 0;
+        score += e.isFresh(nowNanos, FRESH_NANOS) ? 0 : STALE_SECONDS;
+        score += holders.isSlow(e.holder()) ? SLOW_HOLDER_SECONDS : 0;
+        return score;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineView.java
@@ -0,0 +1,122 @@
+package org.bronzehill.core.placement;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import org.bronzehill.core.model.AdapterVersion;
+import org.bronzehill.core.model.RendezvousHash;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.protocol.generated.EngineSummary;
+
+/** What an entry instance believes about one engine. */
+final class EngineView {
+
+    /** State of an adapter version at the engine. */
+    record Residence(boolean loading, int waiting) {}
+
+    private static final long[] NO_PREFIXES = {};
+
+    private final String id;
+    private final long nameHash;
+    private final SentWindow sent = new SentWindow();
+    private Upstream upstream;
+    private Map<AdapterVersion, Residence> adapters = new HashMap<>();
+    private long[] prefixes = NO_PREFIXES;
+    private long fencing;
+    private long sequence;
+    private String holder = "";
+    private boolean summarised;
+    private long summarisedNanos;
+    private boolean available = true;
+    private int busy;
+    private int loading;
+
+    EngineView(Upstream upstream) {
+        this.id = upstream.id();
+        this.nameHash = RendezvousHash.nameHash(upstream.id());
+        this.upstream = upstream;
+    }
+
+    void upstream(Upstream changed) {
+        upstream = changed;
+    }
+
+    /** Returns whether a summary is older than what is known already. */
+    boolean isOutdated(EngineSummary s) {
+        return s.getFencing() < fencing || s.getFencing() == fencing && s.getSequence() <= sequence;
+    }
+
+    /** Takes over a summary and the adapters read from it. */
+    void update(EngineSummary s, Map<AdapterVersion, Residence> newAdapters, long nowNanos) {
+        fencing = s.getFencing();
+        sequence = s.getSequence();
+        holder = s.getHolder();
+        available = s.getAvailable() && !s.getLeaving();
+        busy = s.getRunning() + s.getQueued();
+        adapters = newAdapters;
+        loading = 0;
+        for (Residence r : newAdapters.values()) {
+            loading += r.loading() ? 1 : 0;
+        }
+        prefixes = NO_PREFIXES;
+        if (s.getPrefixesCount() > 0) {
+            prefixes = s.getPrefixesList().stream().mapToLong(Long::longValue).toArray();
+            Arrays.sort(prefixes);
+        }
+        summarised = true;
+        summarisedNanos = nowNanos;
+        sent.summarised(nowNanos);
+    }
+
+    String id() {
+        return id;
+    }
+
+    long nameHash() {
+        return nameHash;
+    }
+
+    SentWindow sent() {
+        return sent;
+    }
+
+    String baseModel() {
+        return upstream.shape().baseModel();
+    }
+
+    int batch() {
+        return Math.max(1, upstream.shape().batchSize());
+    }
+
+    Map<AdapterVersion, Residence> adapters() {
+        return adapters;
+    }
+
+    /** Returns the holder named by the last summary; empty if there was none. */
+    String holder() {
+        return holder;
+    }
+
+    /** Returns whether the last summary is no older than {@code limitNanos}. */
+    boolean isFresh(long nowNanos, long limitNanos) {
+        return summarised && nowNanos - summarisedNanos <= limitNanos;
+    }
+
+    boolean acceptsWork() {
+        return upstream.acceptsWork() && available;
+    }
+
+    /** Returns the requests that run, wait or are on their way from here. */
+    int load() {
+        return busy + sent.size();
+    }
+
+    /** Returns the number of adapters that load or wait for their load. */
+    int loading() {
+        return loading;
+    }
+
+    boolean hasPrefix(long hash) {
+        return hash != 0 && Arrays.binarySearch(prefixes, hash) >= 0;
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
@@ -3,37 +3,76 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bronzehill.config.AdapterSpec;
 import org.bronzehill.config.Configuration;
+import org.bronzehill.config.Policy;
+import org.bronzehill.core.engine.EngineRequest;
+import org.bronzehill.core.engine.PlacementView;
 import org.bronzehill.core.lease.LeaseManager;
 import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.AdapterVersion;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.RendezvousHash;
-import org.bronzehill.core.model.Upstream;
-import org.bronzehill.core.model.UpstreamKind;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.EngineSummaries;
-import org.bronzehill.protocol.generated.EngineSummary;
 
 /** Chooses an engine for each request from the summaries that the lease holders publish. */
-public final class Router {
+public final class Router implements PlacementView {
+
+    /** Scores that differ by less than this, or by a twentieth, are near-equal. */
+    private static final double NEAR_SECONDS = 0.01;
+
+    private static final double NEAR_RATIO = 0.05;
+
+    /** Queue delay at the engines with the adapter above which a further engine is considered. */
+    private static final double SPILL_SECONDS = 2;
+
+    /** An engine is skipped as home above this multiple of the mean load. */
+    private static final double LOAD_BOUND = 1.25;
+
+    /** The choice of a cold home is kept until the holder's summary must have named the load. */
+    private static final long KEEP_HOME_NANOS = Duration.ofSeconds(2).toNanos();
+
+    private static final long FRESH_HOLDER_NANOS = Duration.ofMillis(1500).toNanos();
+    private static final int MAX_HOMES = 4096;
+    private static final int MAX_TRIES = 8;
+    private static final int MAX_EXPLAINED = 32;
 
     private final HolderDirectory holders;
     private final Supplier<Configuration> configuration;
-    private final Map<String, Upstream> engines = new HashMap<>();
-    private final Map<String, EngineSummary> summaries = new HashMap<>();
+    private final TimeSource time;
+    private final RandomGenerator random;
+    private final EngineIndex index = new EngineIndex();
+    private final EngineScorer scorer;
+    private final Map<AdapterVersion, Home> homes =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<AdapterVersion, Home> eldest) {
+                    return size() > MAX_HOMES;
+                }
+            };
     private long lastRoute;
 
-    private Router(HolderDirectory holders, Supplier<Configuration> configuration) {
+    private Router(
+            HolderDirectory holders,
+            Supplier<Configuration> configuration,
+            TimeSource time,
+            RandomGenerator random) {
         this.holders = holders;
         this.configuration = configuration;
+        this.time = time;
+        this.random = random;
+        this.scorer = new EngineScorer(index, holders);
     }
 
     /** Creates a router that knows no engine. */
@@ -52,49 +91,68 @@
             Supplier<Configuration> configuration,
             TimeSource time,
             RandomGenerator random) {
-        return new Router(holders, configuration);
+        return new Router(holders, configuration, time, random);
     }
 
     /** Takes over what a holder tells about its engines. */
     public void onSummaries(EngineSummaries message) {
-        message.getSummariesList().forEach(s -> summaries.put(s.getEngine(), s));
+        long now = time.nanoTime();
+        message.getSummariesList().forEach(s -> index.onSummary(s, now));
     }
 
     /** Takes over the published upstreams. */
     public void onInstanceList(InstanceList list) {
-        engines.clear();
-        for (Upstream u : list.upstreams()) {
-            if (u.kind() == UpstreamKind.ENGINE && u.region().equals(holders.region())) {
-                engines.put(u.id(), u);
-            }
-        }
-        summaries.keySet().retainAll(engines.keySet());
+        index.onInstanceList(list, holders.region());
     }
 
     /** Chooses an engine; returns the reason if there is none. */
     public Either<ResultCode, Route> route(RouteQuery query) {
-        List<RouteCandidate> candidates = explain(query);
-        for (RouteCandidate c : candidates) {
-            if (!c.holder().isEmpty()) {
-                return Either.right(
-                        new Route(
-                                ++lastRoute,
-                                c.engine(),
-                                c.holder(),
-                                Duration.ofMillis(Math.round(c.stall() * 1000))));
+        AdapterSpec adapter = configuration.get().adapter(query.adapter()).getOrNull();
+        if (adapter == null) {
+            return Either.left(ResultCode.UNKNOWN_ADAPTER);
+        }
+        AdapterVersion version =
+                new AdapterVersion(query.adapter(), adapter.versionFor(query.kind()));
+        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash());
+        Set<String> excluded = query.excluded();
+        EngineView preferred = index.engine(query.preferred());
+        boolean found = false;
+        for (int i = 0; i < MAX_TRIES; i++) {
+            EngineView e =
+                    preferred != null && choice.isCandidate(preferred, excluded)
+                            ? preferred
+                            : choice.best(excluded);
+            if (e == null) {
+                break;
+            }
+            found = true;
+            String holder = holderOf(e);
+            if (!holder.isEmpty()) {
+                return Either.right(choice.route(e, holder));
             }
+            excluded = new HashSet<>(excluded);
+            excluded.add(e.id());
         }
-        return Either.left(candidates.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.NO_HOLDER);
+        return Either.left(found ? ResultCode.NO_HOLDER : ResultCode.NO_UPSTREAM);
     }
 
     /** Notes that an attempt was sent along the route. */
     public void sent(Route route) {
-        // The count of sent requests follows with the full score.
+        EngineView e = index.engine(route.engine());
+        if (e != null) {
+            e.sent().expire(time.nanoTime());
+            e.sent().sent(route.id(), time.nanoTime());
+        }
     }
 
     /** Notes that the attempt sent along the route has ended. */
     public void ended(Route route) {
-        // The count of sent requests follows with the full score.
+        EngineView e = index.engine(route.engine());
+        if (e != null) {
+            e.sent().ended(route.id());
+        }
+        long nanos = time.nanoTime() - route.routedNanos() - route.expectedStall().toNanos();
+        scorer.served(nanos / 1e9);
     }
 
     /** Returns the engines considered for a request, the best one first. */
@@ -103,29 +161,227 @@
         if (adapter == null) {
             return List.of();
         }
-        int version = adapter.versionFor(query.kind());
-        return engines.values().stream()
-                .filter(u -> u.acceptsWork() && !query.excluded().contains(u.id()))
-                .filter(u -> u.shape().baseModel().equals(adapter.baseModel()))
-                .map(u -> candidate(u.id(), query.adapter(), version))
-                .sorted(Comparator.comparingDouble(RouteCandidate::score))
-                .toList();
+        AdapterVersion version =
+                new AdapterVersion(query.adapter(), adapter.versionFor(query.kind()));
+        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash());
+        List<RouteCandidate> candidates = new ArrayList<>();
+        for (EngineView e : index.ofModel(adapter.baseModel())) {
+            candidates.add(choice.candidate(e, query.excluded()));
+        }
+        candidates.sort(Comparator.comparingDouble(RouteCandidate::score));
+        return candidates.subList(0, Math.min(MAX_EXPLAINED, candidates.size()));
+    }
+
+    @Override
+    public int residentElsewhere(AdapterVersion adapter, String engine) {
+        int count = 0;
+        for (EngineView e : index.residents(adapter)) {
+            count += !e.id().equals(engine) && !e.adapters().get(adapter).loading() ? 1 : 0;
+        }
+        return count;
     }
 
-    private RouteCandidate candidate(String engine, String adapter, int version) {
-        Option<EngineSummary> summary = Option.of(summaries.get(engine));
-        boolean resident =
-                summary.exists(
-                        s ->
-                                s.getAdaptersList().stream()
-                                        .anyMatch(
-                                                a ->
-                                                        a.getAdapter().equals(adapter)
-                                                                && a.getVersion() == version));
-        double rank = RendezvousHash.weight(adapter, engine) / -(double) Long.MIN_VALUE;
-        double stall = resident ? 0 : 0.25;
-        String holder = holders.holderOf(engine).filter(holders::isReachable).getOrElse("");
-        return new RouteCandidate(
-                engine, holder, stall * 16 - rank, stall, 0, 0, false, resident ? "resident" : "");
+    @Override
+    public Option<String> betterEngine(EngineRequest request, String engine) {
+        AdapterSpec adapter = configuration.get().adapter(request.adapter()).getOrNull();
+        if (adapter == null) {
+            return Option.none();
+        }
+        AdapterVersion version =
+                new AdapterVersion(request.adapter(), adapter.versionFor(request.kind()));
+        Choice choice = new Choice(adapter.baseModel(), version, request.prefixHash());
+        EngineView e = choice.best(Set.of(engine));
+        boolean better =
+                e != null
+                        && e.isFresh(time.nanoTime(), EngineScorer.FRESH_NANOS)
+                        && e.load() < e.batch()
+                        && choice.stall(e) < request.deadline().toNanos() / 1e9
+                        && !holderOf(e).isEmpty();
+        return better ? Option.some(e.id()) : Option.none();
+    }
+
+    /** Returns the reachable holder of the engine, or an empty string. */
+    private String holderOf(EngineView e) {
+        String holder = e.holder();
+        if (holder.isEmpty() || !e.isFresh(time.nanoTime(), FRESH_HOLDER_NANOS)) {
+            holder = holders.holderOf(e.id()).getOrElse("");
+        }
+        return !holder.isEmpty() && holders.isReachable(holder) ? holder : "";
+    }
+
+    private record Home(EngineView engine, long chosenNanos) {}
+
+    /** The choice of an engine for one request. */
+    private final class Choice {
+
+        private final String baseModel;
+        private final AdapterVersion version;
+        private final long prefixHash;
+        private final Policy policy = configuration.get().policy();
+        private final long now = time.nanoTime();
+        private final double coldStall =
+                scorer.coldStall(configuration.get().limits().storeLoadsPerSecond());
+
+        Choice(String baseModel, AdapterVersion version, long prefixHash) {
+            this.baseModel = baseModel;
+            this.version = version;
+            this.prefixHash = prefixHash;
+        }
+
+        boolean isCandidate(EngineView e, Set<String> excluded) {
+            return e.acceptsWork() && e.baseModel().equals(baseModel) && !excluded.contains(e.id());
+        }
+
+        double stall(EngineView e) {
+            return scorer.stall(e, version, coldStall);
+        }
+
+        private double score(EngineView e) {
+            return scorer.score(e, policy, stall(e), prefixHash, now);
+        }
+
+        /** Returns the best engine, or null. Engines with the adapter come first. */
+        EngineView best(Set<String> excluded) {
+            List<EngineView> residents = index.residents(version);
+            int target = index.replicas().target(version);
+            EngineView best = null;
+            double lowest = Double.MAX_VALUE;
+            int usable = 0;
+            for (EngineView e : residents) {
+                if (isCandidate(e, excluded) && isWithin(e, residents, target)) {
+                    usable++;
+                    double score = score(e);
+                    if (score < lowest) {
+                        lowest = score;
+                        best = e;
+                    }
+                }
+            }
+            boolean further =
+                    best == null
+                            || residents.size() < target
+                            || scorer.queueDelay(best) > SPILL_SECONDS;
+            EngineView home = further ? home(excluded) : null;
+            if (best == null || home != null && score(home) < lowest) {
+                return home;
+            }
+            return usable > 1 ? nearEqual(residents, excluded, target, lowest) : best;
+        }
+
+        /**
+         * Returns whether an engine with the adapter is among the {@code target} first ones in
+         * rendezvous order, so that surplus replicas lose their use and are evicted.
+         */
+        private boolean isWithin(EngineView e, List<EngineView> residents, int target) {
+            if (target == 0 || residents.size() <= target) {
+                return true;
+            }
+            long key = RendezvousHash.keyHash(version.adapter());
+            long own = RendezvousHash.weightOf(key, e.nameHash());
+            int before = 0;
+            for (EngineView other : residents) {
+                before += RendezvousHash.weightOf(key, other.nameHash()) > own ? 1 : 0;
+            }
+            return before < target;
+        }
+
+        /** Samples two of the engines with a near-equal score and returns the less loaded one. */
+        private EngineView nearEqual(
+                List<EngineView> residents, Set<String> excluded, int target, double lowest) {
+            double limit = lowest + Math.max(NEAR_SECONDS, NEAR_RATIO * Math.abs(lowest));
+            EngineView first = null;
+            EngineView second = null;
+            int seen = 0;
+            for (EngineView e : residents) {
+                if (isCandidate(e, excluded)
+                        && isWithin(e, residents, target)
+                        && score(e) <= limit) {
+                    seen++;
+                    if (seen <= 2) {
+                        second = first;
+                        first = e;
+                    } else {
+                        int place = random.nextInt(seen);
+                        first = place == 0 ? e : first;
+                        second = place == 1 ? e : second;
+                    }
+                }
+            }
+            boolean useSecond =
+                    second != null
+                            && (second.sent().size() < first.sent().size()
+                                    || second.sent().size() == first.sent().size()
+                                            && random.nextBoolean());
+            return useSecond ? second : first;
+        }
+
+        /** Returns the engine on which all instances load the adapter, or null. */
+        private EngineView home(Set<String> excluded) {
+            Home kept = homes.get(version);
+            if (kept != null
+                    && now - kept.chosenNanos() < KEEP_HOME_NANOS
+                    && isCandidate(kept.engine(), excluded)
+                    && index.engine(kept.engine().id()) == kept.engine()) {
+                return kept.engine();
+            }
+            EngineView home = rendezvousHome(excluded);
+            if (home != null) {
+                homes.remove(version);
+                homes.put(version, new Home(home, now));
+            }
+            return home;
+        }
+
+        private EngineView rendezvousHome(Set<String> excluded) {
+            List<EngineView> engines = index.ofModel(baseModel);
+            long total = 0;
+            for (EngineView e : engines) {
+                total += e.load();
+            }
+            double mean = (double) total / Math.max(1, engines.size());
+            long key = RendezvousHash.keyHash(version.adapter());
+            EngineView home = null;
+            EngineView any = null;
+            long homeWeight = 0;
+            long anyWeight = 0;
+            for (EngineView e : engines) {
+                if (isCandidate(e, excluded) && !e.adapters().containsKey(version)) {
+                    long weight = RendezvousHash.weightOf(key, e.nameHash());
+                    if (any == null || weight > anyWeight) {
+                        any = e;
+                        anyWeight = weight;
+                    }
+                    // Below half a batch a skewed load does no harm, and a fixed home saves loads.
+                    boolean bounded = e.load() <= Math.max(LOAD_BOUND * mean, e.batch() / 2.0);
+                    if (bounded && (home == null || weight > homeWeight)) {
+                        home = e;
+                        homeWeight = weight;
+                    }
+                }
+            }
+            return home == null ? any : home;
+        }
+
+        Route route(EngineView e, String holder) {
+            long stallMillis = Math.round(stall(e) * 1000);
+            return new Route(++lastRoute, e.id(), holder, Duration.ofMillis(stallMillis), now);
+        }
+
+        RouteCandidate candidate(EngineView e, Set<String> excluded) {
+            EngineView.Residence r = e.adapters().get(version);
+            String note =
+                    !isCandidate(e, excluded)
+                            ? "passed over"
+                            : r == null ? "cold" : r.loading() ? "loading" : "resident";
+            return new RouteCandidate(
+                    e.id(),
+                    holderOf(e),
+                    score(e),
+                    stall(e),
+                    scorer.lackOfBatchGain(e),
+                    scorer.queueDelay(e),
+                    e.hasPrefix(prefixHash),
+                    note);
+        }
     }
 }
