--- /dev/null
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/AuditRecords.java
@@ -0,0 +1,31 @@
+package org.bronzehill.standin.driver.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.bronzehill.standin.internal.Json;
+
+/** Reads the audit records in the output of an entry instance. */
+final class AuditRecords {
+
+    private static final String START = "{\"time\":";
+
+    private AuditRecords() {}
+
+    static void read(Path log, Evidence evidence) throws IOException {
+        // A killed instance may leave a partial line with malformed characters.
+        String text = new String(Files.readAllBytes(log), StandardCharsets.ISO_8859_1);
+        for (String line : text.split("\n")) {
+            int start = line.indexOf(START);
+            if (start >= 0) {
+                byte[] json = line.substring(start).getBytes(StandardCharsets.ISO_8859_1);
+                JsonNode entry = Json.parse(json);
+                if (entry.isObject()) {
+                    evidence.addAudit(entry);
+                }
+            }
+        }
+    }
+}
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Caller.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Caller.java
@@ -209,7 +209,6 @@
                     (int) number("Adapter-Version", 0),
                     (long) number("Configuration", 0),
                     header("Upstream", ""),
-                    number("Load-Stall-Ms", -1),
                     whole);
         }
 
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
@@ -280,6 +280,11 @@
         return entries.get(name).command.uri();
     }
 
+    /** Returns the file with the output of an entry instance. */
+    Path log(String entry) {
+        return directory.resolve(entry + ".log");
+    }
+
     public List<String> entryNames() {
         return List.copyOf(entries.keySet());
     }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Evidence.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Evidence.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.bronzehill.config.Configuration;
+import org.bronzehill.core.result.ResultCode;
 
 /**
  * What the promise checks compare: what callers were told, and what the ledgers of the stand-ins
@@ -27,6 +28,8 @@
     private final Set<String> graceful = new HashSet<>();
     private final List<String> uncleanStops = new ArrayList<>();
     private final Map<String, List<Long>> numbers = new TreeMap<>();
+    private final Map<String, List<Long>> stalls = new TreeMap<>();
+    private final Set<String> audited = new HashSet<>();
     private long publishedNumber;
     private long boundMs = Long.MAX_VALUE;
     private long steps;
@@ -91,6 +94,16 @@
         into.merge(field.getKey(), field.getValue().asLong(), Long::sum);
     }
 
+    /** Adds an audit record of an entry instance. */
+    public void addAudit(JsonNode entry) {
+        audited.add(entry.path("requestId").asText());
+        if (entry.path("result").asInt() == ResultCode.OK.number()
+                && entry.path("adapterVersion").asInt() > 0) {
+            stalls.computeIfAbsent(entry.path("kind").asText(), k -> new ArrayList<>())
+                    .add(entry.path("loadStallMs").asLong());
+        }
+    }
+
     /** Notes that an instance was stopped gracefully, and whether it ended as it should. */
     public void addGracefulStop(String instance, String problem) {
         graceful.add(instance);
@@ -110,6 +123,22 @@
         boundMs = passedAtMs;
     }
 
+    /** Returns the load stalls of complete model answers by kind, in ms and ascending. */
+    Map<String, long[]> stalls() {
+        Map<String, long[]> sorted = new TreeMap<>();
+        stalls.forEach(
+                (kind, list) ->
+                        sorted.put(kind, list.stream().mapToLong(l -> l).sorted().toArray()));
+        return sorted;
+    }
+
+    /** Returns how many answers told to callers have no audit record. */
+    long unaudited() {
+        return told.stream()
+                .filter(t -> t.code() != null && !audited.contains(t.requestId()))
+                .count();
+    }
+
     List<Told> told() {
         return told;
     }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/RunReport.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/RunReport.java
@@ -27,15 +27,16 @@
         out.println("measures");
         CallLog.byKindAndResult(evidence.told())
                 .forEach((kind, results) -> out.printf("  %-20s %s%n", kind, results));
-        double[] stalls =
-                evidence.told().stream()
-                        .filter(t -> t.isSuccess() && t.call().isModel() && t.loadStallMs() >= 0)
-                        .mapToDouble(Told::loadStallMs)
-                        .sorted()
-                        .toArray();
-        out.printf(
-                "  load stall of %d model answers: p50 %.0f ms, p95 %.0f ms%n",
-                stalls.length, percentile(stalls, 0.5), percentile(stalls, 0.95));
+        evidence.stalls()
+                .forEach(
+                        (kind, stalls) ->
+                                out.printf(
+                                        "  load stall of %d %s answers: p50 %d ms, p95 %d ms%n",
+                                        stalls.length,
+                                        kind,
+                                        percentile(stalls, 0.5),
+                                        percentile(stalls, 0.95)));
+        out.printf("  answers without an audit record: %d%n", evidence.unaudited());
         out.printf(
                 "  batch efficiency %.3f, mean batch %.2f%n",
                 evidence.batchEfficiency(), evidence.meanBatch());
@@ -73,10 +74,7 @@
         return check.getValue();
     }
 
-    static double percentile(double[] sorted, double part) {
-        if (sorted.length == 0) {
-            return Double.NaN;
-        }
+    private static long percentile(long[] sorted, double part) {
         int rank = (int) Math.ceil(part * sorted.length) - 1;
         return sorted[Math.max(0, rank)];
     }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Session.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Session.java
@@ -196,6 +196,9 @@
         for (String name : deployment.standinNames("runner-")) {
             evidence.addRunner(deployment.ledger(name));
         }
+        for (String name : deployment.entryNames()) {
+            AuditRecords.read(deployment.log(name), evidence);
+        }
         return evidence;
     }
 
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Told.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Told.java
@@ -23,7 +23,6 @@
         int version,
         long configurationNumber,
         String upstream,
-        double loadStallMs,
         boolean whole) {
 
     /** Returns whether the caller was told that the attempt succeeded. */
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Run.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Run.java
@@ -12,6 +12,8 @@
             Comparator.comparingLong((Run r) -> r.priority).thenComparingLong(r -> r.sequence);
 
     private static final int DEFAULT_TOKENS = 16;
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
 
     final Exchange exchange;
     final String requestId;
@@ -38,7 +40,7 @@
         this.maxTokens = Math.max(1, body.path("max_tokens").asInt(DEFAULT_TOKENS));
         this.prompt = lastContent(body);
         this.tag = AnswerText.tag(prompt);
-        this.prefixHash = body.path("messages").path(0).path("content").asText().hashCode();
+        this.prefixHash = prefixHash(body.path("messages").path(0).path("content").asText());
         this.promptLength = body.path("messages").toString().length();
     }
 
@@ -46,6 +48,15 @@
         return new Run(exchange, sequence);
     }
 
+    /** FNV-1a over the characters, the same hash by which entry instances look for a prefix. */
+    private static long prefixHash(String text) {
+        long h = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return h;
+    }
+
     private static String lastContent(JsonNode body) {
         JsonNode messages = body.path("messages");
         return messages.path(messages.size() - 1).path("content").asText();
--- a/bronzehill-standin/src/test/java/org/bronzehill/standin/driver/internal/PromiseTest.java
+++ b/bronzehill-standin/src/test/java/org/bronzehill/standin/driver/internal/PromiseTest.java
@@ -63,7 +63,6 @@
                                 version,
                                 number,
                                 "engine-1",
-                                0,
                                 whole)));
     }
 
@@ -171,7 +170,6 @@
                                 0,
                                 0,
                                 "",
-                                0,
                                 false)));
         onlyBroken(null);
         evidence.addGracefulStop("entry-2", "");
