Expect the member in front of an act's key; bound the patience of callers; log what callers are told

The first run of ./demo against entry instances reported every act as lost, because the entry instances scope keys by member and the driver compared the bare key.

--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/Rehearsal.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/Rehearsal.java
@@ -201,6 +201,7 @@
                 0,
                 traffic,
                 Declarations.adapterName(7),
+                member,
                 Declarations.token(member, 0),
                 "please run " + MARKER,
                 8,
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/AnswerCheck.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/AnswerCheck.java
@@ -29,7 +29,7 @@
     static boolean isWhole(Call call, String body) {
         if (!call.isModel()) {
             JsonNode answer = parse(body);
-            return answer.path("key").asText().equals(call.key())
+            return answer.path("key").asText().equals(call.isAct() ? call.recordedKey() : "")
                     && answer.path("echo").asText().contains('"' + call.prompt() + '"');
         }
         String expected = AnswerText.of(call.prompt(), call.tokens());
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Call.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Call.java
@@ -5,6 +5,7 @@
  *
  * @param atMs time after the start of the load
  * @param adapter empty for a plain service
+ * @param member member that the caller belongs to
  * @param key idempotency key; empty unless the kind is once-only
  * @param entitled whether the caller may send this request
  */
@@ -13,6 +14,7 @@
         long atMs,
         Traffic traffic,
         String adapter,
+        String member,
         String token,
         String prompt,
         int tokens,
@@ -29,4 +31,12 @@
     public boolean isAct() {
         return traffic.kind().onceOnly();
     }
+
+    /**
+     * Returns the key under which a runner records the act. Entry instances put the member in
+     * front, so that two members cannot use each other's keys.
+     */
+    public String recordedKey() {
+        return member + ':' + key;
+    }
 }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/CallLog.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/CallLog.java
@@ -1,9 +1,13 @@
 package org.bronzehill.standin.driver.internal;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.bronzehill.standin.internal.Json;
 
 /** Everything that callers were told during a run. Thread-safe. */
 public final class CallLog {
@@ -51,6 +55,29 @@
         return List.copyOf(told);
     }
 
+    /** Writes one JSON line for each attempt, to trace what happened to a call. */
+    void write(Path file) throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (Told t : told()) {
+            lines.add(
+                    Json.object()
+                            .put("call", t.call().index())
+                            .put("kind", t.call().traffic().name())
+                            .put("adapter", t.call().adapter())
+                            .put("key", t.call().key())
+                            .put("sentMs", t.sentMs())
+                            .put("instance", t.instance())
+                            .put("requestId", t.requestId())
+                            .put("result", t.label())
+                            .put("version", t.version())
+                            .put("configuration", t.configurationNumber())
+                            .put("upstream", t.upstream())
+                            .put("whole", t.whole())
+                            .toString());
+        }
+        Files.write(file, lines);
+    }
+
     /** Returns counts by kind and result. */
     public static Map<String, Map<String, Integer>> byKindAndResult(List<Told> told) {
         Map<String, Map<String, Integer>> counts = new TreeMap<>();
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
@@ -332,6 +332,11 @@
         return control;
     }
 
+    /** Returns the directory for logs and declarations. */
+    Path directory() {
+        return directory;
+    }
+
     public Profile profile() {
         return profile;
     }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/LoadGenerator.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/LoadGenerator.java
@@ -17,6 +17,10 @@
 
     private static final Logger LOG = Logger.getLogger(LoadGenerator.class);
     private static final int MAX_ATTEMPTS = 6;
+
+    /** A caller wants to know how its act ended even after the deadline of the first attempt. */
+    private static final Duration ACT_PATIENCE = Duration.ofSeconds(30);
+
     private static final long PAUSE_MS = 200;
     private static final long LATER_MS = 1000;
     private static final long NO_TARGET_MS = 15_000;
@@ -82,7 +86,12 @@
         try {
             String last = "";
             boolean again = true;
+            long begin = System.nanoTime();
+            Duration patience = call.isAct() ? ACT_PATIENCE : call.traffic().callerDeadline();
             for (int i = 0; i < MAX_ATTEMPTS && again; i++) {
+                if (System.nanoTime() - begin > patience.toNanos()) {
+                    return;
+                }
                 Optional<Balancer.Target> target = target(last);
                 if (target.isEmpty()) {
                     return;
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Promise.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Promise.java
@@ -125,7 +125,8 @@
         Map<String, Told> confirmed = new HashMap<>();
         for (Told t : e.told()) {
             if (t.call().isAct() && t.isSuccess()) {
-                confirmed.put(t.call().traffic().kind().service() + '/' + t.call().key(), t);
+                confirmed.put(
+                        t.call().traffic().kind().service() + '/' + t.call().recordedKey(), t);
             }
         }
         confirmed.forEach(
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Session.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Session.java
@@ -190,6 +190,7 @@
         say(ended ? "every call has ended" : "%d calls have not ended", log.open());
         monitor.close();
         evidence.addTold(log.told());
+        log.write(deployment.directory().resolve("told.jsonl"));
         for (String name : deployment.standinNames("engine-")) {
             evidence.addEngine(deployment.ledger(name));
         }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Workload.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Workload.java
@@ -84,6 +84,7 @@
                 (long) atMs,
                 kind,
                 model ? Declarations.adapterName(pickAdapter()) : "",
+                member,
                 Declarations.token(member, random.nextInt(Declarations.callers())),
                 "request " + run + '-' + n,
                 Math.max(1, (int) (kind.tokens() * (0.5 + random.nextDouble()))),
