--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/CliMain.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/CliMain.java
@@ -7,10 +7,13 @@
 import java.nio.file.NoSuchFileException;
 import java.util.concurrent.Callable;
 import org.bronzehill.cli.command.CheckCommand;
+import org.bronzehill.cli.command.ExperimentCommand;
 import org.bronzehill.cli.command.ExplainCommand;
 import org.bronzehill.cli.command.ExportCommand;
+import org.bronzehill.cli.command.GenerateCommand;
 import org.bronzehill.cli.command.PatchCommand;
 import org.bronzehill.cli.command.ProvenanceCommand;
+import org.bronzehill.cli.command.ReplayCommand;
 import org.bronzehill.cli.command.SchemaCommand;
 import org.bronzehill.cli.command.StatusCommand;
 import org.bronzehill.cli.command.VersionCommand;
@@ -26,7 +29,10 @@
             PatchCommand.class,
             StatusCommand.class,
             ExplainCommand.class,
-            ProvenanceCommand.class
+            ProvenanceCommand.class,
+            ReplayCommand.class,
+            ExperimentCommand.class,
+            GenerateCommand.class
         },
         groups = {
             @Group(
