--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
@@ -280,6 +280,11 @@
         return entries.get(name).command.uri();
     }
 
+    /** Returns the file with the output of an entry instance. */
+    Path log(String entry) {
+        return directory.resolve(entry + ".log");
+    }
+
     public List<String> entryNames() {
         return List.copyOf(entries.keySet());
     }
@@ -327,6 +332,11 @@
         return control;
     }
 
+    /** Returns the directory for logs and declarations. */
+    Path directory() {
+        return directory;
+    }
+
     public Profile profile() {
         return profile;
     }
