--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/ExpectationGenerator.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/ExpectationGenerator.java
@@ -74,6 +74,13 @@
         }
     }
 
+    /** Returns whether the deadline of a kind passes only after the end of the trace. */
+    private boolean mayOutlastTrace(TraceRecord.Model m) {
+        return Deployment.named(trace.header().deployment()).kinds().stream()
+                .filter(k -> k.name().equals(m.kind()))
+                .anyMatch(k -> m.at() + k.deadline().toMillis() > trace.header().durationMs());
+    }
+
     private List<String> modelOutcomes(TraceRecord.Model m) {
         if (!m.caller().equals(Deployment.callerForAdapter(m.adapter()))) {
             return withLoss(refusable(new ArrayList<>(List.of("NOT_ENTITLED"))));
@@ -84,6 +91,9 @@
             return withLoss(refusable(outcomes));
         }
         outcomes.add("OK");
+        if (mayOutlastTrace(m)) {
+            outcomes.add(Expectations.NO_ANSWER);
+        }
         if (engineFaults) {
             outcomes.add("MAY_HAVE_RUN");
         }
@@ -110,7 +120,7 @@
     }
 
     private List<String> withLoss(List<String> outcomes) {
-        if (instanceLoss) {
+        if (instanceLoss && !outcomes.contains(Expectations.NO_ANSWER)) {
             outcomes.add(Expectations.NO_ANSWER);
             if (!outcomes.contains("NOT_RUN")) {
                 outcomes.add("NOT_READY");
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/FaultGenerator.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/FaultGenerator.java
@@ -18,7 +18,6 @@
     private final long start;
     private final long end;
     private final List<TraceRecord> records;
-    private long number = 1;
     private int crashing;
 
     FaultGenerator(
@@ -70,10 +69,8 @@
     }
 
     private void publish(long at) {
-        number++;
         int adapter = random.nextInt(deployment.shape().adapters());
-        records.add(
-                new TraceRecord.Publish(at, number, Map.of(Deployment.adapterName(adapter), 2)));
+        records.add(new TraceRecord.Publish(at, 0, Map.of(Deployment.adapterName(adapter), 2)));
     }
 
     private void restarts(long at) {
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/TraceGenerator.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/TraceGenerator.java
@@ -55,7 +55,23 @@
         scenarios.forEach(faults::add);
         String title = scenarios.stream().map(Scenario::label).collect(Collectors.joining("+"));
         long end = g.end() + load.settleSeconds() * 1000L;
-        return new Trace(TraceHeader.of(deployment.name(), seed, end, title), g.records);
+        TraceHeader header = TraceHeader.of(deployment.name(), seed, end, title);
+        return new Trace(header, numbered(new Trace(header, g.records).records()));
+    }
+
+    /** Numbers the configurations in the order in which they are published. */
+    private static List<TraceRecord> numbered(List<TraceRecord> sorted) {
+        List<TraceRecord> all = new ArrayList<>();
+        long number = 1;
+        for (TraceRecord r : sorted) {
+            if (r instanceof TraceRecord.Publish p) {
+                number++;
+                all.add(new TraceRecord.Publish(p.at(), number, p.pins()));
+            } else {
+                all.add(r);
+            }
+        }
+        return all;
     }
 
     private long start() {
