Test routing; a full batch gives no batch gain

Cause: with the first score 24 attempts filled two engines of batch 8 beyond their batch while a third idled. Change: a full engine lacks all batch gain; an empty batch costs at most one load on an idle store per unit of weight.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineScorer.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineScorer.java
@@ -14,6 +14,9 @@
     /** Time of one load when the store is idle. */
     private static final double LOAD_SECONDS = 0.25;
 
+    /** Cost of an empty batch: with equal weights as bad as a load when the store is idle. */
+    private static final double BATCH_SECONDS = LOAD_SECONDS;
+
     /** What a cached prompt prefix saves. */
     private static final double PREFIX_SECONDS = 0.05;
 
@@ -61,8 +64,12 @@
         return r == null ? coldStall : r.loading() ? coldStall / 2 : 0;
     }
 
+    /**
+     * Returns the share of the batch that stays empty with the request, or 1 if the batch is full
+     * already: a request that queues makes no batch fuller.
+     */
     double lackOfBatchGain(EngineView e) {
-        return 1 - Math.min(1, (e.load() + 1.0) / e.batch());
+        return e.load() < e.batch() ? 1 - (e.load() + 1.0) / e.batch() : 1;
     }
 
     double queueDelay(EngineView e) {
@@ -73,7 +80,7 @@
     double score(EngineView e, Policy policy, double stall, long prefixHash, long nowNanos) {
         double score =
                 policy.loadStallWeight() * stall
-                        + policy.batchWeight() * lackOfBatchGain(e)
+                        + policy.batchWeight() * BATCH_SECONDS * lackOfBatchGain(e)
                         + queueDelay(e);
         score -= e.hasPrefix(prefixHash) ? PREFIX_SECONDS : 0;
         score += e.isFresh(nowNanos, FRESH_NANOS) ? 0 : STALE_SECONDS;
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/placement/RouterTest.java
@@ -0,0 +1,298 @@
+package org.bronzehill.core.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Option;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.bronzehill.config.AdapterSpec;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.ConfigurationBase;
+import org.bronzehill.config.Limits;
+import org.bronzehill.config.OwnershipScope;
+import org.bronzehill.config.Policy;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.ListedState;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.model.UpstreamKind;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.time.ManualTimeSource;
+import org.bronzehill.protocol.generated.EngineSummaries;
+import org.bronzehill.protocol.generated.EngineSummary;
+import org.bronzehill.protocol.generated.ResidentAdapter;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Choice of engines from summaries that are late or missing. */
+public class RouterTest {
+
+    private ManualTimeSource time;
+    private Policy policy;
+    private String holder;
+    private Set<String> unreachable;
+    private long sequence;
+
+    @BeforeMethod
+    public void setUp() {
+        time = ManualTimeSource.startingAt(Instant.EPOCH);
+        policy = new Policy(1, 0.5, OwnershipScope.REGION);
+        holder = "h";
+        unreachable = new HashSet<>();
+    }
+
+    private Router router(int seed, int engines) {
+        HolderDirectory directory =
+                new HolderDirectory() {
+                    @Override
+                    public Option<String> holderOf(String engine) {
+                        return holder.isEmpty() ? Option.none() : Option.some(holder);
+                    }
+
+                    @Override
+                    public boolean isReachable(String instance) {
+                        return !unreachable.contains(instance);
+                    }
+
+                    @Override
+                    public boolean isSlow(String instance) {
+                        return false;
+                    }
+
+                    @Override
+                    public String region() {
+                        return "r1";
+                    }
+                };
+        List<AdapterSpec> adapters = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            adapters.add(new AdapterSpec("a" + i, "base", "g", Map.of(1, "w"), Map.of("*", 1)));
+        }
+        ConfigurationBase base =
+                new ConfigurationBase(Set.of("base"), Map.of(), Map.of(), Limits.DEFAULTS, policy);
+        Configuration configuration = Configuration.of(1, base, adapters);
+        Router router = Router.create(directory, () -> configuration, time, new Random(seed));
+        router.onInstanceList(list(engines, ""));
+        return router;
+    }
+
+    private static InstanceList list(int engines, String leaving) {
+        List<Upstream> upstreams = new ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            String id = "e" + i;
+            upstreams.add(
+                    new Upstream(
+                            id,
+                            UpstreamKind.ENGINE,
+                            URI.create("http://127.0.0.1:1"),
+                            "dc1",
+                            "r1",
+                            id.equals(leaving) ? ListedState.LEAVING : ListedState.LIVE,
+                            new Upstream.EngineShape("base", 8, 8),
+                            false,
+                            Set.of()));
+        }
+        return new InstanceList(1, List.of(), upstreams);
+    }
+
+    private EngineSummary.Builder summary(String engine, int running, String... adapters) {
+        EngineSummary.Builder s =
+                EngineSummary.newBuilder()
+                        .setEngine(engine)
+                        .setHolder("h")
+                        .setSequence(++sequence)
+                        .setRunning(running)
+                        .setBatchSize(8)
+                        .setAvailable(true);
+        for (String a : adapters) {
+            s.addAdapters(ResidentAdapter.newBuilder().setAdapter(a).setVersion(1));
+        }
+        return s;
+    }
+
+    private static void give(Router router, EngineSummary.Builder... summaries) {
+        EngineSummaries.Builder all = EngineSummaries.newBuilder();
+        for (EngineSummary.Builder s : summaries) {
+            all.addSummaries(s);
+        }
+        router.onSummaries(all.build());
+    }
+
+    private static RouteQuery query(String adapter) {
+        return RouteQuery.of(adapter, "chat", 0);
+    }
+
+    /** Guards against loads of an adapter that some engine has already. */
+    @Test
+    public void engineWithTheAdapterComesFirst() {
+        Router r = router(1, 8);
+        give(r, summary("e3", 6, "a1"), summary("e4", 0, "a2"));
+        Route route = r.route(query("a1")).get();
+        assertEquals(route.engine(), "e3");
+        assertEquals(route.expectedStall(), Duration.ZERO);
+    }
+
+    /** Guards against several loads of one cold adapter chosen by different instances. */
+    @Test
+    public void allInstancesChooseTheSameHome() {
+        Router r1 = router(1, 8);
+        Router r2 = router(2, 8);
+        Set<String> homes = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            String home = r1.route(query("a" + i)).get().engine();
+            assertEquals(r2.route(query("a" + i)).get().engine(), home);
+            homes.add(home);
+        }
+        assertEquals(homes.size(), 8);
+    }
+
+    /** Guards against a home that moves with the load while its adapter is being loaded. */
+    @Test
+    public void homeIsKeptUntilItsSummaryNamesTheAdapter() {
+        Router r = router(1, 8);
+        String home = r.route(query("a1")).get().engine();
+        for (int i = 0; i < 20; i++) {
+            Route route = r.route(query("a1")).get();
+            assertEquals(route.engine(), home);
+            r.sent(route);
+        }
+    }
+
+    /** Guards bounded load: an overloaded engine is not the home of further adapters. */
+    @Test
+    public void overloadedHomeIsSkipped() {
+        Router r = router(1, 8);
+        String home = r.route(query("a1")).get().engine();
+        time.advance(Duration.ofSeconds(3));
+        give(r, summary(home, 30));
+        assertNotEquals(r.route(query("a1")).get().engine(), home);
+    }
+
+    /** Guards against all requests going to the engine that one stale report shows as best. */
+    @Test
+    public void sentAttemptsSpreadOverReplicas() {
+        Router r = router(1, 4);
+        give(r, summary("e0", 0, "a1"), summary("e1", 0, "a1"), summary("e2", 0, "a1"));
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 24; i++) {
+            Route route = r.route(query("a1")).get();
+            r.sent(route);
+            counts.merge(route.engine(), 1, Integer::sum);
+        }
+        assertEquals(counts.size(), 3, counts.toString());
+        assertTrue(counts.values().stream().allMatch(c -> c <= 12), counts.toString());
+    }
+
+    /** Guards against a count of sent attempts that outlives their end or the next summary. */
+    @Test
+    public void sentAttemptsAreForgotten() {
+        Router r = router(1, 1);
+        give(r, summary("e0", 0, "a1"));
+        Route first = r.route(query("a1")).get();
+        double idle = r.explain(query("a1")).get(0).lackOfBatchGain();
+        r.sent(first);
+        assertTrue(r.explain(query("a1")).get(0).lackOfBatchGain() < idle);
+        r.ended(first);
+        assertEquals(r.explain(query("a1")).get(0).lackOfBatchGain(), idle);
+        r.sent(r.route(query("a1")).get());
+        time.advance(Duration.ofMillis(100));
+        give(r, summary("e0", 0, "a1"));
+        assertEquals(r.explain(query("a1")).get(0).lackOfBatchGain(), idle);
+    }
+
+    /** Guards the replica rule: added after 500 ms above one batch, dropped after 10 s below. */
+    @Test
+    public void hotAdapterGetsAndLosesAReplica() {
+        Router r = router(1, 4);
+        EngineSummary.Builder hot = summary("e0", 8).setQueued(20);
+        hot.addAdapters(ResidentAdapter.newBuilder().setAdapter("a1").setVersion(1).setWaiting(20));
+        give(r, hot);
+        assertEquals(r.route(query("a1")).get().engine(), "e0");
+        time.advance(Duration.ofMillis(600));
+        give(r, hot.setSequence(++sequence));
+        String replica = r.route(query("a1")).get().engine();
+        assertNotEquals(replica, "e0");
+        give(r, summary("e0", 1, "a1"), summary(replica, 1, "a1"));
+        Set<String> both = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            both.add(r.route(query("a1")).get().engine());
+        }
+        assertEquals(both.size(), 2);
+        time.advance(Duration.ofSeconds(11));
+        give(r, summary("e0", 1, "a1"), summary(replica, 1, "a1"));
+        Set<String> one = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            one.add(r.route(query("a1")).get().engine());
+        }
+        assertEquals(one.size(), 1);
+    }
+
+    /** Guards P6: a leaving engine is not chosen, even for an adapter that only it has. */
+    @Test
+    public void leavingEngineIsNotChosen() {
+        Router r = router(1, 4);
+        give(r, summary("e2", 0, "a1"));
+        r.onInstanceList(list(4, "e2"));
+        assertNotEquals(r.route(query("a1")).get().engine(), "e2");
+    }
+
+    /** Guards against routes to a holder that cannot be reached. */
+    @Test
+    public void unreachableHolderIsAvoided() {
+        Router r = router(1, 2);
+        give(r, summary("e0", 0, "a1").setHolder("dead"), summary("e1", 0));
+        unreachable.add("dead");
+        assertEquals(r.route(query("a1")).get().engine(), "e1");
+        unreachable.add("h");
+        assertEquals(r.route(query("a1")).getLeft(), ResultCode.NO_HOLDER);
+        assertEquals(router(1, 0).route(query("a1")).getLeft(), ResultCode.NO_UPSTREAM);
+    }
+
+    /** Guards against a retry at the engine that has just failed. */
+    @Test
+    public void excludedEngineIsNotChosen() {
+        Router r = router(1, 2);
+        give(r, summary("e0", 0, "a1"));
+        RouteQuery retry = new RouteQuery("a1", "chat", 0, Set.of("e0"), "");
+        assertEquals(r.route(retry).get().engine(), "e1");
+        RouteQuery redirected = new RouteQuery("a1", "chat", 0, Set.of("e0"), "e0");
+        assertEquals(r.route(redirected).get().engine(), "e1");
+    }
+
+    /** Guards against weights without effect: they decide between waiting and a fuller batch. */
+    @Test
+    public void weightsOfThePolicyDecide() {
+        // e0 loads the adapter and is half full; e1 has it and is empty.
+        EngineSummary.Builder loading = summary("e0", 4);
+        loading.addAdapters(
+                ResidentAdapter.newBuilder().setAdapter("a1").setVersion(1).setLoading(true));
+        EngineSummary.Builder empty = summary("e1", 0, "a1");
+        Router stalls = router(1, 2);
+        give(stalls, loading, empty);
+        assertEquals(stalls.route(query("a1")).get().engine(), "e1");
+        policy = new Policy(0.2, 1, OwnershipScope.REGION);
+        Router batches = router(1, 2);
+        give(batches, loading, empty);
+        assertEquals(batches.route(query("a1")).get().engine(), "e0");
+    }
+
+    /** Guards against an old summary that arrives late and revives old beliefs. */
+    @Test
+    public void outdatedSummaryIsIgnored() {
+        Router r = router(1, 2);
+        EngineSummary.Builder old = summary("e0", 0, "a1");
+        give(r, summary("e0", 0, "a2"));
+        give(r, old);
+        assertFalse(r.explain(query("a1")).stream().anyMatch(c -> c.note().equals("resident")));
+    }
+}
