Check the scheduler under random schedules of faults

Cause: single-fault tests do not show what holds under combined faults. Change: an engine world with lost answers, late reports, restarts, takeovers, cancels and pin changes checks P2, P4, P6 and single ends over 40 seeds; two broken eviction rules show that the checks fail.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionOrders.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionOrders.java
@@ -114,7 +114,7 @@
     /** Sends the evict order for a handle whose intent is recorded by a majority. */
     void onIntentAcknowledged(String name, Effects out) {
         AdapterHandle h = handles.get(name);
-        if (h != null && h.status() == Status.INTENT_ANNOUNCED && h.uses() == 0) {
+        if (h != null && h.status() == Status.INTENT_ANNOUNCED && handles.mayOrderEviction(h)) {
             order(h, out);
         }
     }
@@ -166,7 +166,7 @@
 
     /** Repeats an evict order that was not carried out; its intent is still recorded. */
     void again(AdapterHandle h, Effects out) {
-        if (h.uses() == 0) {
+        if (handles.mayOrderEviction(h)) {
             order(h, out);
         }
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionRule.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionRule.java
@@ -21,4 +21,9 @@
      * @param earlierHoldersEnded whether the longest deadline has passed since the takeover
      */
     boolean mayEvict(AdapterHandle handle, boolean earlierHoldersEnded);
+
+    /** Returns whether the order may be sent, once its intent is recorded. */
+    default boolean mayOrder(AdapterHandle handle) {
+        return handle.uses() == 0;
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/HandleTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/HandleTable.java
@@ -303,6 +303,11 @@
         return rule.mayEvict(h, earlierHoldersEnded());
     }
 
+    /** Returns whether the order to evict the handle may be sent now. */
+    boolean mayOrderEviction(AdapterHandle h) {
+        return rule.mayOrder(h);
+    }
+
     /** Returns whether the longest deadline of any kind has passed since the takeover. */
     private boolean earlierHoldersEnded() {
         long longest = 0;
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/RandomScheduleTest.java
@@ -0,0 +1,85 @@
+package org.bronzehill.core.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.bronzehill.core.node.OrderKind;
+import org.bronzehill.core.result.ResultCode;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Random schedules of requests and faults against what must always hold. */
+public class RandomScheduleTest {
+
+    private static final int SEEDS = 40;
+    private static final long MILLIS = 60_000;
+
+    /** Takes handles of any epoch and use, at any time. */
+    private static final EvictionRule BROKEN =
+            new EvictionRule() {
+                @Override
+                public boolean mayEvict(AdapterHandle handle, boolean earlierHoldersEnded) {
+                    return handle.status() == AdapterHandle.Status.RESIDENT;
+                }
+
+                @Override
+                public boolean mayOrder(AdapterHandle handle) {
+                    return true;
+                }
+            };
+
+    /** Keeps handles in use, but takes those of earlier epochs without waiting. */
+    private static final EvictionRule HASTY =
+            (h, ended) -> h.status() == AdapterHandle.Status.RESIDENT && h.uses() == 0;
+
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[SEEDS][];
+        for (int i = 0; i < SEEDS; i++) {
+            seeds[i] = new Object[] {(long) i};
+        }
+        return seeds;
+    }
+
+    /** Guards P2, P4, P6, exactly one end for each request, and use counts that stay positive. */
+    @Test(dataProvider = "seeds")
+    public void holdsUnderFaults(long seed) {
+        EngineWorld w = new EngineWorld(seed, EvictionRule.SAFE, 1);
+        w.run(MILLIS);
+        assertEquals(w.breaches, List.of());
+        assertTrue(w.count(ResultCode.OK) > 0);
+    }
+
+    /** Guards against schedules in which nothing happens. */
+    @Test
+    public void schedulesLoadAndEvict() {
+        EngineWorld w = new EngineWorld(1, EvictionRule.SAFE, 0);
+        w.run(MILLIS);
+        assertEquals(w.breaches, List.of());
+        assertTrue(w.f.orders(OrderKind.EVICT).size() > 10);
+        assertTrue(w.count(ResultCode.OK) > w.submittedCount() / 2);
+    }
+
+    /** Shows that the checks fail when handles in use are evicted. */
+    @Test
+    public void checksFailWithABrokenEvictionRule() {
+        EngineWorld w = new EngineWorld(1, BROKEN, 0);
+        w.run(MILLIS);
+        assertTrue(
+                w.breaches.stream().anyMatch(b -> b.startsWith("evict order for")),
+                w.breaches.toString());
+    }
+
+    /** Shows that the checks fail when the wait of rule (c) is left out. */
+    @Test
+    public void checksFailWithoutTheWaitAfterATakeover() {
+        boolean found = false;
+        for (long seed = 0; seed < SEEDS && !found; seed++) {
+            EngineWorld w = new EngineWorld(seed, HASTY, 4);
+            w.run(MILLIS);
+            found = w.breaches.stream().anyMatch(b -> b.contains("evict"));
+        }
+        assertTrue(found);
+    }
+}
--- a/bronzehill-core/src/test/java/org/bronzehill/core/engine/SchedulerFixture.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/SchedulerFixture.java
@@ -62,6 +62,7 @@
     int replicas;
     Upstream upstream = upstream(ListedState.LIVE, 4, 4, false);
     EngineScheduler scheduler;
+    final IdSequence ids = IdSequence.create();
     private long number;
     private long stamp;
 
@@ -87,7 +88,7 @@
                 this,
                 () -> configuration,
                 time,
-                IdSequence.create(),
+                ids,
                 this,
                 this,
                 (r, result, o) ->
