--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/EntryCommand.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/EntryCommand.java
@@ -35,9 +35,9 @@
                 dataCentre,
                 "--region",
                 region,
-                "--configuration-uris",
+                "--configuration-uri",
                 configuration.toString(),
-                "--instance-list-uris",
+                "--instance-list-uri",
                 instanceList.toString());
     }
 
