--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
@@ -39,12 +39,12 @@
     private String region;
 
     @Option(
-            name = "--configuration-uri",
+            name = "--configuration-uris",
             description = "Addresses of the configuration service, separated by commas")
     private String configurationUris;
 
     @Option(
-            name = "--instance-list-uri",
+            name = "--instance-list-uris",
             description = "Addresses of the instance list, separated by commas")
     private String instanceListUris;
 
@@ -96,8 +96,8 @@
         values.put("peer-port", peerPort);
         values.put("data-centre", dataCentre);
         values.put("region", region);
-        values.put("configuration-uri", configurationUris);
-        values.put("instance-list-uri", instanceListUris);
+        values.put("configuration-uris", configurationUris);
+        values.put("instance-list-uris", instanceListUris);
         values.put("drain-limit-ms", drainLimitMs);
         values.put("ring-size", ringSize);
         values.put("peer-queue", peerQueue);
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/ProgramSettings.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/ProgramSettings.java
@@ -54,8 +54,8 @@
                                 in.address("host", "127.0.0.1"),
                                 in.number("http-port", 8080, 0, 65_535),
                                 in.number("peer-port", 7070, 0, 65_535)),
-                        in.uris("configuration-uri"),
-                        in.uris("instance-list-uri"),
+                        in.uris("configuration-uris"),
+                        in.uris("instance-list-uris"),
                         Duration.ofMillis(in.number("drain-limit-ms", 600_000, 0, 86_400_000)),
                         new Bounds(
                                 in.number("ring-size", 16_384, 64, MAX_QUEUE),
