Try other engines before waiting for a moved holder; learn holders from summaries

A restarted instance believed itself to be the holder of engines held by others, and requests waited for a leaving holder instead of using another engine.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -12,7 +12,6 @@
 import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.engine.CrashHistory;
 import org.bronzehill.core.engine.LeaseGuard;
-import org.bronzehill.core.engine.PlacementView;
 import org.bronzehill.core.engine.SchedulerContext;
 import org.bronzehill.core.engine.StorePermits;
 import org.bronzehill.core.lease.LeaseManager;
@@ -70,9 +69,12 @@
                         CrashRegistry.create(settings.self().id(), () -> live(membership), time),
                         RetryBudget.create(),
                         OverloadPolicy.create(time),
-                        new Gate(spread::caughtUp, this::reachesEngine));
+                        new Gate(
+                                () -> spread.caughtUp() && !membership.superseded(),
+                                this::reachesEngine));
         budget = StoreBudget.create(leases, membership, inForce, time, this::onPermit);
         router = Router.create(HolderDirectory.of(membership, leases), inForce, time, random);
+        view = new StatusView(context, leases);
         EngineReplies replies = new EngineReplies(context);
         engines = new EngineDesk(context, schedulers(replies), replies);
         listener.bind(engines, budget);
@@ -87,7 +89,6 @@
         reports = new ReportSchedule(context, engines, this::onSummaries);
         platform = new PlatformSchedule(context);
         drain = new DrainSequence(context, engines, leases, budget, acts, this::ownRequests);
-        view = new StatusView(context, leases);
     }
 
     static CoreParts create(EntrySettings settings, TimeSource time, RandomGenerator random) {
@@ -102,7 +103,7 @@
                 context.time(),
                 context.ids(),
                 crashHistory(context.crashes()),
-                PlacementView.NONE,
+                new Neighbours(router, view),
                 replies);
     }
 
@@ -140,8 +141,9 @@
                 || listed.stream()
                         .anyMatch(
                                 u ->
-                                        leases.holderOf(Resources.engine(u.id()))
-                                                .exists(holders::isReachable));
+                                        leases.majorityReachable(Resources.engine(u.id()))
+                                                || leases.holderOf(Resources.engine(u.id()))
+                                                        .exists(holders::isReachable));
     }
 
     private void onPermit(String engine, long sequence, Effects out) {
@@ -182,6 +184,8 @@
     }
 
     void onSummaries(EngineSummaries message) {
+        message.getSummariesList()
+                .forEach(s -> leases.observeHolder(Resources.engine(s.getEngine()), s.getHolder()));
         router.onSummaries(message);
         view.onSummaries(message);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -152,8 +152,11 @@
         }
         if (result.code() == ResultCode.REDIRECT && !result.redirectTo().isEmpty()) {
             attempt(r, result.redirectTo(), out);
-        } else if (attempt == 0 || RetryRules.keepsEngine(result.code())) {
+        } else if (attempt == 0) {
             parkOrFinish(r, attempt, result, out);
+        } else if (RetryRules.costsNothing(result.code())) {
+            // Nothing was given to an engine; the engines already tried are passed over.
+            attempt(r, "", out);
         } else if (r.counted() < context.settings().maxAttempts() && budget.tryTake()) {
             out.add(new Effect.Measure(Signal.RETRIES, result.code().name(), 1));
             r.count();
@@ -163,7 +166,7 @@
         }
     }
 
-    /** Nothing was given to an engine, so waiting for its holder costs nobody anything. */
+    /** No engine is left to try; a new holder may appear for one of them. */
     private void parkOrFinish(OpenRequest r, int attempt, EngineResult result, Effects out) {
         long now = context.time().nanoTime();
         if (r.parkedFor(now) > MAX_PARKED.toNanos()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/RetryRules.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/RetryRules.java
@@ -48,8 +48,8 @@
         return repeatable && FAILURES.contains(code);
     }
 
-    /** Returns whether the same engine may be tried again once its holder is known. */
-    static boolean keepsEngine(ResultCode code) {
+    /** Returns whether the refusal came before any engine, so that a retry adds no load. */
+    static boolean costsNothing(ResultCode code) {
         return HOLDER_MOVED.contains(code);
     }
 }
