Keep conflicting copied claims of a once-only act until each is given up

Cause: after a change of the instance list, a witness replaced the claim it had accepted by a copied claim with a higher attempt number, although attempts of different executors cannot be compared. Change: a witness keeps every conflicting copy and refuses a new claim until each has been given up.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActWitness.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActWitness.java
@@ -9,9 +9,9 @@
 import org.bronzehill.protocol.generated.Envelope;
 
 /**
- * Votes on claims. A witness keeps one claim for each key and replaces it only by a later attempt
- * of the same executor, or when the standing executor has promised never to execute exactly that
- * attempt.
+ * Votes on claims. A witness votes for one claim for each key and replaces it only by a later
+ * attempt of the same executor, or when the standing executor has promised never to execute exactly
+ * that attempt. Conflicting claims that it copied from other witnesses all stand until then.
  */
 final class ActWitness {
 
@@ -38,9 +38,13 @@
         ActClaimRecord claim = request.getClaim();
         ActClaimReply.Builder reply =
                 ActClaimReply.newBuilder().setKey(claim.getKey()).setAttempt(claim.getAttempt());
-        ActClaimRecord standing = claims.find(claim.getKey());
-        if (standing != null && !mayReplace(standing, request)) {
-            return reply.setStanding(standing);
+        claims.find(claim.getKey()).stream()
+                .filter(c -> !ClaimTable.sameExecutor(c, claim) && mayReplace(c, request))
+                .forEach(claims::drop);
+        for (ActClaimRecord standing : claims.find(claim.getKey())) {
+            if (!mayReplace(standing, request)) {
+                return reply.setStanding(standing);
+            }
         }
         boolean sameList =
                 claimListVersion == peers.listVersion()
@@ -48,7 +52,7 @@
         if (!sameList || !history.mayVote(claim.getKey())) {
             return reply.setAbstained(true);
         }
-        if (standing == null && !claims.hasRoom()) {
+        if (claims.find(claim.getKey()).isEmpty() && !claims.hasRoom()) {
             return reply.setAbstained(true);
         }
         claims.put(claim);
@@ -57,7 +61,7 @@
 
     private static boolean mayReplace(ActClaimRecord standing, ActClaim request) {
         ActClaimRecord claim = request.getClaim();
-        if (sameExecutor(standing, claim)) {
+        if (ClaimTable.sameExecutor(standing, claim)) {
             return claim.getAttempt() >= standing.getAttempt()
                     && standing.getState() != ActState.ACT_STATE_DONE;
         }
@@ -67,19 +71,9 @@
                         && request.getReplacesAttempt() == standing.getAttempt();
     }
 
-    private static boolean sameExecutor(ActClaimRecord a, ActClaimRecord b) {
-        return a.getExecutor().equals(b.getExecutor())
-                && a.getExecutorIncarnation() == b.getExecutorIncarnation();
-    }
-
     /** Records how an attempt ended, as told by its executor. */
     void onEnded(ActClaimRecord ended) {
-        ActClaimRecord standing = claims.find(ended.getKey());
-        if (standing != null
-                && sameExecutor(standing, ended)
-                && standing.getAttempt() == ended.getAttempt()) {
-            claims.put(ended);
-        }
+        claims.end(ended);
     }
 
     ClaimTable claims() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ClaimTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ClaimTable.java
@@ -1,12 +1,15 @@
 package org.bronzehill.core.onceonly;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.ActClaimRecord;
+import org.bronzehill.protocol.generated.ActState;
 
 /** Claims that a witness keeps for the resend window, oldest first. */
 final class ClaimTable {
@@ -17,7 +20,14 @@
     /** Largest number of claims; beyond it new claims are refused rather than old ones dropped. */
     static final int MAX_CLAIMS = 100_000;
 
-    private record Stored(ActClaimRecord claim, long claimedNanos) {}
+    /**
+     * Largest number of claims kept for one key. Only as many executors as there are witnesses can
+     * each have one vote.
+     */
+    private static final int MAX_PER_KEY = 8;
+
+    /** Claims on one key; more than one only while copies from other witnesses conflict. */
+    private record Stored(List<ActClaimRecord> standing, long claimedNanos) {}
 
     private final TimeSource time;
     private final Map<String, Stored> claims = new LinkedHashMap<>();
@@ -26,27 +36,88 @@
         this.time = time;
     }
 
-    ActClaimRecord find(String key) {
+    /** Returns every claim on the key that has not been given up. */
+    List<ActClaimRecord> find(String key) {
         Stored stored = claims.get(key);
-        return stored == null || expired(stored) ? null : stored.claim();
+        return stored == null || expired(stored) ? List.of() : stored.standing();
     }
 
     boolean hasRoom() {
         return claims.size() < MAX_CLAIMS;
     }
 
-    /** Stores a claim; it keeps its place and age if the key was present. */
+    /**
+     * Stores a claim in place of all others on its key; it keeps its place and age if the key was
+     * present.
+     */
     void put(ActClaimRecord claim) {
+        store(claim, List.of(claim));
+    }
+
+    private void store(ActClaimRecord claim, List<ActClaimRecord> standing) {
         Stored old = claims.get(claim.getKey());
         long claimed =
                 old != null && !expired(old)
                         ? old.claimedNanos()
                         : time.nanoTime() - Duration.ofMillis(claim.getAgeMs()).toNanos();
-        claims.put(claim.getKey(), new Stored(claim, claimed));
+        claims.put(claim.getKey(), new Stored(List.copyOf(standing), claimed));
+    }
+
+    /**
+     * Adds a claim copied from another witness. A claim of another executor does not replace the
+     * known one, whatever its attempt: attempts of different executors cannot be compared, and
+     * either claim may be the one that a majority has accepted.
+     */
+    void copy(ActClaimRecord claim) {
+        List<ActClaimRecord> standing = new ArrayList<>(find(claim.getKey()));
+        for (int i = 0; i < standing.size(); i++) {
+            if (sameExecutor(standing.get(i), claim)) {
+                if (isNewer(claim, standing.get(i))) {
+                    standing.set(i, claim);
+                    store(claim, standing);
+                }
+                return;
+            }
+        }
+        boolean abandoned = claim.getState() == ActState.ACT_STATE_ABANDONED;
+        if (standing.size() < MAX_PER_KEY && !(abandoned && !standing.isEmpty())) {
+            standing.add(claim);
+            store(claim, standing);
+        }
+    }
+
+    private static boolean isNewer(ActClaimRecord a, ActClaimRecord b) {
+        if (a.getAttempt() != b.getAttempt()) {
+            return a.getAttempt() > b.getAttempt();
+        }
+        return a.getState().getNumber() > b.getState().getNumber();
+    }
+
+    /** Updates the claim of the same executor and attempt, if it stands. */
+    void end(ActClaimRecord ended) {
+        List<ActClaimRecord> standing = new ArrayList<>(find(ended.getKey()));
+        standing.replaceAll(
+                c -> sameExecutor(c, ended) && c.getAttempt() == ended.getAttempt() ? ended : c);
+        if (standing.contains(ended)) {
+            store(ended, standing);
+        }
+    }
+
+    /** Drops one claim whose executor has promised never to execute it. */
+    void drop(ActClaimRecord claim) {
+        List<ActClaimRecord> standing = new ArrayList<>(find(claim.getKey()));
+        if (standing.remove(claim)) {
+            if (standing.isEmpty()) {
+                claims.remove(claim.getKey());
+            } else {
+                store(claim, standing);
+            }
+        }
     }
 
-    void remove(String key) {
-        claims.remove(key);
+    static boolean sameExecutor(ActClaimRecord a, ActClaimRecord b) {
+        return a.getExecutor().equals(b.getExecutor())
+                && a.getExecutorIncarnation() == b.getExecutorIncarnation();
     }
 
     void expire() {
@@ -60,7 +131,14 @@
     Collection<ActClaimRecord> export() {
         return claims.values().stream()
                 .filter(s -> !expired(s))
-                .map(s -> s.claim().toBuilder().setAgeMs(age(s).toMillis()).build())
+                .flatMap(
+                        s ->
+                                s.standing().stream()
+                                        .map(
+                                                c ->
+                                                        c.toBuilder()
+                                                                .setAgeMs(age(s).toMillis())
+                                                                .build()))
                 .toList();
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/WitnessHistory.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/WitnessHistory.java
@@ -219,10 +219,7 @@
     void onHandover(Envelope envelope) {
         ActHandover handover = envelope.getActHandover();
         for (ActClaimRecord c : handover.getClaimsList()) {
-            ActClaimRecord known = claims.find(c.getKey());
-            if (known == null || known.getAttempt() < c.getAttempt()) {
-                claims.put(c);
-            }
+            claims.copy(c);
         }
         if (handover.getMore() || handover.getAbstaining()) {
             return;
