End leases outside a changed scope; read the service without watchers

Cause: after a change of the ownership scope, a holder outside the new scope kept its lease for ever. It now loses it with the change.

Cause: when only the watchers had lost the configuration service, nobody read a new number. The other instances now read once in 25 to 50 s.

An unlisted instance is removed 10 s after it fell silent, no longer 10 s after it became DEAD. Random schedules now use both scopes.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/GrantorSet.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/GrantorSet.java
@@ -6,8 +6,9 @@
  * Instances that decide about one resource, in the order in which they may hold it.
  *
  * @param grantors ids in rendezvous order
+ * @param inScope whether this instance may hold the resource, even if it is no grantor
  */
-record GrantorSet(String resource, List<String> grantors) {
+record GrantorSet(String resource, List<String> grantors, boolean inScope) {
 
     /** Seven grantors tolerate three failures, while the messages of a lease stay bounded. */
     static final int MAX_GRANTORS = 7;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseSeeker.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseSeeker.java
@@ -105,7 +105,7 @@
         for (String resource : List.copyOf(tenures.keySet())) {
             Tenure t = tenures.get(resource);
             GrantorSet set = sets.get(resource);
-            if (set != null && (mine.contains(resource) || t.lease() != null)) {
+            if (set != null && set.inScope() && (mine.contains(resource) || t.lease() != null)) {
                 t.regroup(set, now);
             } else {
                 boolean held = t.lease() != null;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/ScopeIndex.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/ScopeIndex.java
@@ -68,6 +68,8 @@
         }
         List<String> ranked = RendezvousHash.rank(resource, ids, id -> id);
         return new GrantorSet(
-                resource, ranked.subList(0, Math.min(GrantorSet.MAX_GRANTORS, ranked.size())));
+                resource,
+                ranked.subList(0, Math.min(GrantorSet.MAX_GRANTORS, ranked.size())),
+                ids.contains(self.id()));
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
@@ -25,7 +25,9 @@
 
     private static final int MAX_UPDATES = 8;
     private static final long SUSPICION_NANOS = 2_000_000_000L;
-    private static final long UNLISTED_NANOS = 10_000_000_000L;
+
+    /** Together with the 3 s until a silent instance is DEAD, it is removed after 10 s. */
+    private static final long UNLISTED_NANOS = 7_000_000_000L;
 
     private final InstanceRef self;
     private final TimeSource time;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/Membership.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/Membership.java
@@ -9,7 +9,6 @@
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.Signal;
 import org.bronzehill.core.time.TimeSource;
-import org.bronzehill.protocol.generated.Ack;
 import org.bronzehill.protocol.generated.Envelope;
 import org.bronzehill.protocol.generated.Leaving;
 import org.bronzehill.protocol.generated.MemberUpdate;
@@ -82,7 +81,6 @@
         String from = envelope.getFrom();
         Row row = table.row(from);
         if (row != null && envelope.getFromIncarnation() < row.ref().incarnation()) {
-            tellReplaced(from, envelope, out);
             return;
         }
         switch (envelope.getBodyCase()) {
@@ -110,17 +108,6 @@
         updates.forEach(u -> table.merge(u, out));
     }
 
-    /** Tells an old process that another one has taken its id. */
-    private void tellReplaced(String from, Envelope envelope, Effects out) {
-        if (envelope.hasPing()) {
-            Ack.Builder ack = Ack.newBuilder().setSequence(envelope.getPing().getSequence());
-            ack.addUpdates(table.row(from).toUpdate());
-            Envelope.Builder body = Envelope.newBuilder().setAck(ack);
-            body.setToIncarnation(envelope.getFromIncarnation());
-            out.add(new Effect.SendPeer(from, body, false));
-        }
-    }
-
     /** Notes that a message to the instance could not be written. */
     public void onUnreachable(String instance, Effects out) {
         prober.unreachable(instance, out);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/spread/ServiceReader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/spread/ServiceReader.java
@@ -35,6 +35,12 @@
      */
     private static final long CHECK_NANOS = 3_000_000_000L;
 
+    /**
+     * The other instances read now and then, for the case that only the watchers have lost the
+     * service: 380 instances need about ten of these calls per second.
+     */
+    private static final long OTHERS_NANOS = 25_000_000_000L;
+
     /** Bounds the calls to a service that does not hold a watch open. */
     private static final long WATCH_PAUSE_NANOS = 100_000_000L;
 
@@ -87,18 +93,24 @@
         }
         if (!read.open && readDue(have, now)) {
             urgent = false;
-            nextCheck = now + CHECK_NANOS + random.nextLong(JITTER_NANOS);
+            nextCheck = now + checkPause();
             call(read, "read", have, Duration.ZERO, out);
         } else if (!watch.open && isWatcher() && have > 0) {
             call(watch, "watch", have, WATCH, out);
         }
     }
 
+    private long checkPause() {
+        return isWatcher()
+                ? CHECK_NANOS + random.nextLong(JITTER_NANOS)
+                : OTHERS_NANOS + random.nextLong(OTHERS_NANOS);
+    }
+
     private boolean readDue(long have, long now) {
         if (urgent || have == 0) {
             return true;
         }
-        return isWatcher() ? now - nextCheck >= 0 : now - lastPeer >= POLL_NANOS;
+        return now - nextCheck >= 0 || (!isWatcher() && now - lastPeer >= POLL_NANOS);
     }
 
     private void call(Call call, String label, long have, Duration maxWait, Effects out) {
@@ -151,11 +163,15 @@
             InstanceRef self = membership.self();
             List<InstanceRef> near =
                     live.stream().filter(i -> i.dataCentre().equals(self.dataCentre())).toList();
+            boolean before = watcher;
             watcher =
                     RendezvousHash.rank("configuration/" + self.dataCentre(), near, InstanceRef::id)
                             .stream()
                             .limit(WATCHERS)
                             .anyMatch(i -> i.id().equals(self.id()));
+            if (watcher && !before) {
+                nextCheck = time.nanoTime() + CHECK_NANOS;
+            }
         }
         return watcher;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/cluster/ScheduleTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/cluster/ScheduleTest.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import org.bronzehill.config.ConfigurationStore;
+import org.bronzehill.config.OwnershipScope;
 import org.bronzehill.core.model.ListedInstance;
 import org.bronzehill.core.model.ListedState;
 import org.testng.annotations.Test;
@@ -70,6 +71,7 @@
         SplittableRandom random = new SplittableRandom(seed);
         int instances = 3 + random.nextInt(7);
         VirtualCluster c = new VirtualCluster(seed, instances, 4, 3);
+        c.scope = OwnershipScope.values()[random.nextInt(2)];
         c.service.publish(c.configuration(1));
         c.startAll();
         if (sabotage == Sabotage.BROKEN_GRANTORS) {
