Ignore refusals that arrive after an attempt at a lease has ended

Cause: a late refusal was counted for the next attempt, which was then never started: with seed 1095 an engine stayed without a holder although both of its grantors were free. Refusals now count only during an attempt. The seed is part of the random schedules.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/Tenure.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/Tenure.java
@@ -126,7 +126,8 @@
     void refused(String grantor, LeaseAnswer answer) {
         if (lease == null) {
             see(answer.getHighestFencing());
-            if (!answer.getHolder().isEmpty()) {
+            // A reply that arrives after the end of the attempt says nothing about the next one.
+            if (seeking() && !answer.getHolder().isEmpty()) {
                 rivals.put(grantor, answer.getHolder());
             }
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/cluster/ScheduleTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/cluster/ScheduleTest.java
@@ -25,6 +25,9 @@
 
     private static final int SCHEDULES = 60;
 
+    /** A late refusal once kept a candidate from claiming for ever in this schedule. */
+    private static final long LATE_REFUSAL = 1095;
+
     /** Faults that only some tests add. */
     private enum Sabotage {
         NONE,
@@ -39,6 +42,7 @@
         for (long seed = 1; seed <= SCHEDULES; seed++) {
             assertEquals(run(seed, Sabotage.NONE).toString(), "[]", "seed " + seed);
         }
+        assertEquals(run(LATE_REFUSAL, Sabotage.NONE).toString(), "[]");
     }
 
     /** Shows that the check of the holders notices grantors that grant to everybody. */
