--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ReplayCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ReplayCommand.java
@@ -82,8 +82,7 @@
     }
 
     private ExitStatus replay(Trace t) throws IOException {
-        RunResult run =
-                Replay.run(t, DecisionCore.entryCore(), Set.of(messages.split(",")));
+        RunResult run = Replay.run(t, DecisionCore.entryCore(), Set.of(messages.split(",")));
         if (log) {
             run.log().events().forEach(System.out::println);
         }
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/Replay.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/Replay.java
@@ -22,13 +22,10 @@
         return run(trace, factory, Set.of());
     }
 
-    /**
-     * Runs the trace and logs the messages between instances whose kind is in {@code messages}.
-     */
+    /** Runs the trace and logs the messages between instances whose kind is in {@code messages}. */
     public static RunResult run(Trace trace, DecisionCore.Factory factory, Set<String> messages) {
         Deployment d = Deployment.named(trace.header().deployment());
-        World world =
-                World.create(d, factory, trace.header().seed()).logMessages(messages);
+        World world = World.create(d, factory, trace.header().seed()).logMessages(messages);
         world.schedule(trace.records());
         world.runUntilMs(trace.header().durationMs());
         return world.result();
