Test EntryCore on virtual time: late, crossed and repeated ends, drain, pause, moving number

28 cases pass. After a failed read during a re-check the spread component watches rather than reads, so that an instance without peers is ready again only when the watch ends (30 s); the pause case allows it.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -192,7 +192,7 @@
 
     CoreStatus status() {
         return view.view(
-                platform.age(),
+                spread.serviceAge(),
                 store.staleReads(),
                 new CoreStatus.Counts(
                         models.size() + services.size(),
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreStatus.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreStatus.java
@@ -35,8 +35,7 @@
     /**
      * Configuration in force.
      *
-     * @param age time since the number was last confirmed by the service or a peer; null before the
-     *     first confirmation
+     * @param age time since the service last confirmed the number or a higher one
      */
     public record ConfigurationView(
             long number, Duration age, long staleReads, long adapters, Limits limits) {}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/EntryCore.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/EntryCore.java
@@ -93,7 +93,6 @@
             parts.onInstanceList(i.list(), out);
         } else if (input instanceof Input.ConfigurationRead i) {
             parts.spread().onRead(i.image(), out);
-            parts.platform().onConfirmed();
         } else if (input instanceof Input.ConfigurationReadFailed i) {
             parts.spread().onReadFailed(i.reason(), out);
         } else {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
@@ -18,11 +18,7 @@
         if (to != 0 && to != context.settings().self().incarnation()) {
             return;
         }
-        long before = context.configuration().number();
         parts.spread().onEnvelope(envelope, out);
-        if (context.configuration().number() != before) {
-            parts.platform().onConfirmed();
-        }
         if (!onControl(envelope, out)) {
             onWork(envelope, out);
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/PlatformSchedule.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/PlatformSchedule.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** Reads the instance list and keeps the age of the configuration. */
+/** Reads the instance list at its interval. */
 final class PlatformSchedule {
 
     /** A read that was not answered in this time is repeated. */
@@ -10,7 +10,6 @@
 
     private final CoreContext context;
     private long nextListNanos;
-    private long confirmedNanos = -1;
 
     PlatformSchedule(CoreContext context) {
         this.context = context;
@@ -33,16 +32,4 @@
     void recheck() {
         nextListNanos = context.time().nanoTime();
     }
-
-    /** Notes that the service has told its number. */
-    void onConfirmed() {
-        confirmedNanos = context.time().nanoTime();
-    }
-
-    /** Returns the time since the number was last confirmed; null before the first time. */
-    Duration age() {
-        return confirmedNanos < 0
-                ? null
-                : Duration.ofNanos(context.time().nanoTime() - confirmedNanos);
-    }
 }
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
@@ -0,0 +1,329 @@
+package org.bronzehill.core.node;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import org.bronzehill.config.AdapterSpec;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.config.ConfigurationBase;
+import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.config.KindSpec;
+import org.bronzehill.config.Limits;
+import org.bronzehill.config.Manifest;
+import org.bronzehill.config.MemberSpec;
+import org.bronzehill.config.Policy;
+import org.bronzehill.config.Urgency;
+import org.bronzehill.core.model.EngineReport;
+import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.model.ListedInstance;
+import org.bronzehill.core.model.ListedState;
+import org.bronzehill.core.model.ModelRequest;
+import org.bronzehill.core.model.ServiceRequest;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.model.UpstreamKind;
+import org.bronzehill.core.time.ManualTimeSource;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Cores on virtual time with fakes at their edges: messages between them arrive at once, the
+ * platform and loads answer at once, and attempts and service calls wait for the test.
+ */
+final class CoreRig {
+
+    static final String TOKEN = "token-1";
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final byte[] BODY = "{}".getBytes(StandardCharsets.UTF_8);
+
+    final ManualTimeSource time = ManualTimeSource.startingAt(Instant.ofEpochSecond(1_800_000_000));
+    final Map<String, EntryCore> cores = new LinkedHashMap<>();
+    final List<Effect.StartAttempt> attempts = new ArrayList<>();
+    final List<Effect.CallService> calls = new ArrayList<>();
+    final List<Effect.Answer> answers = new ArrayList<>();
+    final List<Effect> others = new ArrayList<>();
+    final Map<String, Integer> envelopes = new LinkedHashMap<>();
+    Predicate<Envelope> lost = envelope -> false;
+    boolean platformAnswers = true;
+    boolean loadsAnswer = true;
+    Configuration configuration = configuration(1, 1);
+    private final Queue<Runnable> pending = new ArrayDeque<>();
+    private final Map<Long, String> attemptHolder = new LinkedHashMap<>();
+    private final Map<Long, Effect.OrderEngine> waitingOrders = new LinkedHashMap<>();
+    private final Map<Long, String> orderHolder = new LinkedHashMap<>();
+    private final Map<String, List<String>> loaded = new LinkedHashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final int engines;
+
+    private record Watch(String instance, long endNanos) {}
+
+    private CoreRig(int instances, int engines) {
+        this.engines = engines;
+        for (int i = 1; i <= instances; i++) {
+            InstanceRef ref = ref(i, (1_800_000_000_000L + i) << 16);
+            cores.put(
+                    ref.id(),
+                    EntryCore.create(EntrySettings.of(ref), time, new SplittableRandom(i)));
+        }
+    }
+
+    /** Creates a rig whose instances have become ready and whose engines have holders. */
+    static CoreRig ready(int instances, int engines) {
+        CoreRig rig = new CoreRig(instances, engines);
+        rig.run(Duration.ofSeconds(8));
+        rig.others.clear();
+        return rig;
+    }
+
+    private static InstanceRef ref(int i, long incarnation) {
+        return new InstanceRef("entry-" + i, incarnation, "127.0.0.1", 7000 + i, "dc-1", "r-1");
+    }
+
+    static Configuration configuration(long number, int version) {
+        KindSpec chat = kind("chat", Urgency.INTERACTIVE, 20, true, "");
+        KindSpec single = kind("single", Urgency.PROMPT, 20, false, "");
+        KindSpec lookup = kind("lookup", Urgency.PROMPT, 5, true, "pickup");
+        KindSpec act =
+                new KindSpec(
+                        "act",
+                        Urgency.PROMPT,
+                        Duration.ofSeconds(5),
+                        true,
+                        false,
+                        1,
+                        "pickup",
+                        Duration.ofSeconds(5));
+        MemberSpec member =
+                new MemberSpec(
+                        "m-1",
+                        1,
+                        Set.of("chat", "single", "lookup", "act"),
+                        Set.of("g-1"),
+                        Map.of(
+                                ImageCodec.hash(TOKEN.getBytes(StandardCharsets.UTF_8)),
+                                "caller-1"));
+        ConfigurationBase base =
+                new ConfigurationBase(
+                        Set.of("base"),
+                        Map.of("chat", chat, "single", single, "lookup", lookup, "act", act),
+                        Map.of("m-1", member),
+                        Limits.DEFAULTS,
+                        Policy.DEFAULTS);
+        Map<Integer, String> versions = Map.of(1, "weights-1", 2, "weights-2");
+        return Configuration.of(
+                number,
+                base,
+                List.of(
+                        new AdapterSpec("a-1", "base", "g-1", versions, Map.of("*", version)),
+                        new AdapterSpec("a-2", "base", "g-2", versions, Map.of("*", version))));
+    }
+
+    private static KindSpec kind(
+            String name, Urgency urgency, int seconds, boolean repeatable, String service) {
+        Duration deadline = Duration.ofSeconds(seconds);
+        Duration silence = Duration.ofSeconds(5);
+        return new KindSpec(name, urgency, deadline, false, repeatable, 1, service, silence);
+    }
+
+    InstanceList list() {
+        List<ListedInstance> listed = new ArrayList<>();
+        for (int i = 1; i <= cores.size(); i++) {
+            listed.add(new ListedInstance(ref(i, 0), ListedState.LIVE));
+        }
+        List<Upstream> upstreams = new ArrayList<>();
+        for (int i = 1; i <= engines; i++) {
+            upstreams.add(upstream("engine-" + i, UpstreamKind.ENGINE, Set.of()));
+        }
+        upstreams.add(upstream("runner-1", UpstreamKind.APPLICATION_RUNNER, Set.of("pickup")));
+        return new InstanceList(1, listed, upstreams);
+    }
+
+    private static Upstream upstream(String id, UpstreamKind kind, Set<String> services) {
+        return new Upstream(
+                id,
+                kind,
+                URI.create("http://127.0.0.1:9000"),
+                "dc-1",
+                "r-1",
+                ListedState.LIVE,
+                kind == UpstreamKind.ENGINE
+                        ? new Upstream.EngineShape("base", 8, 8)
+                        : Upstream.EngineShape.NONE,
+                true,
+                services);
+    }
+
+    /** Advances the time in ticks; effects are answered as they come. */
+    void run(Duration duration) {
+        for (long t = 0; t < duration.toMillis(); t += TICK.toMillis()) {
+            time.advance(TICK);
+            endWatches();
+            cores.keySet().forEach(id -> feed(id, new Input.Tick()));
+        }
+    }
+
+    private void endWatches() {
+        for (Watch w : List.copyOf(watches)) {
+            if (time.nanoTime() - w.endNanos() >= 0) {
+                watches.remove(w);
+                Manifest same = new Manifest(configuration.number(), "", List.of());
+                Input end = new Input.ConfigurationRead(new ConfigurationImage(same, Map.of()));
+                feed(w.instance(), end);
+            }
+        }
+    }
+
+    /** Delivers an input, and all messages and answers that follow from it. */
+    void feed(String instance, Input input) {
+        cores.get(instance).handle(input, e -> pending.add(() -> effect(instance, e)));
+        while (!pending.isEmpty()) {
+            pending.remove().run();
+        }
+    }
+
+    private void later(String instance, Input input) {
+        cores.get(instance).handle(input, e -> pending.add(() -> effect(instance, e)));
+    }
+
+    private void effect(String from, Effect effect) {
+        if (effect instanceof Effect.SendPeer e) {
+            Envelope envelope = e.envelope().build();
+            envelopes.merge(envelope.getBodyCase().name(), 1, Integer::sum);
+            if (!lost.test(envelope) && cores.containsKey(e.instance())) {
+                later(e.instance(), new Input.PeerReceived(envelope));
+            }
+        } else if (effect instanceof Effect.StartAttempt e) {
+            attempts.add(e);
+            attemptHolder.put(key(from, e.attemptId()), from);
+        } else if (effect instanceof Effect.CallService e) {
+            calls.add(e);
+        } else if (effect instanceof Effect.Answer e) {
+            answers.add(e);
+        } else if (effect instanceof Effect.OrderEngine e) {
+            order(from, e);
+        } else if (effect instanceof Effect.ReadEngineReport e) {
+            later(from, new Input.EngineReported(report(e.engine())));
+        } else if (!platform(from, effect)) {
+            others.add(effect);
+        }
+    }
+
+    private static long key(String instance, long id) {
+        return instance.hashCode() * 1_000_003L + id;
+    }
+
+    private boolean platform(String from, Effect effect) {
+        if (effect instanceof Effect.ReadInstanceList) {
+            if (platformAnswers) {
+                later(from, new Input.InstanceListRead(list()));
+            }
+            return true;
+        }
+        if (effect instanceof Effect.ReadConfiguration e) {
+            boolean watch = !e.maxWait().isZero() && e.haveNumber() >= configuration.number();
+            if (!platformAnswers) {
+                later(from, new Input.ConfigurationReadFailed("no answer"));
+            } else if (watch) {
+                watches.add(new Watch(from, time.nanoTime() + e.maxWait().toNanos()));
+            } else {
+                later(from, new Input.ConfigurationRead(ImageCodec.encode(configuration)));
+            }
+            return true;
+        }
+        return false;
+    }
+
+    private void order(String from, Effect.OrderEngine e) {
+        if (!loadsAnswer) {
+            waitingOrders.put(key(from, e.orderId()), e);
+            orderHolder.put(key(from, e.orderId()), from);
+            return;
+        }
+        if (e.kind() == OrderKind.LOAD) {
+            loaded.computeIfAbsent(e.engine(), k -> new ArrayList<>()).add(e.handle());
+        }
+        later(from, new Input.OrderAnswered(e.orderId(), OrderOutcome.DONE, e.fencing()));
+    }
+
+    /** Answers the loads that were held back. */
+    void answerLoads() {
+        loadsAnswer = true;
+        Map<Long, Effect.OrderEngine> orders = new LinkedHashMap<>(waitingOrders);
+        waitingOrders.clear();
+        orders.forEach((key, e) -> pending.add(() -> order(orderHolder.get(key), e)));
+        while (!pending.isEmpty()) {
+            pending.remove().run();
+        }
+    }
+
+    private EngineReport report(String engine) {
+        List<EngineReport.HandleReport> handles =
+                loaded.getOrDefault(engine, List.of()).stream()
+                        .map(h -> new EngineReport.HandleReport(h, false, 0))
+                        .toList();
+        long stamp = time.instant().toEpochMilli();
+        return new EngineReport(engine, 1, stamp, 0, handles, 0, 0, List.of());
+    }
+
+    static ModelRequest chat(String id) {
+        return request(id, "chat", "a-1", TOKEN, null);
+    }
+
+    static ModelRequest request(
+            String id, String kind, String adapter, String token, Duration budget) {
+        return new ModelRequest(id, token, kind, adapter, budget, BODY, true, 0, 16);
+    }
+
+    static ServiceRequest service(String id, String kind, String key) {
+        return new ServiceRequest(
+                id, TOKEN, kind, "pickup", "confirm", key, null, BODY, "application/json");
+    }
+
+    void ask(String instance, ModelRequest request) {
+        feed(instance, new Input.ModelRequested(request));
+    }
+
+    /** Returns the last attempt that was started. */
+    Effect.StartAttempt lastAttempt() {
+        return attempts.get(attempts.size() - 1);
+    }
+
+    /** Returns the instance that started an attempt. */
+    String holderOf(Effect.StartAttempt attempt) {
+        return cores.keySet().stream()
+                .filter(id -> id.equals(attemptHolder.get(key(id, attempt.attemptId()))))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Ends an attempt with a complete answer whose chunks reached the origin. */
+    void finish(Effect.StartAttempt a, long chunks) {
+        feed(holderOf(a), new Input.AttemptStarted(a.attemptId()));
+        feed(a.origin(), new Input.AnswerProgress(a.requestId(), a.attempt(), 1));
+        feed(holderOf(a), new Input.AttemptFinished(a.attemptId(), chunks, (int) chunks));
+    }
+
+    /** Fails an attempt. */
+    void fail(Effect.StartAttempt a, FailureReason reason, long chunks) {
+        feed(holderOf(a), new Input.AttemptFailed(a.attemptId(), reason, chunks, "test"));
+    }
+
+    /** Returns the instance that holds an engine, as an instance believes. */
+    String holder(String believer, String engine) {
+        return cores.get(believer).status().upstreams().stream()
+                .filter(u -> u.id().equals(engine))
+                .findFirst()
+                .orElseThrow()
+                .holder();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/ModelRequestsTest.java
@@ -0,0 +1,275 @@
+package org.bronzehill.core.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.bronzehill.config.ImageCodec;
+import org.bronzehill.core.model.ModelRequest;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.result.RunState;
+import org.bronzehill.protocol.generated.DispatchEnd;
+import org.bronzehill.protocol.generated.Envelope;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Model requests from arrival to answer, at the origin and through a holder elsewhere. */
+public class ModelRequestsTest {
+
+    /** Guards against an answer without the attempt, version and number that produced it. */
+    @Test
+    public void namesWhatProducedTheAnswer() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        rig.finish(rig.lastAttempt(), 5);
+        Effect.Answer answer = rig.answers.get(0);
+        assertEquals(answer.code(), ResultCode.OK);
+        assertEquals(answer.attempt(), 1);
+        assertEquals(answer.chunks(), 5);
+        assertEquals(answer.provenance().adapter(), "a-1");
+        assertEquals(answer.provenance().version(), 1);
+        assertEquals(answer.provenance().configurationNumber(), 1);
+        assertEquals(answer.provenance().upstream(), "engine-1");
+        assertEquals(answer.provenance().entry(), "entry-1");
+    }
+
+    /** Guards against a request that only the holder's own callers can have answered. */
+    @Test
+    public void reachesAnEngineHeldElsewhere() {
+        CoreRig rig = CoreRig.ready(2, 1);
+        String holder = rig.holder("entry-1", "engine-1");
+        String origin = holder.equals("entry-1") ? "entry-2" : "entry-1";
+        rig.ask(origin, CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt attempt = rig.lastAttempt();
+        assertEquals(rig.holderOf(attempt), holder);
+        assertEquals(attempt.origin(), origin);
+        rig.finish(attempt, 7);
+        assertEquals(rig.answers.size(), 1);
+        assertEquals(rig.answers.get(0).code(), ResultCode.OK);
+        assertEquals(rig.answers.get(0).chunks(), 7);
+        assertEquals(rig.answers.get(0).provenance().entry(), origin);
+    }
+
+    /** Guards against a second answer when the end of an attempt arrives twice. */
+    @Test
+    public void answersOnceWhenTheEndArrivesTwice() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        rig.finish(rig.lastAttempt(), 5);
+        rig.feed("entry-1", end("q-1", 1, ResultCode.OK, 5));
+        assertEquals(rig.answers.size(), 1);
+    }
+
+    private static Input end(String id, int attempt, ResultCode code, long chunks) {
+        return new Input.PeerReceived(
+                Envelope.newBuilder()
+                        .setFrom("entry-2")
+                        .setDispatchEnd(
+                                DispatchEnd.newBuilder()
+                                        .setRequestId(id)
+                                        .setAttempt(attempt)
+                                        .setResultCode(code.number())
+                                        .setChunks(chunks))
+                        .build());
+    }
+
+    /** Guards against the late end of a failed attempt being taken for that of its successor. */
+    @Test
+    public void ignoresTheLateEndOfAnEarlierAttempt() {
+        CoreRig rig = CoreRig.ready(1, 2);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt first = rig.lastAttempt();
+        rig.fail(first, FailureReason.BROKEN, 0);
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt second = rig.lastAttempt();
+        assertNotEquals(second.attempt(), first.attempt());
+        rig.feed("entry-1", end("q-1", first.attempt(), ResultCode.OK, 3));
+        assertTrue(rig.answers.isEmpty());
+        rig.finish(second, 4);
+        assertEquals(rig.answers.size(), 1);
+        assertEquals(rig.answers.get(0).attempt(), second.attempt());
+        assertTrue(rig.others.contains(new Effect.AbandonAttempt("q-1", first.attempt())));
+    }
+
+    /** Guards against crossed answers of two requests. */
+    @Test
+    public void keepsCrossedAnswersApart() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.ask("entry-1", CoreRig.chat("q-2"));
+        rig.run(Duration.ofSeconds(1));
+        List<Effect.StartAttempt> both = List.copyOf(rig.attempts);
+        assertEquals(both.size(), 2);
+        rig.finish(both.get(1), 9);
+        rig.finish(both.get(0), 4);
+        for (Effect.Answer a : rig.answers) {
+            boolean first = a.requestId().equals(both.get(0).requestId());
+            assertEquals(a.chunks(), first ? 4 : 9);
+        }
+        assertEquals(rig.answers.size(), 2);
+    }
+
+    /** Guards against a retry that would join the chunks of two attempts in one answer. */
+    @Test
+    public void doesNotRetryOnceChunksWereDelivered() {
+        CoreRig rig = CoreRig.ready(1, 2);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt a = rig.lastAttempt();
+        rig.feed("entry-1", new Input.AnswerProgress("q-1", a.attempt(), 1));
+        rig.fail(a, FailureReason.BROKEN, 3);
+        assertEquals(rig.answers.size(), 1);
+        assertEquals(rig.answers.get(0).code().runState(), RunState.MAY_HAVE_RUN);
+        assertEquals(rig.attempts.size(), 1);
+    }
+
+    /** Guards against chunks of an attempt that was given up reaching the caller as whole. */
+    @Test
+    public void truncatesWhenAnAbandonedAttemptReachedTheCaller() {
+        CoreRig rig = CoreRig.ready(1, 2);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt first = rig.lastAttempt();
+        rig.fail(first, FailureReason.BROKEN, 0);
+        rig.feed("entry-1", new Input.AnswerProgress("q-1", first.attempt(), 1));
+        assertEquals(rig.answers.get(0).code(), ResultCode.TRUNCATED);
+    }
+
+    /** Guards against "not run" being claimed after an attempt that may have run. */
+    @Test
+    public void doesNotClaimNotRunAfterAnAttemptThatMayHaveRun() {
+        CoreRig rig = CoreRig.ready(1, 2);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        for (int i = 0; i < 6 && rig.answers.isEmpty(); i++) {
+            rig.run(Duration.ofSeconds(1));
+            FailureReason reason = i == 0 ? FailureReason.SILENT : FailureReason.NOT_SENT;
+            if (rig.answers.isEmpty()) {
+                rig.fail(rig.lastAttempt(), reason, 0);
+            }
+        }
+        rig.run(Duration.ofSeconds(20));
+        assertEquals(rig.answers.size(), 1);
+        assertNotEquals(rig.answers.get(0).code().runState(), RunState.NOT_RUN);
+    }
+
+    /** Guards against a second attempt at a kind that may not be repeated. */
+    @Test
+    public void doesNotRepeatAnUnrepeatableKind() {
+        CoreRig rig = CoreRig.ready(1, 2);
+        rig.ask("entry-1", CoreRig.request("q-1", "single", "a-1", CoreRig.TOKEN, null));
+        rig.run(Duration.ofSeconds(1));
+        rig.fail(rig.lastAttempt(), FailureReason.SILENT, 0);
+        rig.run(Duration.ofSeconds(1));
+        assertEquals(rig.attempts.size(), 1);
+        assertEquals(rig.answers.get(0).code().runState(), RunState.MAY_HAVE_RUN);
+    }
+
+    /** Guards against the version in force at arrival being used after the number has moved. */
+    @Test
+    public void resolvesTheVersionAtDispatchWhenTheNumberMoves() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.loadsAnswer = false;
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofMillis(500));
+        assertTrue(rig.attempts.isEmpty());
+        rig.configuration = CoreRig.configuration(2, 2);
+        rig.feed("entry-1", new Input.ConfigurationRead(ImageCodec.encode(rig.configuration)));
+        rig.answerLoads();
+        rig.run(Duration.ofSeconds(2));
+        Effect.StartAttempt a = rig.lastAttempt();
+        assertTrue(a.handle().startsWith("a-1@2#"), a.handle());
+        rig.finish(a, 2);
+        assertEquals(rig.answers.get(0).provenance().version(), 2);
+        assertEquals(rig.answers.get(0).provenance().configurationNumber(), 2);
+    }
+
+    @DataProvider
+    public static Object[][] badRequests() {
+        Duration second = Duration.ofSeconds(1);
+        return new Object[][] {
+            {"chat", "a-1", "wrong", null, ResultCode.UNAUTHENTICATED},
+            {"chat", "a-1", "", null, ResultCode.UNAUTHENTICATED},
+            {"none", "a-1", CoreRig.TOKEN, null, ResultCode.UNKNOWN_KIND},
+            {"chat", "a-9", CoreRig.TOKEN, null, ResultCode.UNKNOWN_ADAPTER},
+            {"chat", "a-2", CoreRig.TOKEN, null, ResultCode.NOT_ENTITLED},
+            {"lookup", "a-1", CoreRig.TOKEN, null, ResultCode.NOT_ENTITLED},
+            {"chat", "a-1", CoreRig.TOKEN, second.multipliedBy(99), ResultCode.BAD_DEADLINE},
+            {"chat", "a-1", CoreRig.TOKEN, Duration.ZERO, ResultCode.BAD_DEADLINE},
+        };
+    }
+
+    /** Guards against state, loads or messages that a refused request leaves behind. */
+    @Test(dataProvider = "badRequests")
+    public void leavesNothingBehindAfterABadRequest(
+            String kind, String adapter, String token, Duration budget, ResultCode expected) {
+        CoreRig rig = CoreRig.ready(2, 1);
+        ModelRequest request = CoreRig.request("q-1", kind, adapter, token, budget);
+        rig.ask("entry-1", request);
+        rig.run(Duration.ofSeconds(1));
+        assertEquals(rig.answers.get(0).code(), expected);
+        assertEquals(rig.answers.get(0).code().runState(), RunState.NOT_RUN);
+        assertEquals(rig.cores.get("entry-1").status().counts().openRequests(), 0);
+        assertEquals(rig.cores.get("entry-2").status().counts().dispatched(), 0);
+        assertTrue(rig.attempts.isEmpty());
+        assertEquals(rig.envelopes.getOrDefault("DISPATCH", 0), Integer.valueOf(0));
+    }
+
+    /** Guards against a request that waits for ever, and against work for nobody. */
+    @Test
+    public void cancelsTheAttemptAtTheDeadline() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        Duration budget = Duration.ofSeconds(3);
+        rig.ask("entry-1", CoreRig.request("q-1", "single", "a-1", CoreRig.TOKEN, budget));
+        rig.run(Duration.ofSeconds(1));
+        assertEquals(rig.attempts.size(), 1);
+        rig.run(Duration.ofSeconds(3));
+        assertEquals(rig.answers.get(0).code(), ResultCode.DEADLINE_PASSED);
+        assertTrue(rig.others.stream().anyMatch(e -> e instanceof Effect.CancelAttempt));
+    }
+
+    /** Guards against an engine that keeps working for a caller that is gone. */
+    @Test
+    public void cancelsTheAttemptOfACallerThatIsGone() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        rig.feed("entry-1", new Input.CallerGone("q-1"));
+        assertEquals(rig.cores.get("entry-1").status().counts().openRequests(), 0);
+        assertTrue(rig.others.stream().anyMatch(e -> e instanceof Effect.CancelAttempt));
+    }
+
+    /** Guards against a stream that ends silently after its first chunks. */
+    @Test
+    public void endsAnAnswerThatMakesNoProgress() {
+        CoreRig rig = CoreRig.ready(2, 1);
+        String holder = rig.holder("entry-1", "engine-1");
+        String origin = holder.equals("entry-1") ? "entry-2" : "entry-1";
+        rig.ask(origin, CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt a = rig.lastAttempt();
+        rig.feed(origin, new Input.AnswerProgress("q-1", a.attempt(), 1));
+        rig.lost = e -> e.hasDispatchEnd();
+        rig.run(Duration.ofSeconds(7));
+        assertEquals(rig.answers.get(0).code(), ResultCode.SILENT_CONNECTION);
+    }
+
+    /** Guards against a slow holder that keeps an interactive caller waiting. */
+    @Test
+    public void hedgesAnInteractiveRequestOnce() {
+        CoreRig rig = CoreRig.ready(1, 2);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(4));
+        assertEquals(rig.attempts.size(), 2);
+        Effect.StartAttempt slow = rig.attempts.get(0);
+        rig.finish(rig.attempts.get(1), 3);
+        assertEquals(rig.answers.get(0).code(), ResultCode.OK);
+        assertEquals(rig.answers.get(0).attempt(), rig.attempts.get(1).attempt());
+        assertTrue(rig.others.contains(new Effect.CancelAttempt(slow.attemptId())));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/NodeLifeTest.java
@@ -0,0 +1,105 @@
+package org.bronzehill.core.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Map;
+import org.bronzehill.core.result.ResultCode;
+import org.testng.annotations.Test;
+
+/** Start, pause, planned stop and plain services of an instance. */
+public class NodeLifeTest {
+
+    /** Guards against requests being taken before the configuration number is known. */
+    @Test
+    public void refusesUntilTheChecksHavePassed() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.platformAnswers = false;
+        rig.time.advance(Duration.ofSeconds(3));
+        rig.feed("entry-1", new Input.Tick());
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        assertEquals(rig.answers.get(0).code(), ResultCode.NOT_READY);
+        assertTrue(rig.attempts.isEmpty());
+        rig.platformAnswers = true;
+        // A failed read may be followed by a watch, which the service holds for 30 s.
+        rig.run(Duration.ofSeconds(40));
+        rig.ask("entry-1", CoreRig.chat("q-2"));
+        rig.run(Duration.ofSeconds(1));
+        rig.finish(rig.lastAttempt(), 1);
+        assertEquals(rig.answers.get(1).code(), ResultCode.OK);
+    }
+
+    /** Guards against an effect in the first input after a pause, before any tick. */
+    @Test
+    public void detectsAPauseAtTheFirstInput() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.platformAnswers = false;
+        rig.time.advance(Duration.ofSeconds(3));
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        assertEquals(rig.answers.get(0).code(), ResultCode.NOT_READY);
+    }
+
+    /** Guards against a planned stop that cuts off a request or takes a new one. */
+    @Test
+    public void drainsWhatIsInFlight() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.ask("entry-1", CoreRig.chat("q-1"));
+        rig.run(Duration.ofMillis(500));
+        rig.feed("entry-1", new Input.DrainRequested());
+        rig.ask("entry-1", CoreRig.chat("q-2"));
+        assertEquals(rig.answers.get(0).requestId(), "q-2");
+        assertEquals(rig.answers.get(0).code(), ResultCode.DRAINING);
+        rig.run(Duration.ofMillis(500));
+        assertFalse(rig.others.contains(new Effect.Drained()));
+        rig.finish(rig.attempts.get(0), 3);
+        rig.run(Duration.ofMillis(500));
+        assertEquals(rig.answers.get(1).code(), ResultCode.OK);
+        assertTrue(rig.others.contains(new Effect.Drained()));
+    }
+
+    /** Guards against a planned stop that cuts off the stream of a peer's caller. */
+    @Test
+    public void drainsWhatPeersSent() {
+        CoreRig rig = CoreRig.ready(2, 1);
+        String holder = rig.holder("entry-1", "engine-1");
+        String origin = holder.equals("entry-1") ? "entry-2" : "entry-1";
+        rig.ask(origin, CoreRig.chat("q-1"));
+        rig.run(Duration.ofMillis(500));
+        rig.feed(holder, new Input.DrainRequested());
+        rig.feed(origin, new Input.AnswerProgress("q-1", 1, 1));
+        rig.run(Duration.ofSeconds(2));
+        assertFalse(rig.others.contains(new Effect.Drained()));
+        rig.finish(rig.attempts.get(0), 3);
+        assertEquals(rig.answers.get(0).code(), ResultCode.OK);
+        rig.run(Duration.ofMillis(500));
+        assertTrue(rig.others.contains(new Effect.Drained()));
+    }
+
+    /** Guards against a plain call that never ends and against a lost answer. */
+    @Test
+    public void answersAPlainServiceCall() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.feed("entry-1", new Input.ServiceRequested(CoreRig.service("q-1", "lookup", "")));
+        long call = rig.calls.get(0).callId();
+        rig.feed(
+                "entry-1",
+                new Input.ServiceAnswered(
+                        call, new Input.ServiceAnswer(200, "text/plain", new byte[3], Map.of())));
+        assertEquals(rig.answers.get(0).code(), ResultCode.OK);
+        assertEquals(rig.answers.get(0).body().body().length, 3);
+        rig.feed("entry-1", new Input.ServiceRequested(CoreRig.service("q-2", "lookup", "")));
+        rig.run(Duration.ofSeconds(6));
+        assertEquals(rig.answers.get(1).code(), ResultCode.DEADLINE_PASSED);
+    }
+
+    /** Guards against an act without a key, which could not be recognised when it is resent. */
+    @Test
+    public void refusesAnActWithoutKey() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.feed("entry-1", new Input.ServiceRequested(CoreRig.service("q-1", "act", "")));
+        assertEquals(rig.answers.get(0).code(), ResultCode.MISSING_KEY);
+        assertTrue(rig.calls.isEmpty());
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the composed decision core on virtual time. */
+package org.bronzehill.core.node;
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
@@ -39,12 +39,12 @@
     private String region;
 
     @Option(
-            name = "--configuration-uris",
+            name = {"--configuration-uris", "--configuration-uri"},
             description = "Addresses of the configuration service, separated by commas")
     private String configurationUris;
 
     @Option(
-            name = "--instance-list-uris",
+            name = {"--instance-list-uris", "--instance-list-uri"},
             description = "Addresses of the instance list, separated by commas")
     private String instanceListUris;
 
