--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Session.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Session.java
@@ -15,6 +15,12 @@
     private static final long READY_SECONDS = 60;
     private static final long STOP_SECONDS = 60;
 
+    /**
+     * Witnesses of once-only acts vote 10 s after their own start when the whole fleet starts, and
+     * a new budget holder grants permits after 5 s.
+     */
+    private static final long SETTLE_SECONDS = 11;
+
     private final Deployment deployment;
     private final Fleet fleet;
     private final Balancer balancer = Balancer.create();
@@ -62,6 +68,8 @@
             session.awaitReady(deployment.entryNames());
             session.monitor = StatusMonitor.start(deployment, session.evidence);
             session.say("%d processes started, all instances ready", fleet.running());
+            session.say("waiting %d s until the witnesses of acts vote", SETTLE_SECONDS);
+            Thread.sleep(SETTLE_SECONDS * 1000);
             return session;
         } catch (IOException | InterruptedException | RuntimeException e) {
             fleet.close();
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ApplicationRunner.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ApplicationRunner.java
@@ -79,7 +79,10 @@
                 return;
             }
         }
-        exchange.respond(200, "application/json", body);
+        // The delay lies between the effect and its answer, where a killed caller may not resend.
+        timer.after(
+                faults.number("answerDelayMs"),
+                () -> exchange.respond(200, "application/json", body));
     }
 
     private synchronized void record(String key, String requestId, byte[] body) {
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Faults.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/Faults.java
@@ -13,6 +13,7 @@
 
     private Faults() {
         values.put("slowMs", 0L);
+        values.put("answerDelayMs", 0L);
         values.put("reportLagMs", 0L);
         values.put("gapEvery", 0L);
         values.put("refuse", false);
--- a/bronzehill-standin/src/test/java/org/bronzehill/standin/internal/ApplicationRunnerTest.java
+++ b/bronzehill-standin/src/test/java/org/bronzehill/standin/internal/ApplicationRunnerTest.java
@@ -59,4 +59,17 @@
             assertEquals(runner.ledger().get("acts", "answersLost"), 1);
         }
     }
+
+    @Test
+    public void delayedAnswerComesAfterTheActIsRecorded() throws Exception {
+        try (ApplicationRunner runner =
+                ApplicationRunner.create("r1", List.of("pickup"), List.of())) {
+            Http http = Http.of(runner.listen("127.0.0.1", 0));
+            http.put("/standin/faults", "{\"answerDelayMs\":600000}");
+            CompletableFuture<Http.Reply> late =
+                    http.send("POST", "/services/pickup/confirm", "{}", KEY, "k");
+            Http.until("the act is recorded", () -> runner.ledger().get("acts", "recorded") == 1);
+            assertFalse(late.isDone());
+        }
+    }
 }
