Look acts up at leaving runners too; split the act executor

Cause: lookups asked only runners that accept work. An act recorded at a runner that is now leaving, whose claims are gone (restart of all witnesses), was not found and ran again at another runner. Change: lookups ask every listed runner of the service, calls go only to live ones.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActCoordinator.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActCoordinator.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.Upstream;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.FailureReason;
@@ -72,7 +73,7 @@
             listener.ended(request.requestId(), ActResult.of(ResultCode.NOT_READY), out);
             return;
         }
-        if (peers.runners(request.service()).isEmpty()) {
+        if (peers.runners(request.service()).stream().noneMatch(Upstream::acceptsWork)) {
             listener.ended(request.requestId(), ActResult.of(ResultCode.NO_UPSTREAM), out);
             return;
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecutor.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActExecutor.java
@@ -2,15 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.bronzehill.core.model.RendezvousHash;
-import org.bronzehill.core.model.Upstream;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.FailureReason;
@@ -25,7 +22,6 @@
 import org.bronzehill.protocol.generated.ActClaimReply;
 import org.bronzehill.protocol.generated.ActQuery;
 import org.bronzehill.protocol.generated.ActState;
-import org.bronzehill.protocol.generated.ActStatus;
 import org.bronzehill.protocol.generated.Envelope;
 
 /**
@@ -47,7 +43,6 @@
     private static final Duration RETENTION = ClaimTable.RETENTION.plusMinutes(1);
 
     private static final Duration RESEND_INTERVAL = Duration.ofMillis(150);
-    private static final Duration LOOKUP_LIMIT = Duration.ofMillis(500);
 
     /** Time reserved at the end of a caller's budget for the result to reach the caller. */
     private static final Duration REPLY_MARGIN = Duration.ofMillis(50);
@@ -55,11 +50,10 @@
     private final ActPeers peers;
     private final ClaimSender claims;
     private final TimeSource time;
-    private final IdSequence ids;
+    private final RunnerCalls calls;
     private final ResultListener listener;
     private final Map<String, ActExecution> executions = new LinkedHashMap<>();
     private final Set<ActExecution> active = new LinkedHashSet<>();
-    private final Map<Long, ActExecution> calls = new HashMap<>();
 
     ActExecutor(
             ActPeers peers,
@@ -70,7 +64,7 @@
         this.peers = peers;
         this.claims = new ClaimSender(peers, witness);
         this.time = time;
-        this.ids = ids;
+        this.calls = new RunnerCalls(peers, ids);
         this.listener = listener;
     }
 
@@ -183,25 +177,14 @@
     }
 
     private void lookUp(ActExecution act, Effects out) {
-        act.lookups().keySet().forEach(calls::remove);
-        act.lookups().clear();
-        act.nextSendNanos = time.nanoTime() + LOOKUP_LIMIT.toNanos();
-        ActRequest request = act.request();
-        for (Upstream runner : peers.runners(request.service())) {
-            long id = ids.next();
-            act.lookups().put(id, runner.id());
-            calls.put(id, act);
-            out.add(
-                    new Effect.LookupAct(
-                            id, runner.id(), request.service(), act.key(), LOOKUP_LIMIT));
-        }
-        if (act.lookups().isEmpty()) {
+        act.nextSendNanos = time.nanoTime() + RunnerCalls.LOOKUP_LIMIT.toNanos();
+        if (!calls.lookUp(act, out)) {
             onNothingFound(act, out);
         }
     }
 
     void onServiceAnswered(long callId, ServiceAnswer answer, Effects out) {
-        ActExecution act = calls.remove(callId);
+        ActExecution act = calls.take(callId);
         if (act == null || act.phase == Phase.DONE) {
             return;
         }
@@ -230,7 +213,7 @@
     }
 
     void onServiceFailed(long callId, FailureReason reason, Effects out) {
-        ActExecution act = calls.remove(callId);
+        ActExecution act = calls.take(callId);
         if (act == null || act.phase == Phase.DONE) {
             return;
         }
@@ -256,40 +239,14 @@
     }
 
     private void call(ActExecution act, Effects out) {
-        ActRequest request = act.request();
-        List<Upstream> runners = peers.runners(request.service());
-        if (runners.isEmpty()) {
-            end(act, Phase.ABANDONED, ResultCode.NO_UPSTREAM, out);
-            return;
-        }
         long remaining = act.expiryNanos - time.nanoTime();
         if (remaining <= 0) {
             end(act, Phase.ABANDONED, ResultCode.DEADLINE_HOPELESS, out);
-            return;
+        } else if (calls.call(act, Duration.ofNanos(remaining), out)) {
+            act.phase = Phase.RUNNING;
+        } else {
+            end(act, Phase.ABANDONED, ResultCode.NO_UPSTREAM, out);
         }
-        act.phase = Phase.RUNNING;
-        act.called = true;
-        act.runner = RendezvousHash.rank(act.key(), runners, Upstream::id).get(0).id();
-        act.callId = ids.next();
-        calls.put(act.callId, act);
-        out.add(
-                new Effect.CallService(
-                        act.callId,
-                        act.runner,
-                        request.service(),
-                        request.operation(),
-                        act.key(),
-                        request.body().toByteArray(),
-                        request.contentType(),
-                        request.requestId(),
-                        callLimit(Duration.ofNanos(remaining))));
-    }
-
-    /** Leaves time for a lookup when the call is not answered. */
-    private static Duration callLimit(Duration remaining) {
-        Duration half = remaining.dividedBy(2);
-        Duration reduced = remaining.minus(LOOKUP_LIMIT);
-        return reduced.compareTo(half) > 0 ? reduced : half;
     }
 
     private void ask(ActExecution act, Effects out) {
@@ -299,42 +256,18 @@
         boolean alive =
                 peers.liveIncarnation(standing.getExecutor()) == standing.getExecutorIncarnation()
                         && !standing.getExecutor().equals(peers.selfId());
-        if (!alive) {
+        if (alive) {
+            Envelope.Builder question = ActInquiry.question(standing);
+            out.add(new Effect.SendPeer(standing.getExecutor(), question, false));
+        } else {
             resolve(act, out);
-            return;
         }
-        ActQuery.Builder query =
-                ActQuery.newBuilder()
-                        .setKey(act.key())
-                        .setIncarnation(standing.getExecutorIncarnation())
-                        .setAttempt(standing.getAttempt());
-        out.add(
-                new Effect.SendPeer(
-                        standing.getExecutor(), Envelope.newBuilder().setActQuery(query), false));
     }
 
     void onQuery(Envelope envelope, Effects out) {
         ActQuery query = envelope.getActQuery();
-        ActExecution act = executions.get(query.getKey());
-        ActClaimRecord.Builder told =
-                ActClaimRecord.newBuilder()
-                        .setKey(query.getKey())
-                        .setExecutor(peers.selfId())
-                        .setExecutorIncarnation(query.getIncarnation())
-                        .setAttempt(query.getAttempt())
-                        .setState(ActState.ACT_STATE_UNKNOWN);
-        if (act != null && query.getIncarnation() == peers.selfIncarnation()) {
-            if (act.attempt == query.getAttempt() || act.phase == Phase.DONE) {
-                told =
-                        act.record(peers.selfId(), peers.selfIncarnation()).toBuilder()
-                                .setAttempt(query.getAttempt());
-            } else if (act.attempt > query.getAttempt()) {
-                told.setState(ActState.ACT_STATE_ABANDONED);
-            }
-        }
-        Envelope.Builder reply =
-                Envelope.newBuilder().setActStatus(ActStatus.newBuilder().setClaim(told));
-        out.add(new Effect.SendPeer(envelope.getFrom(), reply, false));
+        Envelope.Builder answer = ActInquiry.answer(query, executions.get(query.getKey()), peers);
+        out.add(new Effect.SendPeer(envelope.getFrom(), answer, false));
     }
 
     /** Handles the answer of a standing executor to a query. */
@@ -376,7 +309,7 @@
                 break;
             }
             if (act.phase.isEnded()) {
-                calls.remove(act.callId);
+                calls.forgetCall(act);
                 oldest.remove();
             }
         }
@@ -403,7 +336,7 @@
             case CLAIMING -> end(act, Phase.ABANDONED, ResultCode.NO_WITNESSES, out);
             case CHECKING -> end(act, Phase.ABANDONED, ResultCode.DEADLINE_HOPELESS, out);
             case RUNNING -> {
-                if (time.nanoTime() >= act.expiryNanos + LOOKUP_LIMIT.toNanos()) {
+                if (time.nanoTime() >= act.expiryNanos + RunnerCalls.LOOKUP_LIMIT.toNanos()) {
                     end(act, Phase.MAY_HAVE_RUN, ResultCode.ACT_MAY_HAVE_RUN, out);
                 }
             }
@@ -414,8 +347,7 @@
     private void end(ActExecution act, Phase phase, ResultCode code, Effects out) {
         act.phase = phase;
         active.remove(act);
-        act.lookups().keySet().forEach(calls::remove);
-        act.lookups().clear();
+        calls.forgetLookups(act);
         claims.tellEnded(act, out);
         List<Waiter> waiters = List.copyOf(act.waiters());
         act.waiters().clear();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActPeers.java
@@ -24,6 +24,6 @@
     /** Returns the incarnation under which a peer is known to be alive, or 0. */
     long liveIncarnation(String instance);
 
-    /** Returns the application runners that offer a service and accept work. */
+    /** Returns the application runners that offer a service, also those that are leaving. */
     List<Upstream> runners(String service);
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/MembershipActPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/MembershipActPeers.java
@@ -58,7 +58,7 @@
     public List<Upstream> runners(String service) {
         return membership.list().upstreams().stream()
                 .filter(u -> u.kind() == UpstreamKind.APPLICATION_RUNNER)
-                .filter(u -> u.services().contains(service) && u.acceptsWork())
+                .filter(u -> u.services().contains(service))
                 .filter(u -> u.region().equals(membership.self().region()))
                 .toList();
     }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/RunnerCalls.java
@@ -0,0 +1,93 @@
+package org.bronzehill.core.onceonly;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.model.RendezvousHash;
+import org.bronzehill.core.model.Upstream;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.node.IdSequence;
+
+/** Calls to and lookups at the application runners, and the acts that wait for their answers. */
+final class RunnerCalls {
+
+    static final Duration LOOKUP_LIMIT = Duration.ofMillis(500);
+
+    private final ActPeers peers;
+    private final IdSequence ids;
+    private final Map<Long, ActExecution> open = new HashMap<>();
+
+    RunnerCalls(ActPeers peers, IdSequence ids) {
+        this.peers = peers;
+        this.ids = ids;
+    }
+
+    /** Returns the act that waits for an answer, and forgets the call; null if there is none. */
+    ActExecution take(long callId) {
+        return open.remove(callId);
+    }
+
+    /**
+     * Looks the act up at every runner of its service, also at leaving ones: one of them may have
+     * run it. Returns whether any runner was asked.
+     */
+    boolean lookUp(ActExecution act, Effects out) {
+        forgetLookups(act);
+        ActRequest request = act.request();
+        for (Upstream runner : peers.runners(request.service())) {
+            long id = ids.next();
+            act.lookups().put(id, runner.id());
+            open.put(id, act);
+            out.add(
+                    new Effect.LookupAct(
+                            id, runner.id(), request.service(), act.key(), LOOKUP_LIMIT));
+        }
+        return !act.lookups().isEmpty();
+    }
+
+    /** Calls a runner that accepts work; returns false if there is none. */
+    boolean call(ActExecution act, Duration remaining, Effects out) {
+        ActRequest request = act.request();
+        List<Upstream> accepting =
+                peers.runners(request.service()).stream().filter(Upstream::acceptsWork).toList();
+        if (accepting.isEmpty()) {
+            return false;
+        }
+        act.runner = RendezvousHash.rank(act.key(), accepting, Upstream::id).get(0).id();
+        act.callId = ids.next();
+        act.called = true;
+        open.put(act.callId, act);
+        out.add(
+                new Effect.CallService(
+                        act.callId,
+                        act.runner,
+                        request.service(),
+                        request.operation(),
+                        act.key(),
+                        request.body().toByteArray(),
+                        request.contentType(),
+                        request.requestId(),
+                        callLimit(remaining)));
+        return true;
+    }
+
+    /** Leaves time for a lookup when the call is not answered. */
+    private static Duration callLimit(Duration remaining) {
+        Duration half = remaining.dividedBy(2);
+        Duration reduced = remaining.minus(LOOKUP_LIMIT);
+        return reduced.compareTo(half) > 0 ? reduced : half;
+    }
+
+    /** Ignores the answers of lookups that are still open. */
+    void forgetLookups(ActExecution act) {
+        act.lookups().keySet().forEach(open::remove);
+        act.lookups().clear();
+    }
+
+    /** Ignores the answer of the act's call if it is still open. */
+    void forgetCall(ActExecution act) {
+        open.remove(act.callId);
+    }
+}
--- a/bronzehill-core/src/test/java/org/bronzehill/core/onceonly/ActCoordinatorTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/onceonly/ActCoordinatorTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import org.bronzehill.core.model.ListedState;
 import org.bronzehill.core.onceonly.ActFleet.Node;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.result.RunState;
@@ -169,6 +170,32 @@
         }
     }
 
+    /** Runners that leave. */
+    public static class WithLeavingRunner {
+
+        @Test(
+                description =
+                        "guards against a second run because the runner that ran the act is leaving")
+        public void findsActAtLeavingRunnerAfterTheClaimsAreGone() {
+            ActFleet fleet = startedFleet(5, 12);
+            Node node = fleet.nodes.get("entry-0");
+            node.submit("r1", "pickup-7", BUDGET);
+            fleet.run(Duration.ofSeconds(1));
+            fleet.listed.forEach(fleet::start);
+            fleet.runners =
+                    List.of(
+                            ActFleet.runner("runner-1", ListedState.LEAVING),
+                            ActFleet.runner("runner-2", ListedState.LIVE));
+            fleet.run(WitnessHistory.FLIGHT_BOUND.plusSeconds(1));
+            Node restarted = fleet.nodes.get("entry-0");
+            restarted.submit("r2", "pickup-7", BUDGET);
+            fleet.run(Duration.ofSeconds(2));
+
+            assertEquals(restarted.results.get("r2").code(), ResultCode.RECORDED_ANSWER);
+            assertEquals(fleet.executions.get(KEY), Integer.valueOf(1));
+        }
+    }
+
     /** Failures of links. */
     public static class WithFailingLinks {
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/onceonly/ActFleet.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/onceonly/ActFleet.java
@@ -97,7 +97,7 @@
 
         @Override
         public List<Upstream> runners(String service) {
-            return List.of(RUNNER);
+            return runners;
         }
 
         void submit(String requestId, String key, Duration budget) {
@@ -111,17 +111,23 @@
         }
     }
 
-    private static final Upstream RUNNER =
-            new Upstream(
-                    "runner-1",
-                    UpstreamKind.APPLICATION_RUNNER,
-                    URI.create("http://127.0.0.1:1"),
-                    "dc1",
-                    "r1",
-                    ListedState.LIVE,
-                    Upstream.EngineShape.NONE,
-                    false,
-                    Set.of(SERVICE));
+    static Upstream runner(String id, ListedState state) {
+        return new Upstream(
+                id,
+                UpstreamKind.APPLICATION_RUNNER,
+                URI.create("http://127.0.0.1:1"),
+                "dc1",
+                "r1",
+                state,
+                Upstream.EngineShape.NONE,
+                false,
+                Set.of(SERVICE));
+    }
+
+    List<Upstream> runners = List.of(runner("runner-1", ListedState.LIVE));
+
+    /** Runner that recorded each act. */
+    final Map<String, String> recordedAt = new HashMap<>();
 
     final ManualTimeSource time = ManualTimeSource.startingAt(Instant.EPOCH);
     final Map<String, Node> nodes = new TreeMap<>();
@@ -238,8 +244,9 @@
             later(
                     2,
                     () -> {
-                        int count = executions.getOrDefault(lookup.key(), 0);
-                        answer(node, lookup.callId(), count > 0 ? 200 : 404);
+                        String recorded = recordedAt.get(lookup.key());
+                        boolean found = lookup.upstream().equals(recorded);
+                        answer(node, lookup.callId(), found ? 200 : 404);
                     });
         } else if (effect instanceof Effect.CallService call) {
             later(1 + random.nextInt(20), () -> execute(node, call));
@@ -248,6 +255,7 @@
 
     private void execute(Node node, Effect.CallService call) {
         int count = executions.merge(call.key(), 1, Integer::sum);
+        recordedAt.put(call.key(), call.upstream());
         executedRequests.computeIfAbsent(call.key(), k -> new HashSet<>()).add(call.requestId());
         if (count > 1) {
             violations.add(call.key() + " executed " + count + " times");
