Follow a shift of popularity; test it, admission and fairness

Change: the value of a handle counts its rate of use only as far as its idle time does not contradict it; while deadlines cannot all be met, they are compared in steps of 5 s and the value decides.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/AdapterState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/AdapterState.java
@@ -24,6 +24,9 @@
     /** Use halves in this time, so that a shift of popularity shows in about two minutes. */
     private static final double USE_HALF_LIFE_NANOS = 60e9;
 
+    /** Uses that may be missed in a row before a rate of use is doubted. */
+    private static final double BURSTINESS = 3;
+
     /** Demand of refused requests halves in this time: about the time until callers give up. */
     private static final double REFUSED_HALF_LIFE_NANOS = 5e9;
 
@@ -66,6 +69,17 @@
         useAt = nowNanos;
     }
 
+    /**
+     * Returns how many uses are to be expected in the next minute. The rate of recent use counts
+     * only as far as the time since the last use does not contradict it: an adapter that was used
+     * six times a second and then not for ten seconds has lost its popularity.
+     */
+    double expectedUses(long nowNanos) {
+        double perNano = use * Math.log(2) / USE_HALF_LIFE_NANOS;
+        double missed = perNano * (nowNanos - useAt);
+        return perNano * 60e9 * Math.exp(-missed / BURSTINESS);
+    }
+
     /** Returns the recent use, which decays with time. */
     double use(long nowNanos) {
         return use * Math.pow(0.5, (nowNanos - useAt) / USE_HALF_LIFE_NANOS);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionOrders.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EvictionOrders.java
@@ -71,7 +71,8 @@
         }
         boolean replica =
                 engine.context().placement().residentElsewhere(h.version(), engine.engine()) > 0;
-        return state.use(engine.now()) * (replica ? COST_WITH_REPLICA : 1) + waitingValue(state);
+        return state.expectedUses(engine.now()) * (replica ? COST_WITH_REPLICA : 1)
+                + waitingValue(state);
     }
 
     private double waitingValue(AdapterState state) {
@@ -94,7 +95,7 @@
         }
         boolean overnight = need.urgency() == Urgency.OVERNIGHT;
         return !overnight
-                || need.waiting().size() + need.refusedDemand(now) >= state.use(now)
+                || need.waiting().size() + need.refusedDemand(now) >= state.expectedUses(now)
                 || need.earliestDeadline(Long.MAX_VALUE) - now < Duration.ofMinutes(1).toNanos();
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/LoadPlanner.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/LoadPlanner.java
@@ -46,12 +46,16 @@
     /** Deadline of a load that no waiting request needs. */
     private static final long NO_WAITER_DEADLINE_NANOS = Duration.ofSeconds(30).toNanos();
 
+    /** Grid of deadlines while not all of them can be met. */
+    private static final long COARSE_MS = 5000;
+
     private final EngineState engine;
     private final HandleTable handles;
     private final EvictionOrders evictions;
     private final Set<AdapterState> active = new LinkedHashSet<>();
     private final Map<Long, AdapterState> permits = new HashMap<>();
     private final Map<Long, AdapterState> orders = new HashMap<>();
+    private boolean overloaded;
 
     LoadPlanner(EngineState engine, HandleTable handles, EvictionOrders evictions) {
         this.engine = engine;
@@ -115,7 +119,8 @@
             long arrival = now + engine.waitEstimator().loadWaitNanos(i, rate, now);
             feasible = arrival <= wanted.get(i).earliestDeadline(last);
         }
-        if (!feasible) {
+        overloaded = !feasible;
+        if (overloaded) {
             Map<AdapterState, Double> values = new HashMap<>();
             wanted.forEach(s -> values.put(s, s.loadValue(engine.policy(), now)));
             wanted.sort(Comparator.comparingDouble(s -> -values.get(s)));
@@ -158,6 +163,7 @@
         long deadline =
                 s.earliestDeadline(now + NO_WAITER_DEADLINE_NANOS)
                         - engine.waitEstimator().loadNanos();
+        deadline = overloaded ? now + coarse(deadline - now) : deadline;
         double value = s.loadValue(engine.policy(), now);
         if (s.phase == Phase.PERMIT_ASKED) {
             boolean sooner = deadline < s.askedDeadlineNanos - FAILED_BACKOFF_NANOS;
@@ -186,6 +192,16 @@
                         out);
     }
 
+    /**
+     * Rounds the time left so that deadlines within 5 s count as equal at the store budget and the
+     * value decides between them. The wall clock serves as common grid of all instances.
+     */
+    private long coarse(long leftNanos) {
+        long wallMs = engine.context().time().millis();
+        long deadlineMs = wallMs + Math.max(0, leftNanos / 1_000_000);
+        return (deadlineMs / COARSE_MS * COARSE_MS - wallMs) * 1_000_000;
+    }
+
     private void withdraw(AdapterState s, Effects out) {
         permits.remove(s.permit);
         s.phase = Phase.NONE;
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/PopularityShiftTest.java
@@ -0,0 +1,75 @@
+package org.bronzehill.core.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.bronzehill.config.OwnershipScope;
+import org.bronzehill.config.Policy;
+import org.bronzehill.core.result.ResultCode;
+import org.testng.annotations.Test;
+
+/** The main case: hundreds of cold adapters become hot at once while the store allows 4 loads/s. */
+public class PopularityShiftTest {
+
+    private static final Policy STALLS = new Policy(1, 0.5, OwnershipScope.REGION);
+    private static final Policy BATCHES = new Policy(0.5, 1, OwnershipScope.REGION);
+    private static final int ADAPTERS = 300;
+    private static final long STORE_LIMIT_MS = ADAPTERS * 1000 / 4;
+
+    private static FleetWorld settled(boolean blind) {
+        FleetWorld w = new FleetWorld(1, STALLS, 48, blind);
+        w.run(2 * STORE_LIMIT_MS, 40, "chat", 0, ADAPTERS);
+        return w;
+    }
+
+    /** Guards against a fleet that stays overloaded after the shift that overloaded it. */
+    @Test
+    public void recoversWithinTwiceTheStoreLimit() {
+        FleetWorld w = settled(false);
+        long shift = w.nowMs();
+        double steady = w.unstalled(shift - 30_000, shift);
+        w.run(2 * STORE_LIMIT_MS + 30_000, 40, "chat", ADAPTERS, ADAPTERS);
+        long back = shift + 2 * STORE_LIMIT_MS;
+        assertTrue(w.answered(shift, back) > 0.9, "answered " + w.answered(shift, back));
+        assertTrue(w.unstalled(back, back + 20_000) > 0.9 * steady);
+        assertEquals(w.answered(back, back + 20_000), 1.0);
+    }
+
+    /** Guards against a placement that gains nothing over a balancer blind to adapters. */
+    @Test
+    public void stallsLessThanBlindPlacement() {
+        FleetWorld aware = settled(false);
+        FleetWorld blind = settled(true);
+        long shift = aware.nowMs();
+        aware.run(STORE_LIMIT_MS, 40, "chat", ADAPTERS, ADAPTERS);
+        blind.run(STORE_LIMIT_MS, 40, "chat", ADAPTERS, ADAPTERS);
+        double a = aware.meanStall(shift, aware.nowMs());
+        double b = blind.meanStall(shift, aware.nowMs());
+        assertTrue(a < 0.5 * b, a + " against " + b);
+    }
+
+    /** Guards against policy weights without effect on the work of the engines. */
+    @Test
+    public void batchWeightFillsBatchesAndStallWeightSavesTime() {
+        FleetWorld stalls = new FleetWorld(1, STALLS, 48, false);
+        FleetWorld batches = new FleetWorld(1, BATCHES, 48, false);
+        for (FleetWorld w : new FleetWorld[] {stalls, batches}) {
+            w.run(120_000, 6, "plan", 0, 40);
+        }
+        double fast = stalls.takeBatchEfficiency();
+        double full = batches.takeBatchEfficiency();
+        assertTrue(full > 1.1 * fast, full + " against " + fast);
+    }
+
+    /** Guards against urgent requests that miss their deadline while the load fits. */
+    @Test
+    public void urgentRequestsMeetTheirDeadlineInSteadyState() {
+        FleetWorld w = settled(false);
+        long from = w.nowMs();
+        w.run(60_000, 40, "chat", 0, ADAPTERS);
+        assertTrue(
+                w.outcomes.stream()
+                        .filter(o -> o.submittedMs() >= from)
+                        .allMatch(o -> o.code() == ResultCode.OK));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/SchedulerAdmissionTest.java
@@ -0,0 +1,164 @@
+package org.bronzehill.core.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Set;
+import org.bronzehill.config.OwnershipScope;
+import org.bronzehill.config.Policy;
+import org.bronzehill.core.lease.Lease;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.OrderKind;
+import org.bronzehill.core.node.OrderOutcome;
+import org.bronzehill.core.node.Signal;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.protocol.generated.PermitRequest;
+import org.testng.annotations.Test;
+
+/** Refusals, order of loads, grouping and signals of one scheduler on virtual time. */
+public class SchedulerAdmissionTest {
+
+    /** Guards against requests that wait for an answer that must come too late. */
+    @Test
+    public void hopelessRequestIsRefusedOnArrival() {
+        SchedulerFixture f = SchedulerFixture.started();
+        f.scheduler.submit(f.request("r1", "m1", "chat", "a1", 100), f.out);
+        assertEquals(f.code("r1"), ResultCode.DEADLINE_HOPELESS);
+        f.better = "e2";
+        f.scheduler.submit(f.request("r2", "m1", "chat", "a2", 100), f.out);
+        assertEquals(f.code("r2"), ResultCode.REDIRECT);
+        assertEquals(f.results.get("r2").get(0).redirectTo(), "e2");
+    }
+
+    /** Guards against an adapter that is never loaded because all its requests are refused. */
+    @Test
+    public void refusedDemandStillLoadsTheAdapter() {
+        SchedulerFixture f = SchedulerFixture.started();
+        for (int i = 0; i < 3; i++) {
+            f.scheduler.submit(f.request("r" + i, "m1", "chat", "a1", 100), f.out);
+        }
+        assertEquals(f.permits.size(), 1);
+        f.advance(30_000);
+        assertTrue(f.permits.isEmpty());
+    }
+
+    /**
+     * Guards against a request that waits past its deadline, and against a permit left asked for.
+     */
+    @Test
+    public void waitingEndsAtTheDeadline() {
+        SchedulerFixture f = SchedulerFixture.started();
+        f.submit("r1", "chat", "a1");
+        f.advance(10_000);
+        assertEquals(f.code("r1"), ResultCode.DEADLINE_HOPELESS);
+        assertTrue(f.results.get("r1").get(0).loadStall().toSeconds() >= 9);
+        assertTrue(f.starts().isEmpty());
+    }
+
+    /** Guards the order of loads: by deadline, with the value of all that wait. */
+    @Test
+    public void permitsCarryDeadlineAndValue() {
+        SchedulerFixture f = SchedulerFixture.started();
+        f.submit("r1", "summary", "a1");
+        PermitRequest one = f.permits.values().iterator().next();
+        f.submit("r2", "chat", "a1");
+        PermitRequest two = f.permits.values().iterator().next();
+        assertEquals(two.getSequence(), one.getSequence());
+        assertTrue(two.getDeadlineMs() < one.getDeadlineMs());
+        assertTrue(two.getValue() > 2 * one.getValue());
+    }
+
+    /** Guards the bound of the queue, and urgent work against a queue full of other work. */
+    @Test
+    public void fullQueueRefusesOrDisplaces() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.engineQueue = 4;
+        f.configure();
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, true, Set.of()), EvictionRule.SAFE);
+        f.report();
+        for (int i = 0; i < 5; i++) {
+            f.submit("r" + i, "plan", "a1");
+        }
+        assertEquals(f.code("r4"), ResultCode.QUEUE_FULL);
+        f.submit("urgent", "chat", "a1");
+        assertNull(f.code("urgent"));
+        assertEquals(f.code("r3"), ResultCode.SHED);
+        assertEquals(f.scheduler.inFlight(), 4);
+    }
+
+    /** Guards urgent work under overload, and the end of shedding after it. */
+    @Test
+    public void overloadShedsAndEnds() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.engineQueue = 10;
+        f.configure();
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, true, Set.of()), EvictionRule.SAFE);
+        f.report();
+        for (int i = 0; i < 9; i++) {
+            f.submit("r" + i, "summary", "a1");
+        }
+        f.advance(400);
+        f.submit("plan", "plan", "a1");
+        assertEquals(f.code("plan"), ResultCode.SHED);
+        assertTrue(f.results.get("plan").get(0).retryAfter().toMillis() > 0);
+        f.submit("chat", "chat", "a1");
+        assertNull(f.code("chat"));
+        for (int i = 0; i < 9; i++) {
+            f.scheduler.cancel("r" + i, 1, f.out);
+        }
+        f.advance(4000);
+        f.submit("later", "plan", "a1");
+        assertNull(f.code("later"));
+    }
+
+    /** Guards against overnight work that takes the store or a near-empty batch for itself. */
+    @Test
+    public void overnightWorkIsGrouped() {
+        SchedulerFixture f = new SchedulerFixture();
+        f.policy = new Policy(0.5, 1, OwnershipScope.REGION);
+        f.configure();
+        f.start(new Lease(SchedulerFixture.RESOURCE, 100, true, Set.of()), EvictionRule.SAFE);
+        f.report();
+        f.submit("r1", "plan", "a1");
+        assertTrue(f.permits.isEmpty());
+        f.advance(2100);
+        f.grant();
+        f.answer(f.lastOrder(OrderKind.LOAD), OrderOutcome.DONE);
+        assertTrue(f.starts().isEmpty());
+        f.submit("r2", "plan", "a1");
+        f.submit("r3", "plan", "a1");
+        assertEquals(f.starts().size(), 3);
+        f.starts().forEach(f::finish);
+        f.submit("r4", "plan", "a1");
+        f.advance(60_000);
+        assertEquals(f.lastStart().requestId(), "r4");
+    }
+
+    /** Guards the signals by which the policy is judged. */
+    @Test
+    public void reportsBatchEfficiencyAndLoadStall() {
+        SchedulerFixture f = SchedulerFixture.started();
+        f.submit("r1", "chat", "a1");
+        f.advance(500);
+        f.grant();
+        f.answer(f.lastOrder(OrderKind.LOAD), OrderOutcome.DONE);
+        f.advance(1000);
+        f.time.advance(Duration.ofMillis(10));
+        double batch =
+                f.all(Effect.Measure.class).stream()
+                        .filter(m -> m.signal() == Signal.BATCH_EFFICIENCY_RATIO)
+                        .mapToDouble(Effect.Measure::value)
+                        .findFirst()
+                        .orElse(0);
+        double stall =
+                f.all(Effect.Measure.class).stream()
+                        .filter(m -> m.signal() == Signal.LOAD_STALL_SECONDS)
+                        .mapToDouble(Effect.Measure::value)
+                        .findFirst()
+                        .orElse(0);
+        assertEquals(batch, 0.25, 1e-9);
+        assertEquals(stall, 0.5, 1e-9);
+    }
+}
--- a/bronzehill-core/src/test/java/org/bronzehill/core/engine/SchedulerFixture.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/SchedulerFixture.java
@@ -56,6 +56,7 @@
     Configuration configuration;
     Policy policy = new Policy(1, 0.5, OwnershipScope.REGION);
     int engineQueue = 1024;
+    int adapters = 300;
     Set<String> groups = Set.of("g");
     boolean holds = true;
     String better = "";
@@ -96,8 +97,13 @@
     }
 
     static Upstream upstream(ListedState state, int slots, int batch, boolean checksFencing) {
+        return upstream(ENGINE, state, slots, batch, checksFencing);
+    }
+
+    static Upstream upstream(
+            String id, ListedState state, int slots, int batch, boolean checksFencing) {
         return new Upstream(
-                ENGINE,
+                id,
                 UpstreamKind.ENGINE,
                 URI.create("http://127.0.0.1:1"),
                 "dc1",
@@ -108,7 +114,7 @@
                 Set.of());
     }
 
-    /** Puts a new configuration number in force; adapters a0 to a299 have version 1 by default. */
+    /** Puts a new configuration number in force; its adapters have version 1 by default. */
     void configure() {
         Map<String, KindSpec> kinds = new HashMap<>();
         kind(kinds, "chat", Urgency.INTERACTIVE, Duration.ofSeconds(10));
@@ -119,10 +125,10 @@
         for (String m : List.of("m1", "m2")) {
             members.put(m, new MemberSpec(m, 1, kinds.keySet(), groups, Map.of("h" + m, "c")));
         }
-        List<AdapterSpec> adapters = new ArrayList<>();
-        for (int i = 0; i < 300; i++) {
+        List<AdapterSpec> specs = new ArrayList<>();
+        for (int i = 0; i < adapters; i++) {
             int v = versions.getOrDefault("a" + i, 1);
-            adapters.add(
+            specs.add(
                     new AdapterSpec(
                             "a" + i, "base", "g", Map.of(1, "w1", 2, "w2"), Map.of("*", v)));
         }
@@ -131,7 +137,7 @@
                 Configuration.of(
                         ++number,
                         new ConfigurationBase(Set.of("base"), kinds, members, limits, policy),
-                        adapters);
+                        specs);
     }
 
     private static void kind(Map<String, KindSpec> kinds, String name, Urgency u, Duration d) {
