--- /dev/null
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/upstream/HttpExchangeTest.java
@@ -0,0 +1,113 @@
+package org.bronzehill.entry.upstream;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.bronzehill.core.node.FailureReason;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+/** Classification of the ways in which a call to an upstream can fail. */
+public class HttpExchangeTest {
+
+    private final EventLoopGroup loops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterClass
+    public void close() {
+        loops.shutdownGracefully();
+    }
+
+    private CompletableFuture<FailureReason> call(int port, Duration silence) {
+        CompletableFuture<FailureReason> failure = new CompletableFuture<>();
+        HttpCall call =
+                new HttpCall(
+                        "GET",
+                        URI.create("http://127.0.0.1:" + port + "/x"),
+                        Map.of(),
+                        new byte[0],
+                        silence,
+                        Duration.ofSeconds(20));
+        HttpExchange.prepare(
+                        call,
+                        BodyCollector.create(
+                                whole -> failure.complete(null),
+                                (reason, detail) -> failure.complete(reason)),
+                        loops.next())
+                .begin();
+        return failure;
+    }
+
+    private static ServerSocket listen() throws Exception {
+        return new ServerSocket(0, 4, InetAddress.getByName("127.0.0.1"));
+    }
+
+    /** Guards against "may have run" when nothing was written. */
+    @Test
+    public void nothingIsSentWhenNobodyListens() throws Exception {
+        int port;
+        try (ServerSocket closed = listen()) {
+            port = closed.getLocalPort();
+        }
+        assertEquals(call(port, Duration.ofSeconds(5)).get(), FailureReason.NOT_SENT);
+    }
+
+    /** Guards against "not run" when the upstream has read the request and broke off. */
+    @Test
+    public void aBrokenConnectionIsNotAProofOfNotRun() throws Exception {
+        try (ServerSocket server = listen()) {
+            CompletableFuture<FailureReason> failure =
+                    call(server.getLocalPort(), Duration.ofSeconds(5));
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read();
+                socket.getOutputStream()
+                        .write(
+                                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"
+                                        .getBytes(StandardCharsets.US_ASCII));
+            }
+            assertEquals(failure.get(), FailureReason.BROKEN);
+        }
+    }
+
+    /** Guards against a call that hangs on a connection that has become silent. */
+    @Test
+    public void aSilentConnectionIsGivenUp() throws Exception {
+        try (ServerSocket server = listen()) {
+            CompletableFuture<FailureReason> failure =
+                    call(server.getLocalPort(), Duration.ofMillis(100));
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read();
+                assertEquals(failure.get(), FailureReason.SILENT);
+            }
+        }
+    }
+
+    /** Guards against events that are lost or joined when the network splits them anywhere. */
+    @Test
+    public void splitsEventsAtAnyPoint() {
+        byte[] body =
+                "data: {\"a\":1}\n\ndata:{\"b\":2}\r\n\r\n: comment\n\ndata: [DONE]\n\n"
+                        .getBytes(StandardCharsets.UTF_8);
+        for (int cut = 0; cut <= body.length; cut++) {
+            List<String> events = new ArrayList<>();
+            EventParser parser =
+                    new EventParser(e -> events.add(new String(e, StandardCharsets.UTF_8)));
+            parser.add(Arrays.copyOfRange(body, 0, cut));
+            parser.add(Arrays.copyOfRange(body, cut, body.length));
+            assertEquals(events, List.of("{\"a\":1}", "{\"b\":2}", "[DONE]"));
+        }
+    }
+}
