--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -49,6 +49,7 @@
     private final PlatformSchedule platform;
     private final DrainSequence drain;
     private final StatusView view;
+    private final Gauges gauges;
 
     private CoreParts(EntrySettings settings, TimeSource time, RandomGenerator random) {
         Supplier<Configuration> inForce = store::current;
@@ -88,6 +89,7 @@
         services.bind(acts);
         reports = new ReportSchedule(context, engines, this::onSummaries);
         platform = new PlatformSchedule(context);
+        gauges = new Gauges(context, engines, leases);
         drain = new DrainSequence(context, engines, leases, budget, acts, this::ownRequests);
     }
 
@@ -172,6 +174,7 @@
         context.overload().update(models.size() / limit);
         context.gate().update(out);
         drain.onTick(out);
+        gauges.onTick(out);
     }
 
     void onInstanceList(InstanceList list, Effects out) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/DispatchDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/DispatchDesk.java
@@ -53,10 +53,13 @@
     void onCancel(Envelope envelope, Effects out) {
         DispatchCancel message = envelope.getDispatchCancel();
         String id = message.getRequestId();
-        waiting.removeIf(
-                w ->
-                        w.request().requestId().equals(id)
-                                && w.request().attempt() == message.getAttempt());
+        for (Waiting w : List.copyOf(waiting)) {
+            EngineRequest r = w.request();
+            if (r.requestId().equals(id) && r.attempt() == message.getAttempt()) {
+                waiting.remove(w);
+                replies.refuse(r, ResultCode.CANCELLED, out);
+            }
+        }
         engines.cancel(id, message.getAttempt(), out);
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Leases.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Leases.java
@@ -25,7 +25,6 @@
         } else {
             budget.acquired(lease, handover, out);
         }
-        out.add(new Effect.Measure(Signal.LEASE_TAKEOVERS, lease.resource(), 1));
     }
 
     @Override
@@ -33,7 +32,6 @@
         if (Resources.isEngine(resource)) {
             engines.lost(resource, out);
         }
-        out.add(new Effect.Measure(Signal.LEASE_LOSSES, resource, 1));
     }
 
     @Override
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -90,6 +90,11 @@
     }
 
     private void attempt(OpenRequest r, String preferred, Effects out) {
+        if (!context.gate().mayDispatch()) {
+            long now = context.time().nanoTime();
+            r.park(now, now + PARK.toNanos());
+            return;
+        }
         ModelRequest request = r.request();
         RouteQuery query =
                 new RouteQuery(
@@ -211,10 +216,6 @@
                         result.retryAfter(),
                         result.loadStall(),
                         ""));
-        if (code.isSuccess()) {
-            double seconds = result.loadStall().toNanos() / 1e9;
-            out.add(new Effect.Measure(Signal.LOAD_STALL_SECONDS, request.kind(), seconds));
-        }
     }
 
     /** Notes that chunks of an attempt have reached the caller. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
@@ -223,6 +223,7 @@
         o.mayHaveRun |= mayHaveRun;
         if ((mayHaveRun && !o.granted.kind().repeatable())
                 || late
+                || !context.gate().mayDispatch()
                 || o.attempts >= context.settings().maxAttempts()
                 || choose(o) == null
                 || !context.retries().tryTake()) {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Tracing.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Tracing.java
@@ -137,6 +137,12 @@
         if (message.hasActForward()) {
             return traceparent(message.getActForward().getCall().getRequestId());
         }
+        if (message.hasActStatus() && !message.getActStatus().getRequestId().isEmpty()) {
+            String id = message.getActStatus().getRequestId();
+            String context = traceparent(id);
+            endRequest(id, ResultCode.ofNumber(message.getActStatus().getResultCode()));
+            return context;
+        }
         if (message.hasDispatchEnd()) {
             String id = message.getDispatchEnd().getRequestId();
             String context = traceparent(id);
