--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/CliMain.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/CliMain.java
@@ -57,13 +57,9 @@
     public static int run(String... args) {
         Object command;
         try {
-            String[] normalized =
-                    args.length == 1 && args[0].equals("--version")
-                            ? new String[] {"version"}
-                            : args.length == 1 && args[0].equals("--help")
-                                    ? new String[] {"help"}
-                                    : args;
-            command = new com.github.rvesse.airline.Cli<Object>(CliMain.class).parse(normalized);
+            command =
+                    new com.github.rvesse.airline.Cli<Object>(CliMain.class)
+                            .parse(withHelpCommand(args));
         } catch (ParseException e) {
             System.err.println("bronzehill: " + e.getMessage());
             System.err.println("Run 'bronzehill help' for the commands and their flags.");
@@ -72,6 +68,21 @@
         return execute(command);
     }
 
+    /** Turns {@code --version} and {@code COMMAND --help} into the commands that do the same. */
+    private static String[] withHelpCommand(String... args) {
+        if (args.length == 1 && args[0].equals("--version")) {
+            return new String[] {"version"};
+        }
+        int last = args.length - 1;
+        if (last < 0 || !args[last].equals("--help")) {
+            return args;
+        }
+        String[] help = new String[args.length];
+        help[0] = "help";
+        System.arraycopy(args, 0, help, 1, last);
+        return help;
+    }
+
     private static int execute(Object command) {
         if (command instanceof Runnable help) {
             help.run();
--- a/bronzehill-cli/src/test/java/org/bronzehill/cli/CliMainTest.java
+++ b/bronzehill-cli/src/test/java/org/bronzehill/cli/CliMainTest.java
@@ -103,6 +103,8 @@
         assertEquals(CliMain.run("config", "check", "--nothing"), CliMain.USAGE);
         assertEquals(CliMain.run("patch"), CliMain.USAGE);
         assertEquals(CliMain.run("--version"), 0);
+        assertEquals(CliMain.run("--help"), 0);
+        assertEquals(CliMain.run("config", "check", "--help"), 0);
         assertEquals(CliMain.run("config", "schema"), 0);
     }
 
