--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/lease/GrantTableTest.java
@@ -0,0 +1,126 @@
+package org.bronzehill.core.lease;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import org.bronzehill.core.lease.GrantTable.Claimant;
+import org.bronzehill.core.time.ManualTimeSource;
+import org.bronzehill.protocol.generated.IntentRequest;
+import org.bronzehill.protocol.generated.LeaseAnswer;
+import org.bronzehill.protocol.generated.LeaseClaim;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Decisions of one grantor. */
+public class GrantTableTest {
+
+    private static final Claimant FIRST = new Claimant("a", 1);
+    private static final Claimant RESTARTED = new Claimant("a", 2);
+    private static final Claimant OTHER = new Claimant("b", 1);
+
+    private ManualTimeSource time;
+    private GrantTable table;
+
+    @BeforeMethod
+    public void create() {
+        time = ManualTimeSource.startingAt(Instant.EPOCH);
+        table = new GrantTable(time);
+        table.retain(Set.of("r"), 0);
+    }
+
+    private static LeaseClaim.Builder claim(long fencing) {
+        return LeaseClaim.newBuilder().setResource("r").setFencing(fencing);
+    }
+
+    private LeaseAnswer ask(Claimant from, long sequence, LeaseClaim.Builder claim) {
+        return table.claim(from, sequence, claim.build());
+    }
+
+    private boolean intent(Claimant from, long sequence, long fencing, String handle, boolean end) {
+        return table.intent(
+                from,
+                IntentRequest.newBuilder()
+                        .setSequence(sequence)
+                        .setResource("r")
+                        .setFencing(fencing)
+                        .setHandle(handle)
+                        .setFinished(end)
+                        .build());
+    }
+
+    /**
+     * Guards against a restarted process that holds beside the earlier one, which may be paused.
+     */
+    @Test
+    public void laterIncarnationWaitsForTheGrantOfTheEarlierOne() {
+        assertTrue(ask(FIRST, 1, claim(10)).getGranted());
+        assertFalse(ask(RESTARTED, 1, claim(11)).getGranted());
+        time.advance(Duration.ofMillis(2000));
+        assertTrue(ask(RESTARTED, 2, claim(11)).getGranted());
+    }
+
+    /** Guards against a grantor that forgets its grants and grants at once. */
+    @Test
+    public void nothingIsGrantedDuringTheHoldOff() {
+        table.retain(Set.of("r", "new"), GrantTable.HOLD_OFF_NANOS);
+        LeaseClaim.Builder claim = claim(10).setResource("new");
+        time.advance(Duration.ofMillis(2499));
+        assertFalse(ask(FIRST, 1, claim).getGranted());
+        time.advance(Duration.ofMillis(1));
+        assertTrue(ask(FIRST, 2, claim).getGranted());
+    }
+
+    /** Guards against a late renewal of an earlier epoch that blocks or overwrites a later one. */
+    @Test
+    public void lateRenewalOfAnEarlierEpochIsRefused() {
+        assertTrue(ask(FIRST, 1, claim(10)).getGranted());
+        time.advance(Duration.ofSeconds(3));
+        assertTrue(ask(OTHER, 1, claim(20)).getGranted());
+        assertTrue(ask(OTHER, 2, claim(20).setHeld(true)).getGranted());
+        assertTrue(intent(OTHER, 3, 20, "h", false));
+        time.advance(Duration.ofSeconds(3));
+        assertFalse(ask(FIRST, 9, claim(10).setHeld(true).setIntentsComplete(true)).getGranted());
+        LeaseAnswer next = ask(FIRST, 10, claim(30));
+        assertTrue(next.getGranted());
+        assertEquals(next.getOpenIntentsList(), List.of("h"));
+        assertEquals(next.getPreviousFencing(), 20);
+    }
+
+    /** Guards against a holder that is refused because of an attempt that obtained nothing. */
+    @Test
+    public void renewalIsGrantedDespiteTheHigherNumberOfAFailedAttempt() {
+        assertTrue(ask(OTHER, 1, claim(20)).getGranted());
+        table.release(OTHER, claim(20).build());
+        assertFalse(ask(FIRST, 1, claim(10)).getGranted());
+        LeaseAnswer renewal = ask(FIRST, 2, claim(10).setHeld(true));
+        assertTrue(renewal.getGranted());
+        assertEquals(renewal.getHighestFencing(), 20);
+    }
+
+    /** Guards against an intent that a reordered message removes or restores. */
+    @Test
+    public void olderMessagesDoNotChangeIntents() {
+        ask(FIRST, 1, claim(10));
+        assertTrue(intent(FIRST, 5, 10, "h", false));
+        ask(FIRST, 4, claim(10).setHeld(true).setIntentsComplete(true));
+        assertEquals(ask(FIRST, 6, claim(10)).getOpenIntentsList(), List.of("h"));
+        assertTrue(intent(FIRST, 8, 10, "h", true));
+        assertFalse(intent(FIRST, 7, 10, "h", false));
+        assertEquals(ask(FIRST, 9, claim(10)).getOpenIntentsList(), List.of());
+        assertFalse(intent(OTHER, 10, 10, "h", false));
+    }
+
+    /** Guards against a grantor that vouches for intents it was never told of. */
+    @Test
+    public void historyIsKnownAfterACompleteRenewal() {
+        assertTrue(ask(FIRST, 1, claim(10)).getHistoryUnknown());
+        assertTrue(ask(FIRST, 2, claim(10).setHeld(true)).getHistoryUnknown());
+        LeaseClaim.Builder complete = claim(10).setHeld(true).setIntentsComplete(true);
+        assertFalse(ask(FIRST, 3, complete).getHistoryUnknown());
+    }
+}
