Send engine summaries as deltas whose rate depends on the number of engines

Cause: full summaries on every change cost 2.9 MB/s for each instance at 300 engines and 190 instances of a region; the control budget is 20 KB/s. Change: deltas against the last summary, placement within 100 ms, counts every 15 ms x engines, no running counts of single adapters above 32 engines; a receiver without the base asks for the full summary. Fleet and MembershipActPeers were the same class twice; one remains, and lookups of acts now reach leaving runners in the program too.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -23,11 +23,13 @@
 import org.bronzehill.core.model.Upstream;
 import org.bronzehill.core.model.UpstreamKind;
 import org.bronzehill.core.onceonly.ActCoordinator;
+import org.bronzehill.core.onceonly.ActPeers;
 import org.bronzehill.core.placement.HolderDirectory;
 import org.bronzehill.core.placement.Router;
 import org.bronzehill.core.spread.ConfigurationSpread;
 import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.EngineSummaries;
+import org.bronzehill.protocol.generated.Envelope;
 
 /** The components of one decision core, wired together. */
 final class CoreParts {
@@ -45,6 +47,8 @@
     private final ModelRequests models;
     private final ServiceRequests services;
     private final ActCoordinator acts;
+    private final SummaryTable summaries;
+    private final SummaryPublisher publisher;
     private final ReportSchedule reports;
     private final PlatformSchedule platform;
     private final DrainSequence drain;
@@ -83,11 +87,13 @@
         models = new ModelRequests(context, access, router, new Dispatcher(context, engines));
         replies.bind(models);
         dispatches = new DispatchDesk(context, engines, replies);
-        Fleet fleet = new Fleet(membership);
+        ActPeers fleet = ActPeers.of(membership);
         services = new ServiceRequests(context, access, fleet);
         acts = ActCoordinator.create(fleet, time, ids, services::onAct);
         services.bind(acts);
-        reports = new ReportSchedule(context, engines, this::onSummaries);
+        summaries = new SummaryTable(time);
+        publisher = new SummaryPublisher(context, engines.held(), this::onOwnSummaries);
+        reports = new ReportSchedule(context, engines, publisher);
         platform = new PlatformSchedule(context);
         gauges = new Gauges(context, engines, leases);
         drain = new DrainSequence(context, engines, leases, budget, acts, this::ownRequests);
@@ -181,16 +187,30 @@
         membership().onInstanceList(list, out);
         engines.onInstanceList(membership().list(), out);
         router.onInstanceList(membership().list());
+        summaries.retain(membership().list().upstreams().stream().map(Upstream::id).toList());
         leases.onInstanceList(membership().list(), out);
         platform.onList();
         context.gate().onListRead();
     }
 
-    void onSummaries(EngineSummaries message) {
-        message.getSummariesList()
+    void onSummaries(Envelope envelope, Effects out) {
+        use(summaries.accept(envelope.getFrom(), envelope.getEngineSummaries(), out));
+    }
+
+    private void onOwnSummaries(EngineSummaries message) {
+        message.getSummariesList().forEach(summaries::put);
+        use(message);
+    }
+
+    private void use(EngineSummaries complete) {
+        complete.getSummariesList()
                 .forEach(s -> leases.observeHolder(Resources.engine(s.getEngine()), s.getHolder()));
-        router.onSummaries(message);
-        view.onSummaries(message);
+        router.onSummaries(complete);
+        view.onSummaries(complete);
+    }
+
+    void onSummariesRequest(Envelope envelope, Effects out) {
+        publisher.onRequest(envelope, out);
     }
 
     CoreStatus status() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
@@ -38,7 +38,8 @@
             case PERMIT_REQUEST, PERMIT_GRANT, PERMIT_RETURN ->
                     parts.budget().onMessage(envelope, out);
             case CRASH_MARKS -> parts.context().crashes().onMessage(envelope, out);
-            case ENGINE_SUMMARIES -> parts.onSummaries(envelope.getEngineSummaries());
+            case ENGINE_SUMMARIES -> parts.onSummaries(envelope, out);
+            case ENGINE_SUMMARIES_REQUEST -> parts.onSummariesRequest(envelope, out);
             default -> {
                 return false;
             }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
@@ -160,7 +160,7 @@
                 new ArrayList<>(
                         RendezvousHash.rank(
                                 o.request.requestId(),
-                                fleet.runners(o.request.service()),
+                                accepting(o.request.service()),
                                 Upstream::id));
         ranked.removeIf(u -> o.tried.contains(u.id()));
         return ranked.stream()
@@ -169,6 +169,10 @@
                 .orElse(ranked.isEmpty() ? null : ranked.get(0));
     }
 
+    private List<Upstream> accepting(String service) {
+        return fleet.runners(service).stream().filter(Upstream::acceptsWork).toList();
+    }
+
     /** Takes an answer; false if the call is not of a plain request. */
     boolean onAnswered(long callId, Input.ServiceAnswer answer, Effects out) {
         Open o = take(callId);
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/SummaryTable.java
@@ -0,0 +1,81 @@
+package org.bronzehill.core.node;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.bronzehill.core.placement.SummaryDelta;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.EngineSummaries;
+import org.bronzehill.protocol.generated.EngineSummariesRequest;
+import org.bronzehill.protocol.generated.EngineSummary;
+import org.bronzehill.protocol.generated.Envelope;
+
+/** The latest summary of each engine; completes received deltas and asks for full summaries. */
+final class SummaryTable {
+
+    private static final Duration REQUEST_INTERVAL = Duration.ofMillis(500);
+
+    private final TimeSource time;
+    private final Map<String, EngineSummary> latest = new HashMap<>();
+    private final Map<String, Long> requested = new HashMap<>();
+
+    SummaryTable(TimeSource time) {
+        this.time = time;
+    }
+
+    /**
+     * Returns the full form of the summaries that a peer sent; those without their base are left
+     * out.
+     */
+    EngineSummaries accept(String from, EngineSummaries message, Effects out) {
+        EngineSummaries.Builder complete = EngineSummaries.newBuilder();
+        EngineSummariesRequest.Builder missing = EngineSummariesRequest.newBuilder();
+        for (EngineSummary s : message.getSummariesList()) {
+            if (isOutdated(s)) {
+                continue;
+            }
+            Option<EngineSummary> full = SummaryDelta.expand(latest.get(s.getEngine()), s);
+            if (full.isDefined()) {
+                put(full.get());
+                complete.addSummaries(full.get());
+            } else if (mayRequest(s)) {
+                missing.addEngines(s.getEngine());
+            }
+        }
+        if (missing.getEnginesCount() > 0) {
+            Envelope.Builder request = Envelope.newBuilder().setEngineSummariesRequest(missing);
+            out.add(new Effect.SendPeer(from, request, false));
+        }
+        return complete.build();
+    }
+
+    /** A former holder's message may arrive after the first one of its successor. */
+    private boolean isOutdated(EngineSummary summary) {
+        EngineSummary known = latest.get(summary.getEngine());
+        return known != null && known.getFencing() > summary.getFencing();
+    }
+
+    private boolean mayRequest(EngineSummary summary) {
+        long now = time.nanoTime();
+        Long last = requested.get(summary.getEngine());
+        if (last != null && now - last < REQUEST_INTERVAL.toNanos()) {
+            return false;
+        }
+        requested.put(summary.getEngine(), now);
+        return true;
+    }
+
+    /** Stores a full summary. */
+    void put(EngineSummary summary) {
+        latest.put(summary.getEngine(), summary);
+        requested.remove(summary.getEngine());
+    }
+
+    /** Forgets engines that are no longer listed. */
+    void retain(Collection<String> engines) {
+        latest.keySet().retainAll(engines);
+        requested.keySet().retainAll(engines);
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActCoordinator.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActCoordinator.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.Upstream;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
@@ -54,12 +53,6 @@
         this.executor = new ActExecutor(peers, witness, time, ids, this::onExecuted);
     }
 
-    /** Creates a coordinator that reads the fleet from the membership table. */
-    public static ActCoordinator create(
-            Membership membership, TimeSource time, IdSequence ids, ActListener listener) {
-        return create(new MembershipActPeers(membership), time, ids, listener);
-    }
-
     /** Creates a coordinator that knows no claims yet. */
     public static ActCoordinator create(
             ActPeers peers, TimeSource time, IdSequence ids, ActListener listener) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/ActPeers.java
@@ -1,11 +1,17 @@
 package org.bronzehill.core.onceonly;
 
 import java.util.List;
+import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.Upstream;
 
 /** What the once-only protocol needs to know of the fleet. */
 public interface ActPeers {
 
+    /** Creates a view taken from the membership table and the published instance list. */
+    static ActPeers of(Membership membership) {
+        return new MembershipActPeers(membership);
+    }
+
     /** Returns the id of this instance. */
     String selfId();
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/MembershipActPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/onceonly/MembershipActPeers.java
@@ -47,11 +47,14 @@
 
     @Override
     public long liveIncarnation(String instance) {
-        return membership.live().stream()
-                .filter(i -> i.id().equals(instance))
-                .mapToLong(InstanceRef::incarnation)
-                .findFirst()
-                .orElse(0);
+        if (instance.equals(selfId())) {
+            return selfIncarnation();
+        }
+        return membership
+                .peer(instance)
+                .filter(p -> p.status().isLive())
+                .map(p -> p.ref().incarnation())
+                .getOrElse(0L);
     }
 
     @Override
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/SummaryInterval.java
@@ -0,0 +1,47 @@
+package org.bronzehill.core.placement;
+
+import java.time.Duration;
+
+/**
+ * How often summaries are sent. Every instance of a region receives the summaries of all its
+ * engines, so the interval grows with their number and the bytes for each instance stay bounded.
+ */
+public final class SummaryInterval {
+
+    private static final Duration SHORTEST_CHANGE = Duration.ofMillis(100);
+    private static final Duration SHORTEST_REPEAT = Duration.ofSeconds(1);
+
+    /** At 300 engines of a region, counts are sent every 4.5 s. */
+    private static final Duration PER_ENGINE = Duration.ofMillis(15);
+
+    private static final int FRESH_REPEATS = 3;
+
+    /** Up to this number of engines the bytes do not matter and every count is sent. */
+    private static final int MAX_ENGINES_IN_DETAIL = 32;
+
+    private SummaryInterval() {}
+
+    /** Returns the shortest time between two summaries that differ only in counts of requests. */
+    public static Duration ofCounts(int engines) {
+        return longer(SHORTEST_CHANGE, PER_ENGINE.multipliedBy(engines));
+    }
+
+    /** Returns the time after which a summary is repeated although nothing has changed. */
+    public static Duration ofRepeats(int engines) {
+        return longer(SHORTEST_REPEAT, PER_ENGINE.multipliedBy(engines));
+    }
+
+    /** Returns the age up to which a summary is taken for current. */
+    public static Duration fresh(int engines) {
+        return ofRepeats(engines).multipliedBy(FRESH_REPEATS);
+    }
+
+    /** Returns whether the numbers of running requests of single adapters are left out. */
+    public static boolean coarse(int engines) {
+        return engines > MAX_ENGINES_IN_DETAIL;
+    }
+
+    private static Duration longer(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+}
