Pack adapters on few engines when batches weigh more than stalls

Cause: the policy weights changed batch efficiency only through grouping, and queued overnight work that waits for its group or its adapter made engines look loaded. Change: with batch weight above stall weight, cold adapters go only to as many engines as running requests and resident adapters need; the summary counts as queued what waits for a place in the batch; queue length signal.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/BatchMeter.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/BatchMeter.java
@@ -32,11 +32,12 @@
         }
     }
 
-    /** Reports the efficiency of the last second, if anything ran in it. */
-    void report(long nowNanos, Effects out) {
+    /** Reports the queue, and the efficiency of the last second if anything ran in it. */
+    void report(int queued, long nowNanos, Effects out) {
         if (nowNanos - periodNanos < PERIOD_NANOS) {
             return;
         }
+        out.add(new Effect.Measure(Signal.QUEUE_LENGTH, engine, queued));
         if (busyNanos > 0) {
             out.add(
                     new Effect.Measure(
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
@@ -290,6 +290,17 @@
         return a;
     }
 
+    /**
+     * Returns how many queued requests wait for a place in the batch. Requests that wait for their
+     * adapter or for a group do not delay others.
+     */
+    int waitingForBatch() {
+        int active = attempts.size() + engine.queue().readyUpTo(Urgency.OVERNIGHT);
+        int[] count = {0};
+        engine.queue().forEach(q -> count[0] += isReady(q, active) ? 1 : 0);
+        return count[0];
+    }
+
     Collection<Attempt> running() {
         return attempts.values();
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
@@ -163,7 +163,7 @@
     /** Does what is due; called every 50 ms. */
     public void onTick(Effects out) {
         advanceBatch();
-        batch.report(engine.now(), out);
+        batch.report(engine.queue().size(), engine.now(), out);
         dispatcher.onTick(out);
         loads.onTick(out);
         if (!engine.lost) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/RequestQueue.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/RequestQueue.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.bronzehill.config.Urgency;
 import org.bronzehill.core.admission.Entitlement;
@@ -114,6 +115,11 @@
         return ready;
     }
 
+    /** Calls {@code action} with every request, which must not change the queue. */
+    void forEach(Consumer<QueuedRequest> action) {
+        queue.forEach(action);
+    }
+
     /** Returns the waiting requests, in no particular order. */
     List<QueuedRequest> snapshot() {
         List<QueuedRequest> all = new ArrayList<>(queue.size());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/SummaryBuilder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/SummaryBuilder.java
@@ -40,7 +40,7 @@
                         .setAdapterSlots(u.shape().adapterSlots())
                         .setRunning(dispatcher.running().size())
                         .setBatchSize(u.shape().batchSize())
-                        .setQueued(engine.queue().size())
+                        .setQueued(dispatcher.waitingForBatch())
                         .setReportAgeMs(Math.max(0, handles.reportAgeMs()))
                         .setLeaving(!u.acceptsWork())
                         .setAvailable(engine.takesWork() && !engine.draining)
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineIndex.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineIndex.java
@@ -1,11 +1,13 @@
 package org.bronzehill.core.placement;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.bronzehill.core.model.AdapterVersion;
 import org.bronzehill.core.model.InstanceList;
+import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.model.Upstream;
 import org.bronzehill.core.model.UpstreamKind;
 import org.bronzehill.core.placement.EngineView.Residence;
@@ -44,7 +46,15 @@
             e.upstream(u);
             models.computeIfAbsent(e.baseModel(), m -> new ArrayList<>()).add(e);
         }
-        models.values().forEach(l -> l.sort((a, b) -> a.id().compareTo(b.id())));
+        models.forEach(EngineIndex::sort);
+    }
+
+    private static void sort(String model, List<EngineView> engines) {
+        long key = RendezvousHash.keyHash(model);
+        engines.sort(
+                Comparator.comparingLong(
+                                (EngineView e) -> RendezvousHash.weightOf(key, e.nameHash()))
+                        .thenComparing(EngineView::id));
     }
 
     /** Takes over a summary; summaries of unlisted engines are ignored. */
@@ -114,7 +124,7 @@
         return residents.getOrDefault(version, List.of());
     }
 
-    /** Returns the engines with the base model, ordered by id. */
+    /** Returns the engines with the base model, in an order that all instances agree on. */
     List<EngineView> ofModel(String baseModel) {
         return models.getOrDefault(baseModel, List.of());
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineView.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineView.java
@@ -28,6 +28,7 @@
     private boolean summarised;
     private long summarisedNanos;
     private boolean available = true;
+    private int running;
     private int busy;
     private int loading;
 
@@ -52,7 +53,8 @@
         sequence = s.getSequence();
         holder = s.getHolder();
         available = s.getAvailable() && !s.getLeaving();
-        busy = s.getRunning() + s.getQueued();
+        running = s.getRunning();
+        busy = running + s.getQueued();
         adapters = newAdapters;
         loading = 0;
         for (Residence r : newAdapters.values()) {
@@ -88,6 +90,10 @@
         return Math.max(1, upstream.shape().batchSize());
     }
 
+    int slots() {
+        return Math.max(1, upstream.shape().adapterSlots());
+    }
+
     Map<AdapterVersion, Residence> adapters() {
         return adapters;
     }
@@ -111,6 +117,11 @@
         return busy + sent.size();
     }
 
+    /** Returns the requests that run or are on their way from here. */
+    int running() {
+        return running + sent.size();
+    }
+
     /** Returns the number of adapters that load or wait for their load. */
     int loading() {
         return loading;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
@@ -37,9 +37,6 @@
     /** Queue delay at the engines with the adapter above which a further engine is considered. */
     private static final double SPILL_SECONDS = 2;
 
-    /** An engine is skipped as home above this multiple of the mean load. */
-    private static final double LOAD_BOUND = 1.25;
-
     /** The choice of a cold home is kept until the holder's summary must have named the load. */
     private static final long KEEP_HOME_NANOS = Duration.ofSeconds(2).toNanos();
 
@@ -324,7 +321,12 @@
                     && index.engine(kept.engine().id()) == kept.engine()) {
                 return kept.engine();
             }
-            EngineView home = rendezvousHome(excluded);
+            EngineView home =
+                    HomeChoice.choose(
+                            index.ofModel(baseModel),
+                            version,
+                            policy,
+                            e -> isCandidate(e, excluded) && !e.adapters().containsKey(version));
             if (home != null) {
                 homes.remove(version);
                 homes.put(version, new Home(home, now));
@@ -332,36 +334,6 @@
             return home;
         }
 
-        private EngineView rendezvousHome(Set<String> excluded) {
-            List<EngineView> engines = index.ofModel(baseModel);
-            long total = 0;
-            for (EngineView e : engines) {
-                total += e.load();
-            }
-            double mean = (double) total / Math.max(1, engines.size());
-            long key = RendezvousHash.keyHash(version.adapter());
-            EngineView home = null;
-            EngineView any = null;
-            long homeWeight = 0;
-            long anyWeight = 0;
-            for (EngineView e : engines) {
-                if (isCandidate(e, excluded) && !e.adapters().containsKey(version)) {
-                    long weight = RendezvousHash.weightOf(key, e.nameHash());
-                    if (any == null || weight > anyWeight) {
-                        any = e;
-                        anyWeight = weight;
-                    }
-                    // Below half a batch a skewed load does no harm, and a fixed home saves loads.
-                    boolean bounded = e.load() <= Math.max(LOAD_BOUND * mean, e.batch() / 2.0);
-                    if (bounded && (home == null || weight > homeWeight)) {
-                        home = e;
-                        homeWeight = weight;
-                    }
-                }
-            }
-            return home == null ? any : home;
-        }
-
         Route route(EngineView e, String holder) {
             long stallMillis = Math.round(stall(e) * 1000);
             return new Route(++lastRoute, e.id(), holder, Duration.ofMillis(stallMillis), now);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/engine/FleetWorld.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/FleetWorld.java
@@ -174,6 +174,19 @@
         }
     }
 
+    /** Runs several kinds at once, all over the same {@code count} adapters of unequal use. */
+    void mix(long millis, Map<String, Double> perSecond, int count) {
+        for (long end = nowMs + millis; nowMs < end; ) {
+            perSecond.forEach(
+                    (kind, rate) -> {
+                        if (random.nextDouble() < rate / 100) {
+                            submit(kind, "a" + (int) (count * Math.pow(random.nextDouble(), 3)));
+                        }
+                    });
+            step();
+        }
+    }
+
     private void submit(String kind, String adapter) {
         String id = "r" + requests++;
         submittedMs.put(id, nowMs);
