--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -12,7 +12,6 @@
 import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.engine.CrashHistory;
 import org.bronzehill.core.engine.LeaseGuard;
-import org.bronzehill.core.engine.PlacementView;
 import org.bronzehill.core.engine.SchedulerContext;
 import org.bronzehill.core.engine.StorePermits;
 import org.bronzehill.core.lease.LeaseManager;
@@ -50,6 +49,7 @@
     private final PlatformSchedule platform;
     private final DrainSequence drain;
     private final StatusView view;
+    private final Gauges gauges;
 
     private CoreParts(EntrySettings settings, TimeSource time, RandomGenerator random) {
         Supplier<Configuration> inForce = store::current;
@@ -70,9 +70,12 @@
                         CrashRegistry.create(settings.self().id(), () -> live(membership), time),
                         RetryBudget.create(),
                         OverloadPolicy.create(time),
-                        new Gate(spread::caughtUp, this::reachesEngine));
+                        new Gate(
+                                () -> spread.caughtUp() && !membership.superseded(),
+                                this::reachesEngine));
         budget = StoreBudget.create(leases, membership, inForce, time, this::onPermit);
         router = Router.create(HolderDirectory.of(membership, leases), inForce, time, random);
+        view = new StatusView(context, leases);
         EngineReplies replies = new EngineReplies(context);
         engines = new EngineDesk(context, schedulers(replies), replies);
         listener.bind(engines, budget);
@@ -86,8 +89,8 @@
         services.bind(acts);
         reports = new ReportSchedule(context, engines, this::onSummaries);
         platform = new PlatformSchedule(context);
+        gauges = new Gauges(context, engines, leases);
         drain = new DrainSequence(context, engines, leases, budget, acts, this::ownRequests);
-        view = new StatusView(context, leases);
     }
 
     static CoreParts create(EntrySettings settings, TimeSource time, RandomGenerator random) {
@@ -102,7 +105,7 @@
                 context.time(),
                 context.ids(),
                 crashHistory(context.crashes()),
-                PlacementView.NONE,
+                new Neighbours(router, view),
                 replies);
     }
 
@@ -140,8 +143,9 @@
                 || listed.stream()
                         .anyMatch(
                                 u ->
-                                        leases.holderOf(Resources.engine(u.id()))
-                                                .exists(holders::isReachable));
+                                        leases.majorityReachable(Resources.engine(u.id()))
+                                                || leases.holderOf(Resources.engine(u.id()))
+                                                        .exists(holders::isReachable));
     }
 
     private void onPermit(String engine, long sequence, Effects out) {
@@ -170,6 +174,7 @@
         context.overload().update(models.size() / limit);
         context.gate().update(out);
         drain.onTick(out);
+        gauges.onTick(out);
     }
 
     void onInstanceList(InstanceList list, Effects out) {
@@ -182,13 +187,15 @@
     }
 
     void onSummaries(EngineSummaries message) {
+        message.getSummariesList()
+                .forEach(s -> leases.observeHolder(Resources.engine(s.getEngine()), s.getHolder()));
         router.onSummaries(message);
         view.onSummaries(message);
     }
 
     CoreStatus status() {
         return view.view(
-                platform.age(),
+                spread.serviceAge(),
                 store.staleReads(),
                 new CoreStatus.Counts(
                         models.size() + services.size(),
