--- a/bronzehill-core/src/test/java/org/bronzehill/core/engine/FleetWorld.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/FleetWorld.java
@@ -162,7 +162,8 @@
             cumulative[i] = sum;
         }
         for (long end = nowMs + millis; nowMs < end; ) {
-            if (random.nextDouble() < perSecond / 100) {
+            // A step takes 10 ms; several requests may arrive in one.
+            for (double due = perSecond / 100; random.nextDouble() < due; due--) {
                 double x = random.nextDouble() * sum;
                 int i = 0;
                 while (cumulative[i] < x) {
@@ -174,6 +175,19 @@
         }
     }
 
+    /** Runs several kinds at once, all over the same {@code count} adapters of unequal use. */
+    void mix(long millis, Map<String, Double> perSecond, int count) {
+        for (long end = nowMs + millis; nowMs < end; ) {
+            perSecond.forEach(
+                    (kind, rate) -> {
+                        if (random.nextDouble() < rate / 100) {
+                            submit(kind, "a" + (int) (count * Math.pow(random.nextDouble(), 3)));
+                        }
+                    });
+            step();
+        }
+    }
+
     private void submit(String kind, String adapter) {
         String id = "r" + requests++;
         submittedMs.put(id, nowMs);
