Close callers that take no data; bound metric labels; test ring buffer, redirects and odd names

A connection whose write buffer makes no progress for 10 s is closed, because its answer would otherwise hold memory and delay a planned stop without end. An adapter name with a line break in a refused request made the response header invalid.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -85,7 +85,9 @@
 
     private void refuse(ModelRequest request, ResultCode code, Effects out) {
         long number = context.configuration().number();
-        answer(request, 0, OpenRequest.result(code, request, number, ""), out);
+        EngineResult plain = OpenRequest.result(code, request, number, "");
+        Duration wait = code == ResultCode.SHED ? context.overload().retryAfter() : Duration.ZERO;
+        answer(request, 0, plain, wait, out);
         out.add(new Effect.Measure(Signal.REFUSALS, code.name(), 1));
     }
 
@@ -188,7 +190,8 @@
             cancel(r, other, out);
         }
         int answered = r.relayed() != 0 ? r.relayed() : attempt;
-        answer(r.request(), answered, r.truthful(result), out);
+        EngineResult told = r.truthful(result);
+        answer(r.request(), answered, told, told.retryAfter(), out);
     }
 
     private void cancel(OpenRequest r, OpenRequest.Attempt attempt, Effects out) {
@@ -197,7 +200,12 @@
         dispatcher.cancel(r.id(), attempt, out);
     }
 
-    private void answer(ModelRequest request, int attempt, EngineResult result, Effects out) {
+    private void answer(
+            ModelRequest request,
+            int attempt,
+            EngineResult result,
+            Duration retryAfter,
+            Effects out) {
         ResultCode code =
                 result.code() == ResultCode.REDIRECT ? ResultCode.NO_UPSTREAM : result.code();
         out.add(
@@ -213,7 +221,7 @@
                                 context.settings().self().id()),
                         result.chunks(),
                         null,
-                        result.retryAfter(),
+                        retryAfter,
                         result.loadStall(),
                         ""));
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/ModelRequestsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/ModelRequestsTest.java
@@ -1,15 +1,18 @@
 package org.bronzehill.core.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.bronzehill.config.ImageCodec;
 import org.bronzehill.core.model.ModelRequest;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.result.RunState;
+import org.bronzehill.protocol.generated.Dispatch;
 import org.bronzehill.protocol.generated.DispatchEnd;
 import org.bronzehill.protocol.generated.Envelope;
 import org.testng.annotations.DataProvider;
@@ -259,6 +262,54 @@
         assertEquals(rig.answers.get(0).code(), ResultCode.SILENT_CONNECTION);
     }
 
+    /** Guards against a request that is sent from engine to engine for ever. */
+    @Test
+    public void followsOneRedirect() {
+        CoreRig rig = CoreRig.ready(2, 2);
+        List<Dispatch> sent = new ArrayList<>();
+        rig.lost =
+                e -> {
+                    if (e.hasDispatch()) {
+                        sent.add(e.getDispatch());
+                    }
+                    return e.hasDispatch();
+                };
+        String holder = rig.holder("entry-1", "engine-1");
+        if (!holder.equals(rig.holder("entry-1", "engine-2"))) {
+            holder = "entry-2";
+        }
+        String origin = holder.equals("entry-1") ? "entry-2" : "entry-1";
+        for (int i = 0; i < 4 && sent.isEmpty(); i++) {
+            rig.ask(origin, CoreRig.chat("q-" + i));
+        }
+        Dispatch first = sent.get(0);
+        assertFalse(first.getFinalHop());
+        String other = first.getEngine().equals("engine-1") ? "engine-2" : "engine-1";
+        DispatchEnd.Builder redirect =
+                DispatchEnd.newBuilder()
+                        .setRequestId(first.getRequestId())
+                        .setAttempt(first.getAttempt())
+                        .setResultCode(ResultCode.REDIRECT.number())
+                        .setRedirectTo(other);
+        rig.feed(
+                origin,
+                new Input.PeerReceived(
+                        Envelope.newBuilder().setFrom(holder).setDispatchEnd(redirect).build()));
+        boolean followed =
+                sent.stream()
+                                .anyMatch(
+                                        d ->
+                                                d.getRequestId().equals(first.getRequestId())
+                                                        && d.getEngine().equals(other)
+                                                        && d.getFinalHop())
+                        || rig.attempts.stream()
+                                .anyMatch(
+                                        a ->
+                                                a.requestId().equals(first.getRequestId())
+                                                        && a.engine().equals(other));
+        assertTrue(followed, sent.toString());
+    }
+
     /** Guards against a slow holder that keeps an interactive caller waiting. */
     @Test
     public void hedgesAnInteractiveRequestOnce() {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryProcess.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryProcess.java
@@ -24,7 +24,6 @@
 import org.bronzehill.entry.duty.PeerInbox;
 import org.bronzehill.entry.duty.Readiness;
 import org.bronzehill.entry.http.Gateway;
-import org.bronzehill.entry.http.HttpSettings;
 import org.bronzehill.entry.http.StatusPages;
 import org.bronzehill.entry.peer.PeerAddresses;
 import org.bronzehill.entry.peer.PeerLinks;
@@ -172,7 +171,7 @@
                         .build();
         context.registerSingleton(
                 Gateway.create(settings.identity().id(), incarnation, core, sinks, audit, tracing));
-        context.registerSingleton(new HttpSettings(settings.defaultKind()));
+        context.registerSingleton(settings.http());
         context.registerSingleton(readiness);
         context.registerSingleton(metrics);
         context.registerSingleton(
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/RelayEvents.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/RelayEvents.java
@@ -12,6 +12,9 @@
 /** Tells the core about the relay of answers, and records how they ended. */
 final class RelayEvents implements RelayListener {
 
+    /** Codes below tell that the request itself did not pass the checks. */
+    private static final int FIRST_CHECKED_CODE = 3000;
+
     private final Metrics metrics;
     private final Tracing tracing;
     private final AuditLog audit;
@@ -42,7 +45,9 @@
         long nanos = System.nanoTime() - outcome.request().startNanos();
         audit.record(outcome, nanos);
         tracing.endRequest(outcome.request().requestId(), outcome.code());
-        String kind = outcome.provenance() == null ? "" : outcome.request().kind();
+        // The name of an unknown kind is the caller's text and would make the labels endless.
+        boolean known = outcome.code().isSuccess() || outcome.code().number() >= FIRST_CHECKED_CODE;
+        String kind = known ? outcome.request().kind() : "";
         metrics.ended(kind, outcome.code(), nanos / (double) TimeUnit.SECONDS.toNanos(1));
     }
 }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/CallerWatch.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/CallerWatch.java
@@ -5,20 +5,64 @@
 import io.netty.channel.Channel;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GenericFutureListener;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** Notices that a caller has closed its connection before its answer was complete. */
 final class CallerWatch {
 
+    private static final long CHECK_SECONDS = 1;
+
     private CallerWatch() {}
 
-    /** Calls {@code onGone} if the connection closes before {@code done} completes. */
-    static void watch(HttpRequest<?> request, CompletableFuture<?> done, Runnable onGone) {
+    /**
+     * Calls {@code onGone} if the connection closes before {@code done} completes, and closes a
+     * connection that takes no data for {@code limit}.
+     */
+    static void watch(
+            HttpRequest<?> request, CompletableFuture<?> done, Duration limit, Runnable onGone) {
         if (request instanceof NettyHttpRequest<?> netty) {
             Channel channel = netty.getChannelHandlerContext().channel();
             GenericFutureListener<Future<? super Void>> listener = f -> onGone.run();
             channel.closeFuture().addListener(listener);
-            done.whenComplete((r, e) -> channel.closeFuture().removeListener(listener));
+            WriteProgress progress = new WriteProgress(channel, limit);
+            Future<?> checks =
+                    channel.eventLoop()
+                            .scheduleWithFixedDelay(
+                                    progress::check,
+                                    CHECK_SECONDS,
+                                    CHECK_SECONDS,
+                                    TimeUnit.SECONDS);
+            done.whenComplete(
+                    (r, e) -> {
+                        channel.closeFuture().removeListener(listener);
+                        checks.cancel(false);
+                    });
+        }
+    }
+
+    /** Notices that a connection with a full write buffer makes no progress. */
+    private static final class WriteProgress {
+        private final Channel channel;
+        private final long limitNanos;
+        private long pending;
+        private long changedNanos = System.nanoTime();
+
+        WriteProgress(Channel channel, Duration limit) {
+            this.channel = channel;
+            this.limitNanos = limit.toNanos();
+        }
+
+        void check() {
+            long now = System.nanoTime();
+            long present = channel.bytesBeforeWritable();
+            if (present == 0 || present != pending) {
+                pending = present;
+                changedNanos = now;
+            } else if (now - changedNanos > limitNanos) {
+                channel.close();
+            }
         }
     }
 }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/ModelController.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/ModelController.java
@@ -39,6 +39,7 @@
         CallerWatch.watch(
                 request,
                 accepted.reply().thenCompose(r -> r.whenDelivered()),
+                settings.callerSilence(),
                 () -> gateway.callerGone(accepted.info().requestId()));
         return accepted.reply()
                 .thenApply(reply -> Responses.of(accepted.info(), gateway.entry(), reply));
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/PlainServiceController.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/PlainServiceController.java
@@ -24,9 +24,11 @@
     private static final byte[] NO_BODY = {};
 
     private final Gateway gateway;
+    private final HttpSettings settings;
 
-    PlainServiceController(Gateway gateway) {
+    PlainServiceController(Gateway gateway, HttpSettings settings) {
         this.gateway = gateway;
+        this.settings = settings;
     }
 
     @Post("/v1/services/{service}/{operation}")
@@ -40,7 +42,10 @@
         Gateway.Accepted accepted =
                 accept(request, service, operation, body == null ? NO_BODY : body);
         CallerWatch.watch(
-                request, accepted.reply(), () -> gateway.callerGone(accepted.info().requestId()));
+                request,
+                accepted.reply(),
+                settings.callerSilence(),
+                () -> gateway.callerGone(accepted.info().requestId()));
         return accepted.reply()
                 .thenApply(reply -> Responses.of(accepted.info(), gateway.entry(), reply));
     }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/Responses.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/Responses.java
@@ -14,6 +14,7 @@
 final class Responses {
 
     private static final String PREFIX = "X-Bronzehill-";
+    private static final int DELETE = 0x7f;
 
     private Responses() {}
 
@@ -33,7 +34,7 @@
         }
         Provenance p = reply.provenance();
         if (p != null) {
-            response.header(PREFIX + "Adapter", p.adapter());
+            response.header(PREFIX + "Adapter", printable(p.adapter()));
             response.header(PREFIX + "Adapter-Version", String.valueOf(p.version()));
             response.header(PREFIX + "Configuration", String.valueOf(p.configurationNumber()));
             response.header(PREFIX + "Upstream", p.upstream());
@@ -41,6 +42,11 @@
         return response;
     }
 
+    /** The adapter of a refused request is the caller's text, which need not fit a header. */
+    private static String printable(String text) {
+        return text.chars().allMatch(c -> c > ' ' && c < DELETE) ? text : "";
+    }
+
     private static Event<String> event(Reply.StreamEvent e) {
         Event<String> event = Event.of(e.data());
         return e.comment().isEmpty() ? event : event.comment(e.comment());
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
@@ -74,6 +74,11 @@
             description = "Kind of model requests without the header X-Bronzehill-Kind")
     private String defaultKind;
 
+    @Option(
+            name = "--caller-silence-ms",
+            description = "Time for which a caller may take no data; 10000 by default")
+    private String callerSilenceMs;
+
     @Option(name = "--log-level", description = "INFO by default")
     private String logLevel;
 
@@ -106,6 +111,7 @@
         values.put("trace-exporter", traceExporter);
         values.put("trace-endpoint", traceEndpoint);
         values.put("default-kind", defaultKind);
+        values.put("caller-silence-ms", callerSilenceMs);
         values.put("log-level", logLevel);
         return values;
     }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/ProgramSettings.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/ProgramSettings.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import org.bronzehill.entry.http.HttpSettings;
 import org.bronzehill.entry.telemetry.Tracing;
 
 /** Checked settings of the program. */
@@ -17,7 +18,7 @@
         Bounds bounds,
         Duration hedgeAfter,
         Traces traces,
-        String defaultKind,
+        HttpSettings http,
         String logLevel) {
 
     /** Largest bound that a setting may raise a queue to. */
@@ -68,7 +69,10 @@
                                         Tracing.Exporter.OFF,
                                         Tracing.Exporter.class),
                                 in.text("trace-endpoint", "http://127.0.0.1:4317")),
-                        in.text("default-kind", ""),
+                        new HttpSettings(
+                                in.text("default-kind", ""),
+                                Duration.ofMillis(
+                                        in.number("caller-silence-ms", 10_000, 1, 3_600_000))),
                         in.level("log-level", "INFO"));
         return in.errors().isEmpty() ? Either.right(settings) : Either.left(in.errors());
     }
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
@@ -167,6 +167,7 @@
             {chat("x", true).setHeader("X-Bronzehill-Deadline-Ms", "soon"), 400, 2006},
             {body("{\"model\":"), 400, 2001},
             {body("[]"), 400, 2001},
+            {body("{\"model\":\"a\\n1\",\"messages\":[{\"content\":\"x\"}]}"), 404, 2004},
             {body(""), 400, 2001},
             {body("{\"model\":\"a-1\",\"messages\":[]}"), 400, 2001},
             {body("{\"model\":\"a-9\",\"messages\":[{\"content\":\"x\"}]}"), 404, 2004},
--- /dev/null
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/duty/CoreThreadTest.java
@@ -0,0 +1,71 @@
+package org.bronzehill.entry.duty;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.EntryCore;
+import org.bronzehill.core.node.EntrySettings;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.time.SystemTimeSource;
+import org.testng.annotations.Test;
+
+/** The ring buffer of the core thread. */
+public class CoreThreadTest {
+
+    private static final int CAPACITY = 64;
+
+    private static EntryCore core() {
+        InstanceRef self = new InstanceRef("entry-1", 1, "127.0.0.1", 7070, "dc-1", "r-1");
+        return EntryCore.create(
+                EntrySettings.of(self), SystemTimeSource.instance(), new SplittableRandom(1));
+    }
+
+    /** Guards against a full ring that blocks, and against requests that crowd out ends. */
+    @Test
+    public void refusesRequestsBeforeItIsFull() {
+        AtomicInteger lost = new AtomicInteger();
+        CoreThread thread =
+                CoreThread.create(CAPACITY, core(), effect -> {}, lost::incrementAndGet);
+        int requests = 0;
+        while (thread.offerRequest(new Input.CallerGone("q"))) {
+            requests++;
+        }
+        assertTrue(requests < CAPACITY, "requests fill the whole ring: " + requests);
+        for (int i = requests; i < CAPACITY; i++) {
+            thread.accept(new Input.CallerGone("q"));
+        }
+        assertEquals(lost.get(), 0);
+        thread.accept(new Input.CallerGone("q"));
+        assertEquals(lost.get(), 1);
+        assertEquals(thread.queued(), CAPACITY);
+        assertTrue(thread.query(c -> 1).isCompletedExceptionally());
+    }
+
+    /** Guards against a fault in one input that ends the thread and with it every request. */
+    @Test
+    public void survivesAFailingEffect() {
+        List<Effect> effects = Collections.synchronizedList(new ArrayList<>());
+        CoreThread thread =
+                CoreThread.create(
+                        CAPACITY,
+                        core(),
+                        effect -> {
+                            effects.add(effect);
+                            throw new IllegalStateException("fault of the test");
+                        },
+                        () -> {});
+        thread.start();
+        String phase = thread.query(c -> c.status().phase().name()).join();
+        assertFalse(phase.isEmpty());
+        thread.close();
+        assertFalse(effects.isEmpty());
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package of the same name. */
+package org.bronzehill.entry.duty;
