--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
@@ -22,7 +22,9 @@
         if (!onControl(envelope, out)) {
             onWork(envelope, out);
         }
-        context.gate().update(out);
+        if (context.gate().phase() == CoreStatus.Phase.CHECKING) {
+            context.gate().update(out);
+        }
     }
 
     private boolean onControl(Envelope envelope, Effects out) {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryProcess.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryProcess.java
@@ -18,6 +18,7 @@
 import org.bronzehill.core.node.EntryCore;
 import org.bronzehill.core.node.EntrySettings;
 import org.bronzehill.core.node.Input;
+import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.time.SystemTimeSource;
 import org.bronzehill.entry.duty.CoreThread;
 import org.bronzehill.entry.duty.EffectRunner;
@@ -126,7 +127,8 @@
                         EntryCore.create(
                                 coreSettings(peerAddress), SystemTimeSource.instance(), random),
                         effects,
-                        metrics::inputLost);
+                        metrics::inputLost,
+                        this::failed);
         inputs.bind(thread);
         effects.bind(thread);
         inbox.bind(thread);
@@ -134,6 +136,15 @@
         return thread;
     }
 
+    /** Ends a request whose handling failed, so that its caller does not wait for ever. */
+    private void failed(Object input) {
+        if (input instanceof Input.ModelRequested i) {
+            sinks.fail(i.request().requestId(), ResultCode.INTERNAL);
+        } else if (input instanceof Input.ServiceRequested i) {
+            sinks.fail(i.request().requestId(), ResultCode.INTERNAL);
+        }
+    }
+
     private EntrySettings coreSettings(InetSocketAddress peerAddress) {
         EntrySettings defaults =
                 EntrySettings.of(
@@ -165,6 +176,8 @@
                                         MAX_REQUEST_SIZE,
                                         "micronaut.server.netty.server-type",
                                         "full_content",
+                                        "jackson.serialization-inclusion",
+                                        "ALWAYS",
                                         "endpoints.all.enabled",
                                         false))
                         .banner(false)
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/CoreThread.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/CoreThread.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.EntryCore;
@@ -28,16 +29,23 @@
     private final EntryCore core;
     private final Effects effects;
     private final Runnable onLost;
+    private final Consumer<Object> onFault;
     private final Thread thread = new Thread(this::run, "core");
     private volatile boolean stopped;
     private volatile boolean parked;
 
-    private CoreThread(int capacity, EntryCore core, Effects effects, Runnable onLost) {
+    private CoreThread(
+            int capacity,
+            EntryCore core,
+            Effects effects,
+            Runnable onLost,
+            Consumer<Object> onFault) {
         this.ring = new MpscArrayQueue<>(capacity);
         this.requestThreshold = ring.capacity() * 3 / 4;
         this.core = core;
         this.effects = effects;
         this.onLost = onLost;
+        this.onFault = onFault;
         thread.setDaemon(true);
     }
 
@@ -46,10 +54,15 @@
      *
      * @param capacity size of the ring buffer
      * @param onLost called for each input that found the ring buffer full
+     * @param onFault receives each input whose handling failed
      */
     public static CoreThread create(
-            int capacity, EntryCore core, Effects effects, Runnable onLost) {
-        return new CoreThread(capacity, core, effects, onLost);
+            int capacity,
+            EntryCore core,
+            Effects effects,
+            Runnable onLost,
+            Consumer<Object> onFault) {
+        return new CoreThread(capacity, core, effects, onLost, onFault);
     }
 
     /** Starts the thread. */
@@ -133,6 +146,7 @@
             }
         } catch (RuntimeException e) {
             LOG.errorf(e, "the core failed on %s", item.getClass().getSimpleName());
+            onFault.accept(item);
         }
     }
 
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/SinkTable.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/SinkTable.java
@@ -90,9 +90,14 @@
 
     /** Ends an answer whose caller has closed its connection. */
     public void callerGone(String requestId) {
+        fail(requestId, ResultCode.CANCELLED);
+    }
+
+    /** Ends an answer for a reason found outside the core. */
+    public void fail(String requestId, ResultCode code) {
         AnswerSink sink = sinks.get(requestId);
         if (sink != null) {
-            sink.fail(ResultCode.CANCELLED);
+            sink.fail(code);
             removeEnded(requestId, sink);
         }
     }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/AuditLog.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/AuditLog.java
@@ -19,13 +19,16 @@
 
     private static final Logger AUDIT = Logger.getLogger("org.bronzehill.audit");
     private static final Logger LOG = Logger.getLogger(AuditLog.class);
-    private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+    /** A producer wakes the thread; the time only bounds the wait if a wake-up is missed. */
+    private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final ObjectMapper mapper = new ObjectMapper();
     private final MpscArrayQueue<Entry> ring;
     private final String entry;
     private final Thread thread = new Thread(this::run, "audit");
     private volatile boolean stopped;
+    private volatile boolean parked;
 
     private record Entry(Instant time, RequestOutcome outcome, long durationNanos) {}
 
@@ -47,6 +50,9 @@
         if (!ring.offer(new Entry(Instant.now(), outcome, durationNanos))) {
             LOG.errorf("audit record of request %s is lost", outcome.request().requestId());
         }
+        if (parked) {
+            LockSupport.unpark(thread);
+        }
     }
 
     /** Returns whether so many records wait that no new request may be taken. */
@@ -58,13 +64,22 @@
         while (!stopped || !ring.isEmpty()) {
             Entry next = ring.poll();
             if (next == null) {
-                LockSupport.parkNanos(IDLE_NANOS);
+                park();
             } else {
                 AUDIT.info(json(next));
             }
         }
     }
 
+    /** The flag is set before the queue is checked again, so that no wake-up is missed. */
+    private void park() {
+        parked = true;
+        if (ring.isEmpty() && !stopped) {
+            LockSupport.parkNanos(this, IDLE_NANOS);
+        }
+        parked = false;
+    }
+
     private String json(Entry e) {
         RequestOutcome o = e.outcome();
         Provenance p = o.provenance();
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/duty/CoreThreadTest.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/duty/CoreThreadTest.java
@@ -33,7 +33,8 @@
     public void refusesRequestsBeforeItIsFull() {
         AtomicInteger lost = new AtomicInteger();
         CoreThread thread =
-                CoreThread.create(CAPACITY, core(), effect -> {}, lost::incrementAndGet);
+                CoreThread.create(
+                        CAPACITY, core(), effect -> {}, lost::incrementAndGet, item -> {});
         int requests = 0;
         while (thread.offerRequest(new Input.CallerGone("q"))) {
             requests++;
@@ -52,6 +53,7 @@
     /** Guards against a fault in one input that ends the thread and with it every request. */
     @Test
     public void survivesAFailingEffect() {
+        List<Object> faults = Collections.synchronizedList(new ArrayList<>());
         List<Effect> effects = Collections.synchronizedList(new ArrayList<>());
         CoreThread thread =
                 CoreThread.create(
@@ -61,11 +63,13 @@
                             effects.add(effect);
                             throw new IllegalStateException("fault of the test");
                         },
-                        () -> {});
+                        () -> {},
+                        faults::add);
         thread.start();
         String phase = thread.query(c -> c.status().phase().name()).join();
         assertFalse(phase.isEmpty());
         thread.close();
         assertFalse(effects.isEmpty());
+        assertFalse(faults.isEmpty());
     }
 }
