--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Evidence.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Evidence.java
@@ -36,6 +36,7 @@
     private long occupied;
     private long places;
     private long actsRecorded;
+    private int lostLedgers;
 
     private Evidence() {}
 
@@ -75,6 +76,11 @@
         places += ledger.path("steps").asLong() * ledger.path("batchSize").asLong();
     }
 
+    /** Notes that an engine ended with entries that nobody has read. */
+    public void addLostLedger() {
+        lostLedgers++;
+    }
+
     /** Adds the ledger of an application runner. */
     public void addRunner(JsonNode ledger) {
         ledger.path("actsByKey").fields().forEachRemaining(f -> sum(actsByKey, f));
@@ -147,6 +153,14 @@
         return declarations;
     }
 
+    boolean allLedgersKnown() {
+        return lostLedgers == 0;
+    }
+
+    long totalRuns() {
+        return runs.values().stream().mapToLong(Long::longValue).sum();
+    }
+
     long runs(String requestId) {
         return runs.getOrDefault(requestId, 0L);
     }
--- a/bronzehill-standin/src/test/java/org/bronzehill/standin/driver/internal/PromiseTest.java
+++ b/bronzehill-standin/src/test/java/org/bronzehill/standin/driver/internal/PromiseTest.java
@@ -112,6 +112,14 @@
         onlyBroken(Promise.P1);
     }
 
+    @Test
+    public void answerThatNoEngineHasRunBreaksP1UnlessALedgerIsLost() {
+        tell(chat(true), "r3", ResultCode.OK, ADAPTER, PINNED, 100, true);
+        onlyBroken(Promise.P1);
+        evidence.addLostLedger();
+        onlyBroken(null);
+    }
+
     @Test
     public void cutOffRequestBreaksP2() {
         engine("'violations':[{'type':'cut-off','requestId':'r1','handle':'h'}]");
@@ -120,6 +128,7 @@
 
     @Test
     public void partialAnswerBreaksP3() {
+        engine("'runs':{'r3':1}");
         tell(chat(true), "r3", ResultCode.OK, ADAPTER, PINNED, 100, false);
         onlyBroken(Promise.P3);
     }
