--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExplainCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExplainCommand.java
@@ -38,7 +38,7 @@
     @Override
     public ExitStatus call() throws IOException {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
-        body.put("kind", kind).put("adapter", adapter);
+        body.put("kind", kind).put("model", adapter);
         String bearer =
                 token != null ? token : System.getenv().getOrDefault("BRONZEHILL_TOKEN", "");
         Either<String, JsonNode> answer =
