Recompute grantors only when the instance list changes

Cause: every read of the list, once a second, rebuilt the grantors and moved the next renewal forward.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseManager.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/lease/LeaseManager.java
@@ -51,6 +51,7 @@
     private OwnershipScope scope;
     private long scopeNumber;
     private long scopeChecked;
+    private long regroupedVersion;
 
     private record Hint(String holder, long at) {}
 
@@ -101,13 +102,14 @@
     /** Follows a change of the published instance list; called after the membership's method. */
     public void onInstanceList(InstanceList list, Effects out) {
         followScope(out);
-        if (scope != null && list.version() == membership.list().version()) {
+        if (scope != null && membership.list().version() != regroupedVersion) {
             regroup(GrantTable.HOLD_OFF_NANOS, out);
         }
     }
 
     /** Recomputes the grantors; where this instance becomes one, it grants only after a wait. */
     private void regroup(long holdOff, Effects out) {
+        regroupedVersion = membership.list().version();
         index.rebuild(membership.list(), scope);
         Set<String> mine = new TreeSet<>();
         index.sets()
