--- a/bronzehill-config/src/main/java/org/bronzehill/config/AdapterSpec.java
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/AdapterSpec.java
@@ -1,6 +1,7 @@
 package org.bronzehill.config;
 
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * An adapter with its numbered versions.
@@ -20,8 +21,15 @@
     public static final String ANY_KIND = "*";
 
     public AdapterSpec {
+        // A few base models, groups and kinds stand in tens of thousands of adapters.
+        baseModel = baseModel.intern();
+        group = group.intern();
         versions = Map.copyOf(versions);
-        pins = Map.copyOf(pins);
+        pins =
+                pins.entrySet().stream()
+                        .collect(
+                                Collectors.toUnmodifiableMap(
+                                        e -> e.getKey().intern(), Map.Entry::getValue));
     }
 
     /**
--- a/bronzehill-config/src/main/java/org/bronzehill/config/ImageCodec.java
+++ b/bronzehill-config/src/main/java/org/bronzehill/config/ImageCodec.java
@@ -13,9 +13,9 @@
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -36,7 +36,7 @@
         String base = put(shards, configuration.base());
         List<String> hashes = new ArrayList<>();
         for (Map<String, AdapterSpec> shard : configuration.shards()) {
-            hashes.add(put(shards, new ShardContent(new TreeMap<>(shard))));
+            hashes.add(put(shards, new ShardContent(shard)));
         }
         return new ConfigurationImage(new Manifest(configuration.number(), base, hashes), shards);
     }
@@ -65,7 +65,7 @@
     }
 
     static Either<String, Map<String, AdapterSpec>> decodeShard(byte[] json) {
-        return read(json, ShardContent.class, "adapter shard").map(ShardContent::adapters);
+        return read(json, ShardContent.class, "adapter shard").map(s -> Map.copyOf(s.adapters()));
     }
 
     private static <T> Either<String, T> read(byte[] json, Class<T> type, String what) {
@@ -105,7 +105,7 @@
     /** Adapters of one shard by name. */
     record ShardContent(Map<String, AdapterSpec> adapters) {
         ShardContent {
-            adapters = new LinkedHashMap<>(adapters);
+            adapters = Collections.unmodifiableSortedMap(new TreeMap<>(adapters));
         }
     }
 }
