Take every refusal of an attempt as an unknown handle

Cause: engines promise only for an unknown handle that a refused request did not run; the detail text that was searched is not part of the interface. Change: a refused attempt drops the belief in its handle, whatever the detail says.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
@@ -168,7 +168,7 @@
     }
 
     /** Ends an attempt that failed. */
-    boolean failed(long id, FailureReason reason, long chunks, String detail, Effects out) {
+    boolean failed(long id, FailureReason reason, long chunks, Effects out) {
         Attempt a = attempts.get(id);
         if (a == null) {
             return false;
@@ -179,7 +179,7 @@
         remove(id);
         if (reason.provesNotRun()) {
             engine.queue().charge(a.queued().entitlement(), -1);
-            notRun(a, reason, detail, out);
+            notRun(a, reason, out);
             return true;
         }
         if (reason == FailureReason.BROKEN) {
@@ -209,12 +209,13 @@
     }
 
     /** Queues the request again if that can help, or ends it as not run. */
-    private void notRun(Attempt a, FailureReason reason, String detail, Effects out) {
+    private void notRun(Attempt a, FailureReason reason, Effects out) {
         QueuedRequest q = a.queued();
         long now = engine.now();
         if (reason == FailureReason.NOT_SENT) {
             engine.unreachableUntilNanos = now + UNREACHABLE_NANOS;
-        } else if (detail != null && detail.contains("unknown_handle")) {
+        } else {
+            // Engines promise only for an unknown handle that a refused request did not run.
             handles.unknown(a.handle());
         }
         boolean again =
@@ -251,7 +252,7 @@
         markCrashed(out);
         for (Attempt a : List.copyOf(attempts.values())) {
             out.add(new Effect.CancelAttempt(a.id()));
-            failed(a.id(), FailureReason.BROKEN, a.hasOutput ? 1 : 0, "engine restarted", out);
+            failed(a.id(), FailureReason.BROKEN, a.hasOutput ? 1 : 0, out);
         }
     }
 
@@ -275,9 +276,9 @@
         for (Attempt a : List.copyOf(attempts.values())) {
             long chunks = a.hasOutput ? 1 : 0;
             if (a.cancelledNanos >= 0 && now - a.cancelledNanos > GRACE_NANOS) {
-                failed(a.id(), FailureReason.CANCELLED, chunks, "", out);
+                failed(a.id(), FailureReason.CANCELLED, chunks, out);
             } else if (now - a.queued().deadlineNanos() > GRACE_NANOS) {
-                failed(a.id(), FailureReason.TIMED_OUT, chunks, "", out);
+                failed(a.id(), FailureReason.TIMED_OUT, chunks, out);
             }
         }
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
@@ -143,7 +143,7 @@
     public boolean onAttemptFailed(
             long attemptId, FailureReason reason, long chunks, String detail, Effects out) {
         advanceBatch();
-        boolean known = dispatcher.failed(attemptId, reason, chunks, detail, out);
+        boolean known = dispatcher.failed(attemptId, reason, chunks, out);
         if (known) {
             proceed(out);
         }
