--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Metrics.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Metrics.java
@@ -97,6 +97,7 @@
         if (GAUGES.contains(signal)) {
             Gauge gauge =
                     Gauge.builder().name(name).help(help).labelNames("label").register(registry);
+            gauge.initLabelValues("");
             return (label, value) -> gauge.labelValues(label).set(value);
         }
         if (HISTOGRAMS.contains(signal)) {
@@ -107,6 +108,7 @@
                             .labelNames("label")
                             .classicOnly()
                             .register(registry);
+            histogram.initLabelValues("");
             return (label, value) -> histogram.labelValues(label).observe(value);
         }
         Counter counter =
@@ -115,6 +117,7 @@
                         .help(help)
                         .labelNames("label")
                         .register(registry);
+        counter.initLabelValues("");
         return (label, value) -> counter.labelValues(label).inc(Math.max(0, value));
     }
 
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
@@ -15,10 +15,12 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.bronzehill.core.node.Signal;
 import org.bronzehill.entry.settings.ProgramSettings;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -228,7 +230,12 @@
         assertEquals(status.at("/configuration/number").asInt(), 7);
         assertEquals(status.at("/upstreams/0/holder").asText(), "entry-1");
         assertTrue(status.path("queues").has("ring"), status.toString());
-        assertTrue(get("/metrics").body().contains("bronzehill_requests_total{"));
+        String metrics = get("/metrics").body();
+        assertTrue(metrics.contains("bronzehill_requests_total{"));
+        for (Signal signal : Signal.values()) {
+            String name = "\nbronzehill_" + signal.name().toLowerCase(Locale.ROOT);
+            assertTrue(metrics.contains(name), name);
+        }
         HttpRequest.Builder explain =
                 HttpRequest.newBuilder(uri("/explain"))
                         .POST(
