--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
@@ -184,7 +184,7 @@
         } else if (answer.httpStatus() >= 400) {
             code = ResultCode.UPSTREAM_REJECTED;
         }
-        finish(o, code, code == ResultCode.OK ? answer : null, out);
+        finish(o, code, code == ResultCode.UPSTREAM_FAILED ? null : answer, out);
         return true;
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/NodeLifeTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/NodeLifeTest.java
@@ -94,6 +94,19 @@
         assertEquals(rig.answers.get(1).code(), ResultCode.DEADLINE_PASSED);
     }
 
+    /** Guards against a runner's refusal that is hidden from the caller, or taken for success. */
+    @Test
+    public void passesARunnersRefusalOn() {
+        CoreRig rig = CoreRig.ready(1, 1);
+        rig.feed("entry-1", new Input.ServiceRequested(CoreRig.service("q-1", "lookup", "")));
+        Input.ServiceAnswer refusal =
+                new Input.ServiceAnswer(404, "text/plain", new byte[2], Map.of());
+        long call = rig.calls.get(0).callId();
+        rig.feed("entry-1", new Input.ServiceAnswered(call, refusal));
+        assertEquals(rig.answers.get(0).code(), ResultCode.UPSTREAM_REJECTED);
+        assertEquals(rig.answers.get(0).body(), refusal);
+    }
+
     /** Guards against an act without a key, which could not be recognised when it is resent. */
     @Test
     public void refusesAnActWithoutKey() {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/Gateway.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/Gateway.java
@@ -17,7 +17,14 @@
 /** Hands callers' requests to the core and refuses those for which there is no room. */
 public final class Gateway {
 
+    /**
+     * Bodies are kept until the end of their requests, for retries; a quarter of the heap is
+     * theirs.
+     */
+    private static final long MAX_HELD_BYTES = Runtime.getRuntime().maxMemory() / 4;
+
     private final AtomicLong sequence = new AtomicLong();
+    private final AtomicLong held = new AtomicLong();
     private final String entry;
     private final String idPrefix;
     private final CoreThread core;
@@ -54,6 +61,13 @@
     /** A request on its way. */
     record Accepted(RequestInfo info, CompletableFuture<Reply> reply) {}
 
+    /**
+     * What a request asks the core to do.
+     *
+     * @param span name of the request's span
+     */
+    record Work(String span, String traceparent, boolean stream, byte[] body, Input input) {}
+
     /** Returns the id of a new request; the incarnation makes it unique over restarts. */
     RequestInfo info(String kind, String adapter) {
         String id = idPrefix + Long.toString(sequence.incrementAndGet(), Character.MAX_RADIX);
@@ -61,14 +75,32 @@
     }
 
     /** Gives a request to the core. */
-    Accepted submit(
-            RequestInfo info, String span, String traceparent, boolean stream, Input input) {
+    Accepted submit(RequestInfo info, Work work) {
+        long bytes = work.body().length;
+        if (held.addAndGet(bytes) > MAX_HELD_BYTES) {
+            held.addAndGet(-bytes);
+            return new Accepted(info, refused(info, ResultCode.TABLE_FULL));
+        }
+        Accepted accepted = admit(info, work);
+        accepted.reply().whenComplete((r, e) -> release(r, bytes));
+        return accepted;
+    }
+
+    private void release(Reply reply, long bytes) {
+        if (reply == null) {
+            held.addAndGet(-bytes);
+        } else {
+            reply.whenDelivered().whenComplete((r, e) -> held.addAndGet(-bytes));
+        }
+    }
+
+    private Accepted admit(RequestInfo info, Work work) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
-        if (!sinks.open(info, stream, reply)) {
+        if (!sinks.open(info, work.stream(), reply)) {
             return new Accepted(info, refused(info, ResultCode.TABLE_FULL));
         }
-        tracing.startRequest(info.requestId(), span, traceparent);
-        if (audit.isBehind() || !core.offerRequest(input)) {
+        tracing.startRequest(info.requestId(), work.span(), work.traceparent());
+        if (audit.isBehind() || !core.offerRequest(work.input())) {
             sinks.answer(refusal(info, ResultCode.TABLE_FULL, ""));
         }
         return new Accepted(info, reply);
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/ModelController.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/ModelController.java
@@ -72,9 +72,11 @@
                         chat.maxTokens());
         return gateway.submit(
                 info,
-                "chat completion",
-                h.traceparent(),
-                chat.stream(),
-                new Input.ModelRequested(model));
+                new Gateway.Work(
+                        "chat completion",
+                        h.traceparent(),
+                        chat.stream(),
+                        body,
+                        new Input.ModelRequested(model)));
     }
 }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/PlainServiceController.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/PlainServiceController.java
@@ -72,6 +72,12 @@
                                 .map(MediaType::toString)
                                 .orElse(MediaType.APPLICATION_JSON));
         return gateway.submit(
-                info, "service call", h.traceparent(), false, new Input.ServiceRequested(call));
+                info,
+                new Gateway.Work(
+                        "service call",
+                        h.traceparent(),
+                        false,
+                        body,
+                        new Input.ServiceRequested(call)));
     }
 }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLink.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.bronzehill.protocol.generated.Envelope;
 
@@ -29,12 +30,16 @@
     /** A peer in the same region answers a connection attempt within a few milliseconds. */
     private static final int CONNECT_TIMEOUT_MS = 250;
 
+    /** Bytes that may wait for one peer: some tens of the largest request bodies. */
+    private static final long MAX_BYTES = 32 << 20;
+
     private final String instance;
     private final EventLoop loop;
     private final Supplier<Optional<InetSocketAddress>> address;
     private final PeerListener listener;
     private final int capacity;
     private final AtomicInteger queued = new AtomicInteger();
+    private final AtomicLong queuedBytes = new AtomicLong();
     private final Queue<Envelope> queue = new ArrayDeque<>();
     private Channel channel;
     private boolean connecting;
@@ -54,8 +59,10 @@
     }
 
     boolean send(Envelope envelope, boolean fresh) {
-        if (queued.incrementAndGet() > capacity) {
-            queued.decrementAndGet();
+        long bytes = envelope.getSerializedSize();
+        boolean full = queuedBytes.addAndGet(bytes) > MAX_BYTES;
+        if (queued.incrementAndGet() > capacity || full) {
+            release(envelope);
             return false;
         }
         loop.execute(() -> enqueue(envelope, fresh));
@@ -77,7 +84,7 @@
 
     private void enqueue(Envelope envelope, boolean fresh) {
         if (closed) {
-            queued.decrementAndGet();
+            release(envelope);
             return;
         }
         queue.add(envelope);
@@ -94,7 +101,8 @@
         }
         boolean written = false;
         while (!queue.isEmpty() && channel.isWritable()) {
-            channel.write(queue.remove()).addListener(f -> queued.decrementAndGet());
+            Envelope next = queue.remove();
+            channel.write(next).addListener(f -> release(next));
             written = true;
         }
         if (written) {
@@ -143,10 +151,15 @@
     }
 
     private void dropQueue() {
-        queued.addAndGet(-queue.size());
+        queue.forEach(this::release);
         queue.clear();
     }
 
+    private void release(Envelope envelope) {
+        queued.decrementAndGet();
+        queuedBytes.addAndGet(-envelope.getSerializedSize());
+    }
+
     private void closeChannel() {
         Channel old = channel;
         channel = null;
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/StreamSink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/StreamSink.java
@@ -13,7 +13,7 @@
 final class StreamSink extends AnswerSink {
 
     /** Events that may wait for a slow caller; a full buffer ends the answer. */
-    private static final int BUFFERED_EVENTS = 4096;
+    private static final int BUFFERED_EVENTS = 1024;
 
     private final CompletableFuture<Reply> reply;
     private final CompletableFuture<Void> delivered = new CompletableFuture<>();
