--- a/bronzehill-core/src/test/java/org/bronzehill/core/cluster/ScheduleTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/cluster/ScheduleTest.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import org.bronzehill.config.ConfigurationStore;
+import org.bronzehill.config.OwnershipScope;
 import org.bronzehill.core.model.ListedInstance;
 import org.bronzehill.core.model.ListedState;
 import org.testng.annotations.Test;
@@ -24,6 +25,9 @@
 
     private static final int SCHEDULES = 60;
 
+    /** A late refusal once kept a candidate from claiming for ever in this schedule. */
+    private static final long LATE_REFUSAL = 1095;
+
     /** Faults that only some tests add. */
     private enum Sabotage {
         NONE,
@@ -38,6 +42,7 @@
         for (long seed = 1; seed <= SCHEDULES; seed++) {
             assertEquals(run(seed, Sabotage.NONE).toString(), "[]", "seed " + seed);
         }
+        assertEquals(run(LATE_REFUSAL, Sabotage.NONE).toString(), "[]");
     }
 
     /** Shows that the check of the holders notices grantors that grant to everybody. */
@@ -70,6 +75,7 @@
         SplittableRandom random = new SplittableRandom(seed);
         int instances = 3 + random.nextInt(7);
         VirtualCluster c = new VirtualCluster(seed, instances, 4, 3);
+        c.scope = OwnershipScope.values()[random.nextInt(2)];
         c.service.publish(c.configuration(1));
         c.startAll();
         if (sabotage == Sabotage.BROKEN_GRANTORS) {
