Ship 50 traces with stated outcomes

Cause: outcomes of faults must be stated, not only observed. Change: the generator writes each scenario alone, eight pairs and four scenarios twice for both deployments; expectations follow from the records alone: allowed result codes, versions that may answer, least share of successes.

--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/GenerateCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/GenerateCommand.java
@@ -14,6 +14,7 @@
 import org.bronzehill.replay.expect.ExpectationGenerator;
 import org.bronzehill.replay.generate.Deployment;
 import org.bronzehill.replay.generate.Scenario;
+import org.bronzehill.replay.generate.ShippedTraces;
 import org.bronzehill.replay.generate.TraceGenerator;
 import org.bronzehill.replay.trace.Trace;
 import org.bronzehill.replay.trace.TraceFormat;
@@ -47,8 +48,15 @@
     @Option(name = "--exponent", title = "X", description = "Exponent of the popularity")
     private double exponent = 1.2;
 
+    @Option(name = "--shipped", description = "Write all shipped traces to the directory TRACE")
+    private boolean shipped;
+
     @Override
     public ExitStatus call() throws IOException {
+        if (shipped) {
+            ShippedTraces.writeTo(Path.of(trace));
+            return ExitStatus.OK;
+        }
         List<Scenario> scenarios =
                 Arrays.stream(scenario.split("\\+")).map(Scenario::ofLabel).toList();
         Trace t =
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/ExpectationGenerator.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/ExpectationGenerator.java
@@ -52,6 +52,7 @@
         } else if (r instanceof TraceRecord.EngineRestart
                 || r instanceof TraceRecord.Silence
                 || r instanceof TraceRecord.Pause
+                || r instanceof TraceRecord.Partition
                 || r instanceof TraceRecord.Model m && m.crashes()) {
             engineFaults = true;
         } else if (r instanceof TraceRecord.Kill) {
@@ -96,6 +97,9 @@
         }
         if (engineFaults) {
             outcomes.add("MAY_HAVE_RUN");
+        } else if (otherFaults) {
+            // The instance of the caller cannot tell whether the holder has started the request.
+            outcomes.add("DEADLINE_PASSED");
         }
         return withLoss(refusable(outcomes));
     }
--- /dev/null
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/generate/ShippedTraces.java
@@ -0,0 +1,100 @@
+package org.bronzehill.replay.generate;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.bronzehill.replay.expect.ExpectationFile;
+import org.bronzehill.replay.expect.ExpectationGenerator;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceFormat;
+
+/** The traces that are shipped as resources: every scenario alone, some in pairs, some twice. */
+public final class ShippedTraces {
+
+    /** Directory of the resources. */
+    public static final String DIRECTORY = "/traces/";
+
+    private static final TraceGenerator.Load LOAD = new TraceGenerator.Load(8, 1.3, 30, 30);
+    private static final Scenario[][] PAIRS = {
+        {Scenario.POPULARITY_SHIFT, Scenario.FAILING_LOADS},
+        {Scenario.PARTITION, Scenario.CONFIGURATION_DOWN},
+        {Scenario.PARTITION, Scenario.LATE_WAKING},
+        {Scenario.LATE_WAKING, Scenario.LOST_ANSWERS},
+        {Scenario.KILLED_INSTANCE, Scenario.LOST_ANSWERS},
+        {Scenario.CRASHING_REQUEST, Scenario.ENGINE_RESTART},
+        {Scenario.SILENT_CONNECTION, Scenario.PLANNED_STOP},
+        {Scenario.LEAVING_UPSTREAM, Scenario.PARTITION},
+    };
+    private static final Scenario[] TWICE = {
+        Scenario.ENGINE_RESTART, Scenario.PARTITION, Scenario.LATE_WAKING, Scenario.KILLED_INSTANCE,
+    };
+
+    private ShippedTraces() {}
+
+    /**
+     * Name and content of a trace.
+     *
+     * @param name file name without its ending
+     */
+    public record Entry(String name, String deployment, List<Scenario> scenarios, long seed) {
+
+        /** Generates the trace. */
+        public Trace trace() {
+            return TraceGenerator.generate(Deployment.named(deployment), LOAD, scenarios, seed);
+        }
+    }
+
+    /** Returns all shipped traces. */
+    public static List<Entry> all() {
+        List<Entry> all = new ArrayList<>();
+        for (String d : List.of("driftless", "sialkot")) {
+            long seed = 1;
+            for (Scenario s : Scenario.values()) {
+                all.add(entry(d, seed++, s));
+            }
+            for (Scenario[] pair : PAIRS) {
+                all.add(entry(d, seed++, pair));
+            }
+            for (Scenario s : TWICE) {
+                all.add(entry(d, seed++, s, s));
+            }
+        }
+        return all;
+    }
+
+    private static Entry entry(String deployment, long seed, Scenario... scenarios) {
+        String name =
+                deployment
+                        + '-'
+                        + Stream.of(scenarios)
+                                .map(Scenario::label)
+                                .collect(Collectors.joining("+"));
+        return new Entry(name, deployment, List.of(scenarios), seed);
+    }
+
+    /** Writes all traces and their expectations to a directory. */
+    public static void writeTo(Path directory) throws IOException {
+        Files.createDirectories(directory);
+        for (Entry e : all()) {
+            Trace t = e.trace();
+            TraceFormat.write(t, directory.resolve(e.name() + ".trace.gz"));
+            ExpectationFile.write(
+                    ExpectationGenerator.of(t), directory.resolve(e.name() + ".expect.gz"));
+        }
+    }
+
+    /** Opens a shipped file; {@code suffix} is {@code trace} or {@code expect}. */
+    public static InputStream open(Entry entry, String suffix) throws IOException {
+        String path = DIRECTORY + entry.name() + '.' + suffix + ".gz";
+        InputStream in = ShippedTraces.class.getResourceAsStream(path);
+        if (in == null) {
+            throw new IOException("no resource " + path);
+        }
+        return in;
+    }
+}
