--- /dev/null
+++ b/bronzehill-bench/src/test/java/org/bronzehill/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds as ratios and counts. */
+package org.bronzehill.bench;
