--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
@@ -37,9 +37,6 @@
     /** Queue delay at the engines with the adapter above which a further engine is considered. */
     private static final double SPILL_SECONDS = 2;
 
-    /** An engine is skipped as home above this multiple of the mean load. */
-    private static final double LOAD_BOUND = 1.25;
-
     /** The choice of a cold home is kept until the holder's summary must have named the load. */
     private static final long KEEP_HOME_NANOS = Duration.ofSeconds(2).toNanos();
 
@@ -113,7 +110,8 @@
         }
         AdapterVersion version =
                 new AdapterVersion(query.adapter(), adapter.versionFor(query.kind()));
-        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash());
+        boolean mayLoad = !query.residentOnly() && !isLoadingAt(query.excluded(), version);
+        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash(), mayLoad);
         Set<String> excluded = query.excluded();
         EngineView preferred = index.engine(query.preferred());
         boolean found = false;
@@ -163,7 +161,7 @@
         }
         AdapterVersion version =
                 new AdapterVersion(query.adapter(), adapter.versionFor(query.kind()));
-        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash());
+        Choice choice = new Choice(adapter.baseModel(), version, query.prefixHash(), true);
         List<RouteCandidate> candidates = new ArrayList<>();
         for (EngineView e : index.ofModel(adapter.baseModel())) {
             candidates.add(choice.candidate(e, query.excluded()));
@@ -189,7 +187,8 @@
         }
         AdapterVersion version =
                 new AdapterVersion(request.adapter(), adapter.versionFor(request.kind()));
-        Choice choice = new Choice(adapter.baseModel(), version, request.prefixHash());
+        boolean mayLoad = !isLoadingAt(Set.of(engine), version);
+        Choice choice = new Choice(adapter.baseModel(), version, request.prefixHash(), mayLoad);
         EngineView e = choice.best(Set.of(engine));
         boolean better =
                 e != null
@@ -200,6 +199,27 @@
         return better ? Option.some(e.id()) : Option.none();
     }
 
+    /**
+     * Returns whether one of the engines is loading the adapter version. An attempt that did not
+     * want to wait there must not start a second load: the store is the bottleneck.
+     */
+    private boolean isLoadingAt(Set<String> tried, AdapterVersion version) {
+        if (tried.isEmpty()) {
+            return false;
+        }
+        List<EngineView> residents = index.residents(version);
+        for (EngineView e : residents) {
+            if (tried.contains(e.id()) && e.acceptsWork() && e.adapters().get(version).loading()) {
+                return true;
+            }
+        }
+        Home kept = residents.isEmpty() ? homes.get(version) : null;
+        return kept != null
+                && tried.contains(kept.engine().id())
+                && kept.engine().acceptsWork()
+                && time.nanoTime() - kept.chosenNanos() < KEEP_HOME_NANOS;
+    }
+
     /** Returns the reachable holder of the engine, or an empty string. */
     private String holderOf(EngineView e) {
         String holder = e.holder();
@@ -217,15 +237,17 @@
         private final String baseModel;
         private final AdapterVersion version;
         private final long prefixHash;
+        private final boolean mayLoad;
         private final Policy policy = configuration.get().policy();
         private final long now = time.nanoTime();
         private final double coldStall =
                 scorer.coldStall(configuration.get().limits().storeLoadsPerSecond());
 
-        Choice(String baseModel, AdapterVersion version, long prefixHash) {
+        Choice(String baseModel, AdapterVersion version, long prefixHash, boolean mayLoad) {
             this.baseModel = baseModel;
             this.version = version;
             this.prefixHash = prefixHash;
+            this.mayLoad = mayLoad;
         }
 
         boolean isCandidate(EngineView e, Set<String> excluded) {
@@ -258,9 +280,10 @@
                 }
             }
             boolean further =
-                    best == null
-                            || residents.size() < target
-                            || scorer.queueDelay(best) > SPILL_SECONDS;
+                    mayLoad
+                            && (best == null
+                                    || residents.size() < target
+                                    || scorer.queueDelay(best) > SPILL_SECONDS);
             EngineView home = further ? home(excluded) : null;
             if (best == null || home != null && score(home) < lowest) {
                 return home;
@@ -324,7 +347,12 @@
                     && index.engine(kept.engine().id()) == kept.engine()) {
                 return kept.engine();
             }
-            EngineView home = rendezvousHome(excluded);
+            EngineView home =
+                    HomeChoice.choose(
+                            index.ofModel(baseModel),
+                            version,
+                            policy,
+                            e -> isCandidate(e, excluded) && !e.adapters().containsKey(version));
             if (home != null) {
                 homes.remove(version);
                 homes.put(version, new Home(home, now));
@@ -332,36 +360,6 @@
             return home;
         }
 
-        private EngineView rendezvousHome(Set<String> excluded) {
-            List<EngineView> engines = index.ofModel(baseModel);
-            long total = 0;
-            for (EngineView e : engines) {
-                total += e.load();
-            }
-            double mean = (double) total / Math.max(1, engines.size());
-            long key = RendezvousHash.keyHash(version.adapter());
-            EngineView home = null;
-            EngineView any = null;
-            long homeWeight = 0;
-            long anyWeight = 0;
-            for (EngineView e : engines) {
-                if (isCandidate(e, excluded) && !e.adapters().containsKey(version)) {
-                    long weight = RendezvousHash.weightOf(key, e.nameHash());
-                    if (any == null || weight > anyWeight) {
-                        any = e;
-                        anyWeight = weight;
-                    }
-                    // Below half a batch a skewed load does no harm, and a fixed home saves loads.
-                    boolean bounded = e.load() <= Math.max(LOAD_BOUND * mean, e.batch() / 2.0);
-                    if (bounded && (home == null || weight > homeWeight)) {
-                        home = e;
-                        homeWeight = weight;
-                    }
-                }
-            }
-            return home == null ? any : home;
-        }
-
         Route route(EngineView e, String holder) {
             long stallMillis = Math.round(stall(e) * 1000);
             return new Route(++lastRoute, e.id(), holder, Duration.ofMillis(stallMillis), now);
