--- a/bronzehill-core/src/test/java/org/bronzehill/core/onceonly/ActFleet.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/onceonly/ActFleet.java
@@ -142,6 +142,8 @@
 
     private final Map<Long, List<String>> lists = new HashMap<>();
     private long listVersion = 1;
+    long messages;
+    long bytes;
     double dropRate;
     double lostAnswerRate;
     int maxDelayMs = 3;
@@ -294,6 +296,8 @@
                         .setFromIncarnation(from.incarnation)
                         .setListVersion(from.seenVersion)
                         .build();
+        messages++;
+        bytes += envelope.getSerializedSize();
         if (random.nextDouble() >= dropRate) {
             Node target = nodes.get(send.instance());
             later(1 + random.nextInt(maxDelayMs), () -> receive(target, from, envelope));
