Do not hold overnight loads until the last quarter of their time

Cause: with a store that is never idle, overnight loads waited until three quarters of their time had passed and would all have become due together. Change: such a load is due after a tenth of its request's time; it still comes last by deadline.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/GroupingPolicy.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/GroupingPolicy.java
@@ -50,7 +50,7 @@
         }
         for (QueuedRequest q : state.waiting()) {
             if (q.urgency() != Urgency.OVERNIGHT
-                    || nearDeadline(q, nowNanos)
+                    || isOld(q, nowNanos)
                     || storeIdle && nowNanos - q.arrivedNanos() >= STORE_IDLE_HOLD_NANOS) {
                 return true;
             }
@@ -58,6 +58,14 @@
         return false;
     }
 
+    /**
+     * Returns whether a tenth of the request's time has passed. A longer wait for an idle store
+     * would let the loads of a night become due at the same time.
+     */
+    private static boolean isOld(QueuedRequest q, long nowNanos) {
+        return nowNanos - q.arrivedNanos() >= (q.deadlineNanos() - q.arrivedNanos()) / 10;
+    }
+
     /** Returns whether three quarters of the request's time have passed. */
     private static boolean nearDeadline(QueuedRequest q, long nowNanos) {
         long total = q.deadlineNanos() - q.arrivedNanos();
