--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/http/ModelController.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/http/ModelController.java
@@ -39,6 +39,7 @@
         CallerWatch.watch(
                 request,
                 accepted.reply().thenCompose(r -> r.whenDelivered()),
+                settings.callerSilence(),
                 () -> gateway.callerGone(accepted.info().requestId()));
         return accepted.reply()
                 .thenApply(reply -> Responses.of(accepted.info(), gateway.entry(), reply));
@@ -71,9 +72,11 @@
                         chat.maxTokens());
         return gateway.submit(
                 info,
-                "chat completion",
-                h.traceparent(),
-                chat.stream(),
-                new Input.ModelRequested(model));
+                new Gateway.Work(
+                        "chat completion",
+                        h.traceparent(),
+                        chat.stream(),
+                        body,
+                        new Input.ModelRequested(model)));
     }
 }
