Allow for summaries whose counts are up to 4.5 s old

Cause: in large fleets holders send counts less often, and the router took them as overdue after 3 s and forgot sent attempts after 2 s. Change: both limits are 6 s.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineScorer.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/EngineScorer.java
@@ -23,10 +23,11 @@
     /** Delay assumed behind a holder that answers late: the limit up to which it counts as slow. */
     private static final double SLOW_HOLDER_SECONDS = 0.75;
 
-    /** Handicap of an engine whose summary is overdue by two of its periods. */
+    /** Handicap of an engine whose summary is overdue. */
     private static final double STALE_SECONDS = 0.5;
 
-    static final long FRESH_NANOS = Duration.ofSeconds(3).toNanos();
+    /** Age at which a summary is overdue: with 300 engines the counts are up to 4.5 s old. */
+    static final long FRESH_NANOS = Duration.ofSeconds(6).toNanos();
 
     /**
      * Share of the batch above which a queue delay is expected. It lies below 1 because several
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/SentWindow.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/SentWindow.java
@@ -13,7 +13,7 @@
     private static final long IN_TRANSIT_NANOS = Duration.ofMillis(10).toNanos();
 
     /** Entries end at this age even if no summary arrives any more. */
-    private static final long MAX_AGE_NANOS = Duration.ofSeconds(2).toNanos();
+    private static final long MAX_AGE_NANOS = Duration.ofSeconds(6).toNanos();
 
     private final long[] ids = new long[CAPACITY];
     private final long[] times = new long[CAPACITY];
