--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/ModelRequestsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/ModelRequestsTest.java
@@ -192,6 +192,21 @@
         assertEquals(rig.answers.get(0).provenance().configurationNumber(), 2);
     }
 
+    /** Guards against a holder that runs a forwarded request under an older number. */
+    @Test
+    public void aHolderThatIsBehindCatchesUpFirst() {
+        CoreRig rig = CoreRig.ready(2, 1);
+        String holder = rig.holder("entry-1", "engine-1");
+        String origin = holder.equals("entry-1") ? "entry-2" : "entry-1";
+        rig.configuration = CoreRig.configuration(2, 2);
+        rig.feed(origin, new Input.ConfigurationRead(ImageCodec.encode(rig.configuration)));
+        rig.ask(origin, CoreRig.chat("q-1"));
+        rig.run(Duration.ofSeconds(2));
+        assertEquals(rig.cores.get(holder).configuration().number(), 2);
+        assertEquals(rig.attempts.size(), 1);
+        assertTrue(rig.lastAttempt().handle().startsWith("a-1@2#"));
+    }
+
     @DataProvider
     public static Object[][] badRequests() {
         Duration second = Duration.ofSeconds(1);
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.InputStream;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -222,6 +223,21 @@
                 platform.traceparents.toString());
     }
 
+    /** Guards against work for a caller that has closed its connection. */
+    @Test
+    public void endsTheRequestOfACallerThatIsGone() throws Exception {
+        HttpResponse<InputStream> response =
+                client.send(chat("stall", true).build(), BodyHandlers.ofInputStream());
+        assertTrue(response.body().read() >= 0);
+        assertEquals(openRequests(), 1);
+        response.body().close();
+        await().until(() -> openRequests() == 0);
+    }
+
+    private int openRequests() throws Exception {
+        return mapper.readTree(get("/status").body()).at("/counts/openRequests").asInt();
+    }
+
     /** Guards against pages that operators and collectors cannot read. */
     @Test
     public void showsItsState() throws Exception {
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/FakePlatform.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/FakePlatform.java
@@ -176,6 +176,9 @@
                     holding.countDown();
                     awaitRelease();
                 }
+                if (i == 1 && task.equals("stall")) {
+                    awaitRelease();
+                }
                 if (i == 1 && task.equals("break")) {
                     return;
                 }
