--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/LogEvent.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/LogEvent.java
@@ -100,6 +100,11 @@
     /** A partition began, or ended if {@code sides} is empty. */
     record Network(long at, List<List<String>> sides) implements LogEvent {}
 
+    /**
+     * Precedes the event of work that a slow link delivered to an upstream long after it was sent.
+     */
+    record Late(long at, String upstream, long sentAt) implements LogEvent {}
+
     /** A message left for a peer; only logged on request. */
     record Sent(long at, String from, String to, String text) implements LogEvent {}
 
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/UpstreamSide.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/UpstreamSide.java
@@ -140,6 +140,22 @@
         return world.engine(id);
     }
 
+    private long delayTo(String upstream) {
+        long extra = world.delays().extraNanos();
+        long sent = world.time().now();
+        if (extra > 0) {
+            world.time()
+                    .after(
+                            HOP_NANOS + extra,
+                            () ->
+                                    world.log()
+                                            .add(
+                                                    new LogEvent.Late(
+                                                            world.time().now(), upstream, sent)));
+        }
+        return HOP_NANOS + extra;
+    }
+
     int callsInFlight() {
         return calls;
     }
@@ -154,7 +170,7 @@
         FakeEngine e = engine(effect.engine());
         world.time()
                 .after(
-                        HOP_NANOS + world.delays().extraNanos(),
+                        delayTo(effect.engine()),
                         () -> {
                             if (a.ended) {
                                 return;
@@ -261,7 +277,7 @@
         FakeRunner r = world.runner(c.upstream());
         Consumer<Input.ServiceAnswer> done = once(c.callId(), c.deadline().toNanos());
         if (r != null) {
-            long delay = HOP_NANOS + world.delays().extraNanos();
+            long delay = delayTo(c.upstream());
             world.time().after(delay, () -> r.call(c, program.id(), done));
         }
     }
--- a/bronzehill-replay/src/test/java/org/bronzehill/replay/check/CheckersTest.java
+++ b/bronzehill-replay/src/test/java/org/bronzehill/replay/check/CheckersTest.java
@@ -99,6 +99,13 @@
                         COMPLETE,
                         answered(ResultCode.OK, true, 1))
             },
+            {
+                "call that a slow link delivers to a leaving runner",
+                log(
+                        new LogEvent.ListPublished(0, "runner-0", "leaving"),
+                        new LogEvent.Late(6 * S, "runner-0", S),
+                        new LogEvent.Called(6 * S, "runner-0", "entry-0", "a"))
+            },
             {
                 "stop with nothing in flight",
                 log(new LogEvent.DrainState(9 * S, "entry-0", S, true, 0, 0, 0))
@@ -197,6 +204,14 @@
                         new LogEvent.ListPublished(0, "engine-0", "leaving"),
                         new LogEvent.Ordered(6 * S, "engine-0", "LOAD", "h", "entry-0", "STARTED"))
             },
+            {
+                "P6",
+                "call sent late to a leaving runner",
+                log(
+                        new LogEvent.ListPublished(0, "runner-0", "leaving"),
+                        new LogEvent.Late(9 * S, "runner-0", 6 * S),
+                        new LogEvent.Called(9 * S, "runner-0", "entry-0", "a"))
+            },
             {
                 "P6",
                 "call to a leaving runner",
