--- /dev/null
+++ b/bronzehill-replay/src/test/java/org/bronzehill/replay/record/package-info.java
@@ -0,0 +1,2 @@
+/** Tests. */
+package org.bronzehill.replay.record;
