Ask for overnight loads at once where load stalls weigh more

Cause: Driftless' total stall was three times that of plain rendezvous hashing and its recovery from a shift missed the target; overnight loads waited for an idle store although that saved no loads (886 against 871). Ruled out: a shorter hold (500 ms and 100 ms), because the idle condition itself holds loads for seconds. Change: GroupingPolicy.loadDue is always true when load stalls weigh more than batch efficiency.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/GroupingPolicy.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/GroupingPolicy.java
@@ -42,10 +42,15 @@
                 && !nearDeadline(q, nowNanos);
     }
 
-    /** Returns whether the load of an adapter for which only overnight requests wait is due. */
+    /**
+     * Returns whether the load of an adapter for which only overnight requests wait is due. Where
+     * load stalls weigh more than batch efficiency it always is: the store budget orders it behind
+     * more urgent loads anyway, and holding it back saved no loads.
+     */
     static boolean loadDue(
             AdapterState state, Policy policy, int batch, boolean storeIdle, long nowNanos) {
-        if (state.waiting().size() >= target(policy, batch)) {
+        if (policy.loadStallWeight() > policy.batchWeight()
+                || state.waiting().size() >= target(policy, batch)) {
             return true;
         }
         for (QueuedRequest q : state.waiting()) {
