--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/DemoMain.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/DemoMain.java
@@ -61,6 +61,7 @@
                 new Session.Options(
                         in.profile(profile),
                         (int) in.number("--entries", entries, 3, 20),
+                        Session.SETTLED_SECONDS,
                         in.number("--seed", seed, 0, Long.MAX_VALUE),
                         DriverOptions.root(),
                         directory);
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/RehearseMain.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/RehearseMain.java
@@ -32,6 +32,9 @@
     private static final int INSTANCES = 9;
     private static final int BRIEF_INSTANCES = 4;
 
+    /** Enough for loads to be granted; only once-only acts need longer. */
+    private static final int BRIEF_SETTLE_SECONDS = 5;
+
     @AirlineModule private HelpOption<RehearseMain> help;
 
     @Arguments(title = "scenario", description = "Scenario to play")
@@ -75,6 +78,9 @@
                 new Session.Options(
                         in.profile(profile),
                         brief ? BRIEF_INSTANCES : INSTANCES,
+                        brief && chosen != Scenario.KILL_ONCE_ONLY
+                                ? BRIEF_SETTLE_SECONDS
+                                : Session.SETTLED_SECONDS,
                         in.number("--seed", seed, 0, Long.MAX_VALUE),
                         DriverOptions.root(),
                         directory);
