--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/check/ConfigurationChecker.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/check/ConfigurationChecker.java
@@ -9,7 +9,8 @@
 
 /**
  * P8: a published number is in force within 5 s at every instance that runs, counted from when the
- * configuration service answers; an instance never goes back to an older number.
+ * configuration service answers and no link delays messages by more than that; an instance never
+ * goes back to an older number.
  */
 public final class ConfigurationChecker implements Checker {
 
@@ -21,10 +22,17 @@
         reversals(run, found);
         List<LogEvent.Process> processes = run.log().of(LogEvent.Process.class).toList();
         List<Intervals.Interval> service = Intervals.serviceNotUp(run);
+        // Slow links delay single messages by more than the bound.
+        List<Intervals.Interval> slow =
+                run.log()
+                        .of(LogEvent.SlowNetwork.class)
+                        .map(n -> new Intervals.Interval(n.at(), n.until()))
+                        .toList();
         List<LogEvent.ConfigurationPublished> published =
                 run.log().of(LogEvent.ConfigurationPublished.class).toList();
         for (String entry : run.deployment().entries()) {
             List<Intervals.Interval> excluded = new ArrayList<>(service);
+            excluded.addAll(slow);
             excluded.addAll(Intervals.inactive(processes, entry, run.endNanos()));
             List<LogEvent.InForce> inForce =
                     run.log()
@@ -37,12 +45,13 @@
     }
 
     private static void reversals(RunResult run, List<Violation> found) {
-        Map<Long, Long> highest = new HashMap<>();
+        Map<String, Long> highest = new HashMap<>();
         run.log()
                 .of(LogEvent.InForce.class)
                 .forEach(
                         f -> {
-                            Long before = highest.merge(f.incarnation(), f.number(), Math::max);
+                            String process = f.entry() + ' ' + f.incarnation();
+                            Long before = highest.merge(process, f.number(), Math::max);
                             if (before > f.number()) {
                                 found.add(
                                         new Violation(
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/experiment/ReportTable.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/experiment/ReportTable.java
@@ -82,12 +82,13 @@
     private static List<Row> rows(Experiment.Result r) {
         List<Row> rows = new ArrayList<>();
         List<PolicyResult> policies = r.policies();
-        rows.add(row(policies, "total stall s", "", p -> number(p.totalStallSeconds())));
         List<String> kinds = new ArrayList<>(policies.get(0).modelKinds());
         kinds.add(0, "all");
         for (String kind : kinds) {
             Predicate<RequestOutcome> filter =
                     o -> o.isModel() && (kind.equals("all") || o.kind().equals(kind));
+            rows.add(
+                    row(policies, "total stall s", kind, p -> number(p.totalStallSeconds(filter))));
             for (double share : SHARES) {
                 rows.add(
                         row(
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/LogEvent.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/LogEvent.java
@@ -105,6 +105,9 @@
      */
     record Late(long at, String upstream, long sentAt) implements LogEvent {}
 
+    /** Links became slow; no message is late any more after {@code until}. */
+    record SlowNetwork(long at, long until) implements LogEvent {}
+
     /** A message left for a peer; only logged on request. */
     record Sent(long at, String from, String to, String text) implements LogEvent {}
 
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/World.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/World.java
@@ -193,7 +193,9 @@
             store.failShare(l.share());
             time.after(l.forMs() * VirtualTime.MS, () -> store.failShare(0));
         } else if (r instanceof TraceRecord.SlowLinks l) {
-            delays.slow(l.share(), l.maxMs(), time.now() + l.forMs() * VirtualTime.MS);
+            long end = time.now() + l.forMs() * VirtualTime.MS;
+            delays.slow(l.share(), l.maxMs(), end);
+            log.add(new LogEvent.SlowNetwork(time.now(), end + l.maxMs() * VirtualTime.MS));
         } else if (r instanceof TraceRecord.AnswersLost a) {
             runners.get(a.runner()).loseAnswers(a.forMs());
         } else {
--- a/bronzehill-replay/src/test/java/org/bronzehill/replay/check/CheckersTest.java
+++ b/bronzehill-replay/src/test/java/org/bronzehill/replay/check/CheckersTest.java
@@ -110,6 +110,12 @@
                 "stop with nothing in flight",
                 log(new LogEvent.DrainState(9 * S, "entry-0", S, true, 0, 0, 0))
             },
+            {
+                "two instances with the same incarnation",
+                log(
+                        new LogEvent.InForce(0, "entry-0", 7, 1),
+                        new LogEvent.InForce(1, "entry-1", 7, 0))
+            },
             {
                 "service down when a number is published",
                 log(
