Record the inputs of an entry instance as a trace

Cause: TraceRecorder existed but bronzehill-entry never called it. Result: EntryProcessTest reads the recorded trace with the replay tool's reader; it has more than one record.

--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryMain.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryMain.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import org.bronzehill.core.result.ResultCode;
@@ -46,7 +47,13 @@
             return;
         }
         Logs.install(settings.get().logLevel());
-        EntryProcess process = EntryProcess.start(settings.get());
+        EntryProcess process;
+        try {
+            process = EntryProcess.start(settings.get());
+        } catch (IOException e) {
+            reject(List.of("record-trace: the file cannot be written: " + e.getMessage()));
+            return;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(process::shutDown, "shutdown"));
         process.whenDrained().thenRun(() -> new Thread(() -> System.exit(0), "exit").start());
     }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryProcess.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/EntryProcess.java
@@ -6,8 +6,11 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -22,6 +25,7 @@
 import org.bronzehill.core.time.SystemTimeSource;
 import org.bronzehill.entry.duty.CoreThread;
 import org.bronzehill.entry.duty.EffectRunner;
+import org.bronzehill.entry.duty.InputRecorder;
 import org.bronzehill.entry.duty.PeerInbox;
 import org.bronzehill.entry.duty.Readiness;
 import org.bronzehill.entry.http.Gateway;
@@ -66,10 +70,11 @@
     private final PeerLinks links;
     private final PeerServer peerServer;
     private final CoreThread core;
+    private final InputRecorder recorder;
     private final EmbeddedServer http;
     private final long incarnation;
 
-    private EntryProcess(ProgramSettings settings) {
+    private EntryProcess(ProgramSettings settings) throws IOException {
         this.settings = settings;
         RandomGenerator random = new SecureRandom();
         incarnation =
@@ -91,16 +96,32 @@
         peerServer = PeerServer.create(loops, inbox);
         InetSocketAddress peerAddress =
                 peerServer.listen(settings.ports().host(), settings.ports().peer());
-        core = core(random, peerAddress, addresses, relay, inbox);
+        EntryCore decisions =
+                EntryCore.create(coreSettings(peerAddress), SystemTimeSource.instance(), random);
+        core = core(decisions, addresses, relay, inbox);
+        recorder = recorder(decisions);
         http = http();
     }
 
+    /** Returns the recorder of the inputs; null if no trace is wanted. */
+    private InputRecorder recorder(EntryCore decisions) throws IOException {
+        ProgramSettings.Recording wanted = settings.recording();
+        if (wanted.file().isEmpty()) {
+            return null;
+        }
+        InputRecorder opened =
+                InputRecorder.open(
+                        Path.of(wanted.file()),
+                        settings.identity().id(),
+                        wanted.deployment().name().toLowerCase(Locale.ROOT),
+                        decisions::configuration,
+                        SystemTimeSource.instance());
+        core.observe(opened);
+        return opened;
+    }
+
     private CoreThread core(
-            RandomGenerator random,
-            InetSocketAddress peerAddress,
-            PeerAddresses addresses,
-            RelayEvents relay,
-            PeerInbox inbox) {
+            EntryCore decisions, PeerAddresses addresses, RelayEvents relay, PeerInbox inbox) {
         LateInputs inputs = new LateInputs(tracing);
         UpstreamUris uris = new UpstreamUris();
         EffectRunner effects =
@@ -124,8 +145,7 @@
         CoreThread thread =
                 CoreThread.create(
                         settings.bounds().ringSize(),
-                        EntryCore.create(
-                                coreSettings(peerAddress), SystemTimeSource.instance(), random),
+                        decisions,
                         effects,
                         metrics::inputLost,
                         this::failed);
@@ -201,7 +221,7 @@
     }
 
     /** Starts an instance; it becomes ready by itself. */
-    public static EntryProcess start(ProgramSettings settings) {
+    public static EntryProcess start(ProgramSettings settings) throws IOException {
         EntryProcess process = new EntryProcess(settings);
         process.gauges();
         process.core.start();
@@ -263,6 +283,7 @@
     public void close() {
         http.stop();
         core.close();
+        closeRecorder();
         links.close();
         peerServer.close();
         audit.close();
@@ -274,6 +295,16 @@
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
     }
 
+    private void closeRecorder() {
+        if (recorder != null) {
+            try {
+                recorder.close();
+            } catch (IOException e) {
+                LOG.warn("the end of the trace may be lost", e);
+            }
+        }
+    }
+
     /** Inputs of the upstream clients, which are created before the core thread. */
     private static final class LateInputs implements InputSink {
         private final Tracing tracing;
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/CoreThread.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/CoreThread.java
@@ -31,6 +31,7 @@
     private final Runnable onLost;
     private final Consumer<Object> onFault;
     private final Thread thread = new Thread(this::run, "core");
+    private Consumer<Input> observer = input -> {};
     private volatile boolean stopped;
     private volatile boolean parked;
 
@@ -65,6 +66,11 @@
         return new CoreThread(capacity, core, effects, onLost, onFault);
     }
 
+    /** Shows every input to an observer before it is handled; called before the thread starts. */
+    public void observe(Consumer<Input> newObserver) {
+        observer = newObserver;
+    }
+
     /** Starts the thread. */
     public void start() {
         thread.start();
@@ -142,7 +148,9 @@
             if (item instanceof Query<?> query) {
                 query.run(core);
             } else {
-                core.handle((Input) item, effects);
+                Input input = (Input) item;
+                observer.accept(input);
+                core.handle(input, effects);
             }
         } catch (RuntimeException e) {
             LOG.errorf(e, "the core failed on %s", item.getClass().getSimpleName());
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/InputRecorder.java
@@ -0,0 +1,61 @@
+package org.bronzehill.entry.duty;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.bronzehill.config.Configuration;
+import org.bronzehill.core.node.Input;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.replay.record.TraceRecorder;
+import org.jboss.logging.Logger;
+
+/** Records the inputs of the core as a trace that {@code bronzehill replay} can play again. */
+public final class InputRecorder implements Consumer<Input>, AutoCloseable {
+
+    private static final Logger LOG = Logger.getLogger(InputRecorder.class);
+
+    private final TraceRecorder recorder;
+    private boolean failed;
+
+    private InputRecorder(TraceRecorder recorder) {
+        this.recorder = recorder;
+    }
+
+    /**
+     * Opens a trace file.
+     *
+     * @param deployment name of a deployment known to the replay tool
+     * @param configuration configuration in force; asked on the core thread only
+     */
+    public static InputRecorder open(
+            Path file,
+            String entry,
+            String deployment,
+            Supplier<Configuration> configuration,
+            TimeSource time)
+            throws IOException {
+        LineWriter out = LineWriter.open(file);
+        return new InputRecorder(TraceRecorder.create(entry, deployment, configuration, time, out));
+    }
+
+    /** Records an input; called on the core thread. */
+    @Override
+    public void accept(Input input) {
+        if (failed) {
+            return;
+        }
+        try {
+            recorder.record(input);
+        } catch (IOException e) {
+            failed = true;
+            LOG.error("recording the trace has ended", e);
+        }
+    }
+
+    /** Writes the rest of the trace; called after the core thread has ended. */
+    @Override
+    public void close() throws IOException {
+        recorder.close();
+    }
+}
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/LineWriter.java
@@ -0,0 +1,90 @@
+package org.bronzehill.entry.duty;
+
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.locks.LockSupport;
+import org.jboss.logging.Logger;
+import org.jctools.queues.SpscArrayQueue;
+
+/**
+ * Writes text to a file on a thread of its own. The writing thread never waits: text that finds the
+ * ring buffer full is dropped and counted.
+ */
+public final class LineWriter extends Writer {
+
+    private static final Logger LOG = Logger.getLogger(LineWriter.class);
+    private static final int RING = 16_384;
+    private static final long IDLE_NANOS = 20_000_000;
+
+    private final SpscArrayQueue<String> ring = new SpscArrayQueue<>(RING);
+    private final Writer file;
+    private final Thread thread = new Thread(this::run, "trace-writer");
+    private volatile boolean closed;
+    private volatile long dropped;
+
+    private LineWriter(Writer file) {
+        this.file = file;
+        thread.setDaemon(true);
+    }
+
+    /** Creates the file, or empties it, and starts the thread. */
+    public static LineWriter open(Path path) throws IOException {
+        LineWriter writer = new LineWriter(Files.newBufferedWriter(path));
+        writer.thread.start();
+        return writer;
+    }
+
+    @Override
+    public void write(char[] text, int from, int length) {
+        if (!ring.offer(new String(text, from, length))) {
+            dropped++;
+        }
+    }
+
+    /** Does nothing: the thread flushes when it finds the ring buffer empty. */
+    @Override
+    public void flush() {}
+
+    /** Writes what waits and closes the file. */
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        file.close();
+        if (dropped > 0) {
+            LOG.warnf("%d pieces of the trace were dropped", dropped);
+        }
+    }
+
+    private void run() {
+        try {
+            boolean last = false;
+            while (!last) {
+                last = closed;
+                drain();
+                if (!last) {
+                    LockSupport.parkNanos(this, IDLE_NANOS);
+                }
+            }
+        } catch (IOException e) {
+            LOG.error("the trace cannot be written; recording ends", e);
+        }
+    }
+
+    private void drain() throws IOException {
+        boolean wrote = false;
+        for (String text = ring.poll(); text != null; text = ring.poll()) {
+            file.write(text);
+            wrote = true;
+        }
+        if (wrote) {
+            file.flush();
+        }
+    }
+}
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/EntryFlags.java
@@ -79,6 +79,16 @@
             description = "Time for which a caller may take no data; 10000 by default")
     private String callerSilenceMs;
 
+    @Option(
+            name = "--record-trace",
+            description = "File for a trace of the inputs, for 'bronzehill replay'; off by default")
+    private String recordTrace;
+
+    @Option(
+            name = "--record-deployment",
+            description = "Deployment named in the trace: driftless (default) or sialkot")
+    private String recordDeployment;
+
     @Option(name = "--log-level", description = "INFO by default")
     private String logLevel;
 
@@ -112,6 +122,8 @@
         values.put("trace-endpoint", traceEndpoint);
         values.put("default-kind", defaultKind);
         values.put("caller-silence-ms", callerSilenceMs);
+        values.put("record-trace", recordTrace);
+        values.put("record-deployment", recordDeployment);
         values.put("log-level", logLevel);
         return values;
     }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/ProgramSettings.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/settings/ProgramSettings.java
@@ -19,6 +19,7 @@
         Duration hedgeAfter,
         Traces traces,
         HttpSettings http,
+        Recording recording,
         String logLevel) {
 
     /** Largest bound that a setting may raise a queue to. */
@@ -41,6 +42,19 @@
     /** Where spans go. */
     public record Traces(Tracing.Exporter exporter, String endpoint) {}
 
+    /**
+     * Recording of a trace.
+     *
+     * @param file empty for no recording
+     */
+    public record Recording(String file, Deployment deployment) {}
+
+    /** Deployments known to the replay tool. */
+    public enum Deployment {
+        DRIFTLESS,
+        SIALKOT
+    }
+
     /** Reads flags, then environment variables; a left value lists all errors. */
     public static Either<List<String>, ProgramSettings> read(
             Map<String, String> flags, Map<String, String> environment) {
@@ -73,6 +87,12 @@
                                 in.text("default-kind", ""),
                                 Duration.ofMillis(
                                         in.number("caller-silence-ms", 10_000, 1, 3_600_000))),
+                        new Recording(
+                                in.text("record-trace", ""),
+                                in.choice(
+                                        "record-deployment",
+                                        Deployment.DRIFTLESS,
+                                        Deployment.class)),
                         in.level("log-level", "INFO"));
         return in.errors().isEmpty() ? Either.right(settings) : Either.left(in.errors());
     }
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/EntryProcessTest.java
@@ -14,6 +14,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -23,6 +25,8 @@
 import java.util.stream.Collectors;
 import org.bronzehill.core.node.Signal;
 import org.bronzehill.entry.settings.ProgramSettings;
+import org.bronzehill.replay.trace.Trace;
+import org.bronzehill.replay.trace.TraceFormat;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -38,6 +42,7 @@
     private final ObjectMapper mapper = new ObjectMapper();
     private FakePlatform platform;
     private EntryProcess process;
+    private Path recorded;
 
     @BeforeClass
     public void start() throws Exception {
@@ -55,6 +60,8 @@
         flags.put("peer-port", String.valueOf(peerPort));
         flags.put("configuration-uris", platform.uri().toString());
         flags.put("instance-list-uris", platform.uri().toString());
+        recorded = Files.createTempFile("recorded", ".trace");
+        flags.put("record-trace", recorded.toString());
         process = EntryProcess.start(ProgramSettings.read(flags, Map.of()).get());
         await().atMost(30, TimeUnit.SECONDS).until(() -> get("/health/ready").statusCode() == 200);
         await().atMost(30, TimeUnit.SECONDS)
@@ -62,10 +69,14 @@
     }
 
     @AfterClass(alwaysRun = true)
-    public void stop() {
+    public void stop() throws Exception {
         platform.held.countDown();
         process.close();
         platform.close();
+        // Guards against a recorded trace that the replay tool cannot read.
+        Trace trace = TraceFormat.read(recorded);
+        assertTrue(trace.records().size() > 1, "the trace holds " + trace.records().size());
+        Files.delete(recorded);
     }
 
     private URI uri(String path) {
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/record/TraceRecorder.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/record/TraceRecorder.java
@@ -153,8 +153,7 @@
     private void write(String line) throws IOException {
         if (lines < LINE_LIMIT) {
             lines++;
-            out.write(line);
-            out.write('\n');
+            out.write(line + '\n');
         }
     }
 
