Read cache events of the engines held

Cause: engines publish changes of their prefix cache at /v1/cache_events, but nothing read them; summaries named prefixes from reports only, which list no removals and hide gaps.

Change: Effect.ReadCacheEvents goes out with a report read, at most once a second and engine; Input.CacheEventsRead brings the events to the EngineScheduler. CachedPrefixes keeps the last 256 prefixes stored, drops all beliefs older than a gap in the sequence and everything at an engine restart, and ignores an answer to an outdated question. The summary names the last 64; the list in a report counts only before the first event. The replay harness publishes no events.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/EngineScheduler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.bronzehill.config.Urgency;
 import org.bronzehill.core.lease.Lease;
+import org.bronzehill.core.model.CacheEvents;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.Upstream;
 import org.bronzehill.core.node.Effects;
@@ -27,6 +28,7 @@
     private final Admitter admitter;
     private final RequestEnds ends;
     private final BatchMeter batch;
+    private final CachedPrefixes prefixes = new CachedPrefixes();
     private final SummaryBuilder summaries;
 
     private EngineScheduler(
@@ -39,7 +41,7 @@
         dispatcher = new Dispatcher(engine, handles, loads, ends);
         admitter = new Admitter(engine, loads, dispatcher, ends);
         batch = new BatchMeter(upstream.id(), engine.now());
-        summaries = new SummaryBuilder(engine, handles, dispatcher);
+        summaries = new SummaryBuilder(engine, handles, dispatcher, prefixes);
     }
 
     /** Creates the scheduler of one lease epoch. */
@@ -89,6 +91,7 @@
             evictions.restarted(out);
             handles.restarted();
             loads.restarted(out);
+            prefixes.restarted();
         }
         if (report.highestFencing() > 0) {
             engine.context()
@@ -99,6 +102,16 @@
         proceed(out);
     }
 
+    /** Takes changes of the engine's prefix cache. */
+    public void onCacheEvents(CacheEvents events) {
+        prefixes.onEvents(events);
+    }
+
+    /** Returns the sequence number after which cache events are to be read. */
+    public long lastCacheEvent() {
+        return prefixes.last();
+    }
+
     /** Notes that the engine's report could not be read. */
     public void onReportFailed(Effects out) {
         if (engine.reportsFailSinceNanos < 0) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/SummaryBuilder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/SummaryBuilder.java
@@ -22,12 +22,15 @@
     private final EngineState engine;
     private final HandleTable handles;
     private final Dispatcher dispatcher;
+    private final CachedPrefixes cached;
     private long sequence;
 
-    SummaryBuilder(EngineState engine, HandleTable handles, Dispatcher dispatcher) {
+    SummaryBuilder(
+            EngineState engine, HandleTable handles, Dispatcher dispatcher, CachedPrefixes cached) {
         this.engine = engine;
         this.handles = handles;
         this.dispatcher = dispatcher;
+        this.cached = cached;
     }
 
     EngineSummary summary() {
@@ -47,11 +50,19 @@
                         .setDataCentre(u.dataCentre())
                         .setBaseModel(u.shape().baseModel());
         addAdapters(summary);
-        List<Long> prefixes = handles.prefixes();
-        summary.addAllPrefixes(prefixes.subList(0, Math.min(MAX_PREFIXES, prefixes.size())));
+        summary.addAllPrefixes(prefixes());
         return summary.build();
     }
 
+    /** Cache events tell removals and gaps; a report's list serves engines that publish none. */
+    private List<Long> prefixes() {
+        if (cached.last() > 0) {
+            return cached.latest(MAX_PREFIXES);
+        }
+        List<Long> reported = handles.prefixes();
+        return reported.subList(0, Math.min(MAX_PREFIXES, reported.size()));
+    }
+
     private void addAdapters(EngineSummary.Builder summary) {
         Set<AdapterVersion> listed = new HashSet<>();
         for (AdapterHandle h : handles.all()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Effect.java
@@ -29,6 +29,9 @@
     /** Reads the report of an engine. */
     record ReadEngineReport(String engine) implements Effect {}
 
+    /** Reads the changes of an engine's prefix cache after a sequence number. */
+    record ReadCacheEvents(String engine, long after) implements Effect {}
+
     /**
      * Gives an order to an engine.
      *
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
@@ -11,6 +11,7 @@
 import org.bronzehill.core.engine.SchedulerContext;
 import org.bronzehill.core.lease.Lease;
 import org.bronzehill.core.lease.Resources;
+import org.bronzehill.core.model.CacheEvents;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.Upstream;
@@ -128,6 +129,13 @@
         }
     }
 
+    void onCacheEvents(CacheEvents events) {
+        EngineScheduler scheduler = held.get(events.engine());
+        if (scheduler != null) {
+            scheduler.onCacheEvents(events);
+        }
+    }
+
     void onReportFailed(String engine, Effects out) {
         EngineScheduler scheduler = held.get(engine);
         if (scheduler != null) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/EntryCore.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/EntryCore.java
@@ -110,6 +110,8 @@
         } else if (input instanceof Input.EngineReportFailed i) {
             parts.reports().onReportEnded(i.engine());
             engines.onReportFailed(i.engine(), out);
+        } else if (input instanceof Input.CacheEventsRead i) {
+            engines.onCacheEvents(i.events());
         } else if (input instanceof Input.OrderAnswered i) {
             engines.offer(
                     s -> s.onOrderAnswered(i.orderId(), i.outcome(), i.highestFencing(), out));
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Input.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Input.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.core.model.CacheEvents;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.ModelRequest;
@@ -50,6 +51,9 @@
     /** An engine's report could not be read. */
     record EngineReportFailed(String engine, String reason) implements Input {}
 
+    /** Changes of an engine's prefix cache were read; a failed read is repeated unannounced. */
+    record CacheEventsRead(CacheEvents events) implements Input {}
+
     /** An order was answered. */
     record OrderAnswered(long orderId, OrderOutcome outcome, long highestFencing)
             implements Input {}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ReportSchedule.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ReportSchedule.java
@@ -4,7 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Reads the reports of the engines held here, and lets their summaries be published. */
+/**
+ * Reads the reports and cache events of the engines held here, and lets their summaries be
+ * published.
+ */
 final class ReportSchedule {
 
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
@@ -12,6 +15,9 @@
     /** A report that was not answered in this time is asked for again. */
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(2);
 
+    /** Prefix affinity bears a delay; engines publish cache events late anyway. */
+    private static final Duration CACHE_EVENTS_INTERVAL = Duration.ofSeconds(1);
+
     /** Changes within this time are told together. */
     private static final Duration PUBLISH_INTERVAL = Duration.ofMillis(100);
 
@@ -19,6 +25,7 @@
     private final EngineDesk engines;
     private final SummaryPublisher summaries;
     private final Map<String, Long> nextRead = new HashMap<>();
+    private final Map<String, Long> nextCacheEvents = new HashMap<>();
     private long lastPublished;
 
     ReportSchedule(CoreContext context, EngineDesk engines, SummaryPublisher summaries) {
@@ -31,10 +38,12 @@
     void onTick(Effects out) {
         long now = context.time().nanoTime();
         nextRead.keySet().retainAll(engines.held().keySet());
+        nextCacheEvents.keySet().retainAll(engines.held().keySet());
         for (String engine : engines.held().keySet()) {
             if (now - nextRead.getOrDefault(engine, now) >= 0) {
                 nextRead.put(engine, now + REPORT_TIMEOUT.toNanos());
                 out.add(new Effect.ReadEngineReport(engine));
+                readCacheEvents(engine, now, out);
             }
         }
         if (now - lastPublished >= PUBLISH_INTERVAL.toNanos()) {
@@ -43,6 +52,14 @@
         }
     }
 
+    private void readCacheEvents(String engine, long now, Effects out) {
+        if (now - nextCacheEvents.getOrDefault(engine, now) >= 0) {
+            nextCacheEvents.put(engine, now + CACHE_EVENTS_INTERVAL.toNanos());
+            long after = engines.held().get(engine).lastCacheEvent();
+            out.add(new Effect.ReadCacheEvents(engine, after));
+        }
+    }
+
     /** Notes that the read of an engine's report has ended. */
     void onReportEnded(String engine) {
         nextRead.computeIfPresent(
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/engine/CachedPrefixesTest.java
@@ -0,0 +1,71 @@
+package org.bronzehill.core.engine;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.bronzehill.core.model.CacheEvents;
+import org.testng.annotations.Test;
+
+/** What an engine is believed to have cached, after late and missing events. */
+public class CachedPrefixesTest {
+
+    private static CacheEvents.Event event(long sequence, List<Long> stored, List<Long> removed) {
+        return new CacheEvents.Event(sequence, stored, removed);
+    }
+
+    private static void read(SchedulerFixture f, long after, CacheEvents.Event... events) {
+        f.scheduler.onCacheEvents(new CacheEvents(SchedulerFixture.ENGINE, after, List.of(events)));
+    }
+
+    private static List<Long> told(SchedulerFixture f) {
+        return f.scheduler.summary().getPrefixesList();
+    }
+
+    /** Guards against a summary without stored prefixes, or with removed ones. */
+    @Test
+    public void followsStoredAndRemovedPrefixes() {
+        SchedulerFixture f = SchedulerFixture.started();
+        read(f, 0, event(1, List.of(11L, 12L), List.of()), event(2, List.of(13L), List.of(11L)));
+        assertEquals(told(f), List.of(12L, 13L));
+        assertEquals(f.scheduler.lastCacheEvent(), 2);
+        read(f, 2, event(3, List.of(), List.of(12L)));
+        assertEquals(told(f), List.of(13L));
+    }
+
+    /** Guards against belief in a prefix whose removal was in a lost event. */
+    @Test
+    public void dropsWhatIsOlderThanAGap() {
+        SchedulerFixture f = SchedulerFixture.started();
+        read(f, 0, event(1, List.of(11L), List.of()), event(2, List.of(12L), List.of()));
+        read(f, 2, event(4, List.of(14L), List.of()));
+        assertEquals(told(f), List.of(14L));
+    }
+
+    /** Guards against belief in the cache of an engine that has restarted with an empty one. */
+    @Test
+    public void dropsEverythingWhenTheEngineRestarts() {
+        SchedulerFixture f = SchedulerFixture.started();
+        read(f, 0, event(1, List.of(11L), List.of()));
+        f.reportFrom(2);
+        assertEquals(told(f), List.of());
+        assertEquals(f.scheduler.lastCacheEvent(), 0);
+        // The answer to a question asked before the restart tells of the former cache.
+        read(f, 1, event(2, List.of(12L), List.of()));
+        assertEquals(told(f), List.of());
+    }
+
+    /** Guards against a set that grows with every prompt, and against the loss of the latest. */
+    @Test
+    public void keepsABoundedNumberOfTheLatest() {
+        CachedPrefixes prefixes = new CachedPrefixes();
+        for (long i = 1; i <= 1000; i++) {
+            CacheEvents.Event e = event(i, List.of(i), List.of());
+            prefixes.onEvents(new CacheEvents(SchedulerFixture.ENGINE, i - 1, List.of(e)));
+        }
+        assertEquals(
+                prefixes.latest(Integer.MAX_VALUE),
+                LongStream.rangeClosed(1000 - 255, 1000).boxed().toList());
+        assertEquals(prefixes.latest(2), List.of(999L, 1000L));
+    }
+}
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
@@ -24,6 +24,7 @@
 import org.bronzehill.config.MemberSpec;
 import org.bronzehill.config.Policy;
 import org.bronzehill.config.Urgency;
+import org.bronzehill.core.model.CacheEvents;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.InstanceRef;
@@ -51,6 +52,7 @@
     final List<Effect.StartAttempt> attempts = new ArrayList<>();
     final List<Effect.CallService> calls = new ArrayList<>();
     final List<Effect.Answer> answers = new ArrayList<>();
+    final List<Effect.ReadCacheEvents> cacheReads = new ArrayList<>();
     final List<Effect> others = new ArrayList<>();
     final Map<String, Integer> envelopes = new LinkedHashMap<>();
     Predicate<Envelope> lost = envelope -> false;
@@ -63,6 +65,7 @@
     private final Map<Long, String> orderHolder = new LinkedHashMap<>();
     private final Map<String, List<String>> loaded = new LinkedHashMap<>();
     private final List<Watch> watches = new ArrayList<>();
+    final Map<String, List<CacheEvents.Event>> cacheEvents = new LinkedHashMap<>();
     private final int engines;
 
     private record Watch(String instance, long endNanos) {}
@@ -213,6 +216,13 @@
             order(from, e);
         } else if (effect instanceof Effect.ReadEngineReport e) {
             later(from, new Input.EngineReported(report(e.engine())));
+        } else if (effect instanceof Effect.ReadCacheEvents e) {
+            List<CacheEvents.Event> events =
+                    cacheEvents.getOrDefault(e.engine(), List.of()).stream()
+                            .filter(event -> event.sequence() > e.after())
+                            .toList();
+            cacheReads.add(e);
+            later(from, new Input.CacheEventsRead(new CacheEvents(e.engine(), e.after(), events)));
         } else if (!platform(from, effect)) {
             others.add(effect);
         }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/EffectRunner.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/duty/EffectRunner.java
@@ -107,6 +107,8 @@
             engines.order(e);
         } else if (effect instanceof Effect.ReadEngineReport e) {
             engines.readReport(e.engine());
+        } else if (effect instanceof Effect.ReadCacheEvents e) {
+            engines.readCacheEvents(e.engine(), e.after());
         } else {
             return false;
         }
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/CacheEventParser.java
@@ -0,0 +1,44 @@
+package org.bronzehill.entry.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.bronzehill.core.model.CacheEvents;
+import org.bronzehill.core.node.Input;
+
+/** Reads the JSON form of cache events. */
+final class CacheEventParser {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private CacheEventParser() {}
+
+    /** Returns nothing if the engine publishes no events or the answer is malformed. */
+    static Optional<Input> parse(String engine, long after, BodyCollector.Whole answer) {
+        if (answer.status() != 200) {
+            return Optional.empty();
+        }
+        try {
+            List<CacheEvents.Event> events = new ArrayList<>();
+            for (JsonNode e : MAPPER.readTree(answer.body()).path("events")) {
+                events.add(
+                        new CacheEvents.Event(
+                                e.path("sequence").asLong(),
+                                hashes(e.path("stored")),
+                                hashes(e.path("removed"))));
+            }
+            return Optional.of(new Input.CacheEventsRead(new CacheEvents(engine, after, events)));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static List<Long> hashes(JsonNode list) {
+        List<Long> hashes = new ArrayList<>();
+        list.forEach(h -> hashes.add(h.asLong()));
+        return hashes;
+    }
+}
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineClient.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineClient.java
@@ -16,7 +16,7 @@
 import org.bronzehill.core.node.OrderKind;
 import org.bronzehill.core.node.OrderOutcome;
 
-/** Client of the engines: attempts, orders and reports. */
+/** Client of the engines: attempts, orders, reports and cache events. */
 public final class EngineClient {
 
     /** The holder reads a report every 250 ms; a late one is of no use after a few more. */
@@ -144,6 +144,21 @@
                                 inputs.accept(new Input.EngineReportFailed(engine, detail))));
     }
 
+    /** Reads the cache events of an engine; a failed read is left to the next one. */
+    public void readCacheEvents(String engine, long after) {
+        uris.of(engine)
+                .map(uri -> uri.resolve("/v1/cache_events?after=" + after))
+                .ifPresent(
+                        uri ->
+                                call(
+                                        HttpCall.get(uri, REPORT_DEADLINE),
+                                        BodyCollector.create(
+                                                whole ->
+                                                        CacheEventParser.parse(engine, after, whole)
+                                                                .ifPresent(inputs::accept),
+                                                (reason, detail) -> {})));
+    }
+
     /** Gives an order. */
     public void order(Effect.OrderEngine order) {
         if (uris.of(order.engine()).isEmpty()) {
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/EntryProgram.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/EntryProgram.java
@@ -258,6 +258,9 @@
             callers.answer(a);
         } else if (effect instanceof Effect.AbandonAttempt a) {
             callers.abandon(a);
+        } else if (effect instanceof Effect.ReadCacheEvents) {
+            // The engines of the harness have no prefix cache and publish no events.
+            return;
         } else if (effect instanceof Effect.DescribeAttempt) {
             // Only fills the headers of the answer, which the harness takes from the answer itself.
             return;
