Hedge only at resident engines and use the router's placement queries

Cause: hedges were routed like first attempts and could start a load. Neighbours scanned every summary for each eviction decision, and its redirects could name a cold engine or the full engine itself.

Change: ModelRequests.hedge uses RouteQuery.forHedge.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/PlacementView.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/PlacementView.java
@@ -20,7 +20,7 @@
                 }
             };
 
-    /** Returns on how many engines other than {@code engine} the adapter version is resident. */
+    /** Returns on how many other engines that take work the adapter version is resident. */
     int residentElsewhere(AdapterVersion adapter, String engine);
 
     /** Returns an engine with room for the request, other than {@code engine}. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -111,7 +111,7 @@
                 context.time(),
                 context.ids(),
                 crashHistory(context.crashes()),
-                new Neighbours(router, view),
+                router,
                 replies);
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -329,7 +329,7 @@
         r.markHedged();
         ModelRequest q = r.request();
         Either<ResultCode, Route> other =
-                router.route(new RouteQuery(q.adapter(), q.kind(), q.prefixHash(), r.tried(), ""));
+                router.route(RouteQuery.forHedge(q.adapter(), q.kind(), q.prefixHash(), r.tried()));
         if (other.isRight() && budget.tryTake()) {
             out.add(new Effect.Measure(Signal.HEDGES, q.kind(), 1));
             r.count();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/StatusView.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/StatusView.java
@@ -36,11 +36,6 @@
         summaries.keySet().retainAll(listed);
     }
 
-    /** Returns the latest summaries by engine. */
-    Map<String, EngineSummary> summaries() {
-        return summaries;
-    }
-
     CoreStatus view(Duration age, long staleReads, CoreStatus.Counts counts) {
         Configuration now = context.configuration();
         return new CoreStatus(
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/Router.java
@@ -174,7 +174,8 @@
     public int residentElsewhere(AdapterVersion adapter, String engine) {
         int count = 0;
         for (EngineView e : index.residents(adapter)) {
-            count += !e.id().equals(engine) && !e.adapters().get(adapter).loading() ? 1 : 0;
+            boolean usable = e.acceptsWork() && !e.adapters().get(adapter).loading();
+            count += usable && !e.id().equals(engine) ? 1 : 0;
         }
         return count;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
@@ -265,6 +265,11 @@
         later(from, new Input.OrderAnswered(e.orderId(), OrderOutcome.DONE, e.fencing()));
     }
 
+    /** Returns the number of loads that are held back. */
+    int waitingLoads() {
+        return waitingOrders.size();
+    }
+
     /** Answers the loads that were held back. */
     void answerLoads() {
         loadsAnswer = true;
--- a/bronzehill-core/src/test/java/org/bronzehill/core/placement/RouterTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/placement/RouterTest.java
@@ -22,6 +22,7 @@
 import org.bronzehill.config.Limits;
 import org.bronzehill.config.OwnershipScope;
 import org.bronzehill.config.Policy;
+import org.bronzehill.core.model.AdapterVersion;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.ListedState;
 import org.bronzehill.core.model.Upstream;
@@ -287,6 +288,19 @@
         assertEquals(r.route(hedge).getLeft(), ResultCode.NO_UPSTREAM);
     }
 
+    /** Guards against an eviction that counts on an engine which takes no new requests. */
+    @Test
+    public void replicasAtEnginesThatTakeNoWorkDoNotCount() {
+        Router r = router(1, 4);
+        AdapterVersion adapter = new AdapterVersion("a1", 1);
+        give(r, summary("e0", 0, "a1"), summary("e1", 0, "a1"), summary("e2", 0, "a1"));
+        assertEquals(r.residentElsewhere(adapter, "e0"), 2);
+        give(r, summary("e1", 0, "a1").setAvailable(false));
+        assertEquals(r.residentElsewhere(adapter, "e0"), 1);
+        r.onInstanceList(list(4, "e2"));
+        assertEquals(r.residentElsewhere(adapter, "e0"), 0);
+    }
+
     /** Guards against weights without effect: they decide between waiting and a fuller batch. */
     @Test
     public void weightsOfThePolicyDecide() {
