Test that an engine that vanishes from the instance list is left

Cause: EngineDesk.onInstanceList passes over an engine that is no longer listed, which looked like a gap.

Change: none in behaviour. LeaseManager.onInstanceList, called with the same list, ends the lease of a resource that is no longer listed, so the scheduler is retired: no new work, the queue is sent elsewhere, running requests finish, the lease is not sought.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
@@ -62,6 +62,10 @@
         }
     }
 
+    /**
+     * Follows changed descriptions. An engine that is no longer listed loses its lease with the
+     * same list, in {@code LeaseManager.onInstanceList}, and its running requests finish.
+     */
     void onInstanceList(InstanceList list, Effects out) {
         upstreams.clear();
         list.upstreams().forEach(u -> upstreams.put(u.id(), u));
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,6 +57,7 @@
     final List<Effect> others = new ArrayList<>();
     final Map<String, Integer> envelopes = new LinkedHashMap<>();
     Predicate<Envelope> lost = envelope -> false;
+    final Set<String> absent = new HashSet<>();
     boolean platformAnswers = true;
     boolean loadsAnswer = true;
     Configuration configuration = configuration(1, 1);
@@ -145,10 +147,12 @@
         }
         List<Upstream> upstreams = new ArrayList<>();
         for (int i = 1; i <= engines; i++) {
-            upstreams.add(upstream("engine-" + i, UpstreamKind.ENGINE, Set.of()));
+            if (!absent.contains("engine-" + i)) {
+                upstreams.add(upstream("engine-" + i, UpstreamKind.ENGINE, Set.of()));
+            }
         }
         upstreams.add(upstream("runner-1", UpstreamKind.APPLICATION_RUNNER, Set.of("pickup")));
-        return new InstanceList(1, listed, upstreams);
+        return new InstanceList(1 + absent.size(), listed, upstreams);
     }
 
     private static Upstream upstream(String id, UpstreamKind kind, Set<String> services) {
@@ -270,6 +274,16 @@
         return waitingOrders.size();
     }
 
+    /** Returns the engine of the first load that is held back. */
+    String loadingEngine() {
+        return waitingOrders.values().iterator().next().engine();
+    }
+
+    /** Returns the number of reads of an engine's cache events. */
+    int reads(String engine) {
+        return (int) cacheReads.stream().filter(r -> r.engine().equals(engine)).count();
+    }
+
     /** Answers the loads that were held back. */
     void answerLoads() {
         loadsAnswer = true;
