--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
@@ -11,6 +11,7 @@
 import org.bronzehill.core.engine.SchedulerContext;
 import org.bronzehill.core.lease.Lease;
 import org.bronzehill.core.lease.Resources;
+import org.bronzehill.core.model.CacheEvents;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.Upstream;
@@ -61,6 +62,10 @@
         }
     }
 
+    /**
+     * Follows changed descriptions. An engine that is no longer listed loses its lease with the
+     * same list, in {@code LeaseManager.onInstanceList}, and its running requests finish.
+     */
     void onInstanceList(InstanceList list, Effects out) {
         upstreams.clear();
         list.upstreams().forEach(u -> upstreams.put(u.id(), u));
@@ -128,6 +133,13 @@
         }
     }
 
+    void onCacheEvents(CacheEvents events) {
+        EngineScheduler scheduler = held.get(events.engine());
+        if (scheduler != null) {
+            scheduler.onCacheEvents(events);
+        }
+    }
+
     void onReportFailed(String engine, Effects out) {
         EngineScheduler scheduler = held.get(engine);
         if (scheduler != null) {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
 import org.bronzehill.config.MemberSpec;
 import org.bronzehill.config.Policy;
 import org.bronzehill.config.Urgency;
+import org.bronzehill.core.model.CacheEvents;
 import org.bronzehill.core.model.EngineReport;
 import org.bronzehill.core.model.InstanceList;
 import org.bronzehill.core.model.InstanceRef;
@@ -51,9 +53,11 @@
     final List<Effect.StartAttempt> attempts = new ArrayList<>();
     final List<Effect.CallService> calls = new ArrayList<>();
     final List<Effect.Answer> answers = new ArrayList<>();
+    final List<Effect.ReadCacheEvents> cacheReads = new ArrayList<>();
     final List<Effect> others = new ArrayList<>();
     final Map<String, Integer> envelopes = new LinkedHashMap<>();
     Predicate<Envelope> lost = envelope -> false;
+    final Set<String> absent = new HashSet<>();
     boolean platformAnswers = true;
     boolean loadsAnswer = true;
     Configuration configuration = configuration(1, 1);
@@ -63,6 +67,7 @@
     private final Map<Long, String> orderHolder = new LinkedHashMap<>();
     private final Map<String, List<String>> loaded = new LinkedHashMap<>();
     private final List<Watch> watches = new ArrayList<>();
+    final Map<String, List<CacheEvents.Event>> cacheEvents = new LinkedHashMap<>();
     private final int engines;
 
     private record Watch(String instance, long endNanos) {}
@@ -142,10 +147,12 @@
         }
         List<Upstream> upstreams = new ArrayList<>();
         for (int i = 1; i <= engines; i++) {
-            upstreams.add(upstream("engine-" + i, UpstreamKind.ENGINE, Set.of()));
+            if (!absent.contains("engine-" + i)) {
+                upstreams.add(upstream("engine-" + i, UpstreamKind.ENGINE, Set.of()));
+            }
         }
         upstreams.add(upstream("runner-1", UpstreamKind.APPLICATION_RUNNER, Set.of("pickup")));
-        return new InstanceList(1, listed, upstreams);
+        return new InstanceList(1 + absent.size(), listed, upstreams);
     }
 
     private static Upstream upstream(String id, UpstreamKind kind, Set<String> services) {
@@ -213,6 +220,13 @@
             order(from, e);
         } else if (effect instanceof Effect.ReadEngineReport e) {
             later(from, new Input.EngineReported(report(e.engine())));
+        } else if (effect instanceof Effect.ReadCacheEvents e) {
+            List<CacheEvents.Event> events =
+                    cacheEvents.getOrDefault(e.engine(), List.of()).stream()
+                            .filter(event -> event.sequence() > e.after())
+                            .toList();
+            cacheReads.add(e);
+            later(from, new Input.CacheEventsRead(new CacheEvents(e.engine(), e.after(), events)));
         } else if (!platform(from, effect)) {
             others.add(effect);
         }
@@ -255,6 +269,21 @@
         later(from, new Input.OrderAnswered(e.orderId(), OrderOutcome.DONE, e.fencing()));
     }
 
+    /** Returns the number of loads that are held back. */
+    int waitingLoads() {
+        return waitingOrders.size();
+    }
+
+    /** Returns the engine of the first load that is held back. */
+    String loadingEngine() {
+        return waitingOrders.values().iterator().next().engine();
+    }
+
+    /** Returns the number of reads of an engine's cache events. */
+    int reads(String engine) {
+        return (int) cacheReads.stream().filter(r -> r.engine().equals(engine)).count();
+    }
+
     /** Answers the loads that were held back. */
     void answerLoads() {
         loadsAnswer = true;
