--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLink.java
@@ -17,6 +17,7 @@
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import org.bronzehill.protocol.generated.Envelope;
 
@@ -38,6 +39,7 @@
     private final Supplier<Optional<InetSocketAddress>> address;
     private final PeerListener listener;
     private final int capacity;
+    private final LongAdder sent;
     private final AtomicInteger queued = new AtomicInteger();
     private final AtomicLong queuedBytes = new AtomicLong();
     private final Queue<Envelope> queue = new ArrayDeque<>();
@@ -50,12 +52,14 @@
             EventLoop loop,
             Supplier<Optional<InetSocketAddress>> address,
             PeerListener listener,
-            int capacity) {
+            int capacity,
+            LongAdder sent) {
         this.instance = instance;
         this.loop = loop;
         this.address = address;
         this.listener = listener;
         this.capacity = capacity;
+        this.sent = sent;
     }
 
     boolean send(Envelope envelope, boolean fresh) {
@@ -171,7 +175,7 @@
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel newChannel) {
-            PeerFrames.install(newChannel.pipeline());
+            PeerFrames.install(newChannel.pipeline(), sent);
             newChannel.pipeline().addLast(new Watcher());
         }
     }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLinks.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerLinks.java
@@ -4,12 +4,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 import org.bronzehill.protocol.generated.Envelope;
 
 /** Outgoing links to all peers. */
 public final class PeerLinks implements AutoCloseable {
 
     private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+    private final LongAdder sent = new LongAdder();
     private final EventLoopGroup loops;
     private final PeerAddresses addresses;
     private final PeerListener listener;
@@ -60,7 +62,8 @@
                                         loops.next(),
                                         () -> addresses.of(i),
                                         listener,
-                                        capacity)));
+                                        capacity,
+                                        sent)));
     }
 
     /** Closes the links to instances that have no address any more. */
@@ -78,6 +81,11 @@
         return links.values().stream().mapToInt(PeerLink::queued).sum();
     }
 
+    /** Returns the number of bytes sent on all links since the start. */
+    public long sentBytes() {
+        return sent.sum();
+    }
+
     @Override
     public void close() {
         links.values().forEach(PeerLink::close);
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerServer.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/peer/PeerServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.LongAdder;
 import org.bronzehill.protocol.generated.Envelope;
 import org.jboss.logging.Logger;
 
@@ -22,6 +23,7 @@
     private static final Logger LOG = Logger.getLogger(PeerServer.class);
 
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final LongAdder received = new LongAdder();
     private final EventLoopGroup loops;
     private final PeerListener listener;
     private Channel acceptor;
@@ -48,6 +50,11 @@
         return (InetSocketAddress) acceptor.localAddress();
     }
 
+    /** Returns the number of bytes received on all connections since the start. */
+    public long receivedBytes() {
+        return received.sum();
+    }
+
     @Override
     public void close() {
         if (acceptor != null) {
@@ -60,7 +67,7 @@
         @Override
         protected void initChannel(SocketChannel channel) {
             connections.add(channel);
-            PeerFrames.install(channel.pipeline());
+            PeerFrames.install(channel.pipeline(), received);
             channel.pipeline().addLast(new Receiver());
         }
     }
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Metrics.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Metrics.java
@@ -1,6 +1,7 @@
 package org.bronzehill.entry.telemetry;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -153,6 +154,15 @@
                 .register(registry);
     }
 
+    /** Adds a growing value that is read whenever the metrics are. */
+    public void counter(String name, String help, DoubleSupplier value) {
+        CounterWithCallback.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
     /** Returns the Prometheus text format. */
     public String text() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/peer/PeerLinksTest.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/peer/PeerLinksTest.java
@@ -86,6 +86,9 @@
         sent.forEach(m -> assertTrue(links.send("entry-2", m, false)));
         await().until(() -> received.size() == sent.size());
         assertEquals(received, sent);
+        long frames = sent.stream().mapToLong(m -> 4 + m.getSerializedSize()).sum();
+        assertEquals(links.sentBytes(), frames);
+        assertEquals(server.receivedBytes(), frames);
         assertTrue(unreachable.isEmpty());
     }
 
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Control.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Control.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.bronzehill.standin.internal.Json;
 
@@ -44,8 +45,18 @@
         return send("POST", base, path, Json.bytes(body));
     }
 
+    /** Reads a text document. */
+    public String text(URI base, String path) throws IOException, InterruptedException {
+        return new String(bytes("GET", base, path, new byte[0]), StandardCharsets.UTF_8);
+    }
+
     private JsonNode send(String method, URI base, String path, byte[] body)
             throws IOException, InterruptedException {
+        return Json.parse(bytes(method, base, path, body));
+    }
+
+    private byte[] bytes(String method, URI base, String path, byte[] body)
+            throws IOException, InterruptedException {
         HttpRequest request =
                 HttpRequest.newBuilder(base.resolve(path))
                         .timeout(TIMEOUT)
@@ -58,7 +69,7 @@
             throw new IOException(
                     method + ' ' + request.uri() + " answered " + response.statusCode());
         }
-        return Json.parse(response.body());
+        return response.body();
     }
 
     /** Returns whether something answers at the address. */
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/ManagedProcess.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/ManagedProcess.java
@@ -38,6 +38,10 @@
         return name;
     }
 
+    public long pid() {
+        return process.pid();
+    }
+
     public boolean isAlive() {
         return process.isAlive();
     }
