Use connections again for idempotent reads

Each engine report, four a second for each engine held, and each read of the instance list opened a connection of its own. These reads, shard reads and manifest reads that do not wait now share pooled connections, closed after 10 s without use. A read on a used connection that breaks, or is silent for half of its time, is sent once more on a new connection. Requests, orders, acts and the waiting configuration watch keep connections of their own.

--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/BodyCollector.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/BodyCollector.java
@@ -10,7 +10,7 @@
 final class BodyCollector implements HttpListener {
 
     /** The platform's values are at most 1 MB; reports of large engines stay below 4 MB. */
-    private static final int MAX_BYTES = 8 << 20;
+    static final int MAX_BYTES = 8 << 20;
 
     /** A complete answer. */
     record Whole(int status, Map<String, String> headers, byte[] body) {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineClient.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/EngineClient.java
@@ -30,6 +30,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final EventLoopGroup loops;
+    private final ReadConnections reads;
     private final UpstreamUris uris;
     private final InputSink inputs;
     private final Map<Long, Running> running = new ConcurrentHashMap<>();
@@ -38,6 +39,7 @@
 
     private EngineClient(EventLoopGroup loops, UpstreamUris uris, InputSink inputs) {
         this.loops = loops;
+        this.reads = ReadConnections.create(loops.next());
         this.uris = uris;
         this.inputs = inputs;
     }
@@ -136,7 +138,7 @@
             inputs.accept(new Input.EngineReportFailed(engine, "unknown engine"));
             return;
         }
-        call(
+        reads.read(
                 HttpCall.get(uris.of(engine).get().resolve("/v1/report"), REPORT_DEADLINE),
                 BodyCollector.create(
                         whole -> inputs.accept(ReportParser.parse(engine, whole)),
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/HttpExchange.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/HttpExchange.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutException;
@@ -39,7 +40,7 @@
 final class HttpExchange {
 
     /** Upstreams are within a few milliseconds; a lost SYN is sent again after 1 s. */
-    private static final int CONNECT_TIMEOUT_MS = 1_500;
+    static final int CONNECT_TIMEOUT_MS = 1_500;
 
     private final HttpCall call;
     private final HttpListener listener;
@@ -103,10 +104,15 @@
             return;
         }
         written = true;
-        channel.writeAndFlush(request());
+        channel.writeAndFlush(request(call, false));
     }
 
-    private FullHttpRequest request() {
+    /**
+     * Returns the message that carries a call.
+     *
+     * @param keepAlive whether the connection may be used again
+     */
+    static FullHttpRequest request(HttpCall call, boolean keepAlive) {
         String path = call.uri().getRawPath();
         String query = call.uri().getRawQuery();
         FullHttpRequest request =
@@ -116,12 +122,20 @@
                         query == null ? path : path + '?' + query,
                         Unpooled.wrappedBuffer(call.body()));
         request.headers().set(HttpHeaderNames.HOST, call.uri().getAuthority());
-        request.headers().set(HttpHeaderNames.CONNECTION, "close");
+        HttpUtil.setKeepAlive(request, keepAlive);
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
         call.headers().forEach((n, v) -> request.headers().set(n, v));
         return request;
     }
 
+    /** Returns the headers of an answer with names in lower case. */
+    static Map<String, String> headers(HttpResponse response) {
+        Map<String, String> headers = new HashMap<>();
+        response.headers()
+                .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+        return headers;
+    }
+
     private void fail(FailureReason reason, String detail) {
         if (!ended) {
             ended = true;
@@ -171,13 +185,7 @@
                 return;
             }
             if (message instanceof HttpResponse response) {
-                Map<String, String> headers = new HashMap<>();
-                response.headers()
-                        .forEach(
-                                h ->
-                                        headers.put(
-                                                h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
-                listener.onHead(response.status().code(), headers);
+                listener.onHead(response.status().code(), headers(response));
             }
             if (message instanceof HttpContent content) {
                 ByteBuf data = content.content();
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/PlatformClient.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/PlatformClient.java
@@ -31,6 +31,7 @@
     private static final int NOT_MODIFIED = 304;
 
     private final EventLoopGroup loops;
+    private final ReadConnections reads;
     private final List<URI> configurationUris;
     private final List<URI> listUris;
     private final InputSink inputs;
@@ -47,6 +48,7 @@
             List<URI> listUris,
             InputSink inputs) {
         this.loops = loops;
+        this.reads = ReadConnections.create(loops.next());
         this.configurationUris = configurationUris;
         this.listUris = listUris;
         this.inputs = inputs;
@@ -110,21 +112,28 @@
             Consumer<Manifest> onManifest,
             Consumer<String> onFailed) {
         URI uri = base.resolve("/v1/manifest?have=" + have + "&wait_ms=" + maxWait.toMillis());
-        get(
-                uri,
-                READ_DEADLINE.plus(maxWait),
-                whole -> {
-                    if (whole.status() == NOT_MODIFIED) {
-                        onManifest.accept(new Manifest(have, "", List.of()));
-                        return;
-                    }
-                    Either<String, Manifest> manifest =
-                            whole.status() == 200
-                                    ? ImageCodec.decodeManifest(whole.body())
-                                    : Either.left(uri + " answered status " + whole.status());
-                    manifest.peek(onManifest).peekLeft(onFailed);
-                },
-                onFailed);
+        HttpListener collector =
+                collector(
+                        whole -> {
+                            if (whole.status() == NOT_MODIFIED) {
+                                onManifest.accept(new Manifest(have, "", List.of()));
+                                return;
+                            }
+                            Either<String, Manifest> manifest =
+                                    whole.status() == 200
+                                            ? ImageCodec.decodeManifest(whole.body())
+                                            : Either.left(
+                                                    uri + " answered status " + whole.status());
+                            manifest.peek(onManifest).peekLeft(onFailed);
+                        },
+                        onFailed);
+        HttpCall call = HttpCall.get(uri, READ_DEADLINE.plus(maxWait));
+        if (maxWait.isZero()) {
+            reads.read(call, collector);
+        } else {
+            // A waiting watch cannot be told apart from a used connection that is silent.
+            HttpExchange.prepare(call, collector, loops.next()).begin();
+        }
     }
 
     private void readShards(URI base, Manifest manifest) {
@@ -185,12 +194,12 @@
             Duration deadline,
             Consumer<BodyCollector.Whole> onWhole,
             Consumer<String> onFailed) {
-        HttpExchange.prepare(
-                        HttpCall.get(uri, deadline),
-                        BodyCollector.create(
-                                onWhole,
-                                (FailureReason reason, String detail) -> onFailed.accept(detail)),
-                        loops.next())
-                .begin();
+        reads.read(HttpCall.get(uri, deadline), collector(onWhole, onFailed));
+    }
+
+    private static HttpListener collector(
+            Consumer<BodyCollector.Whole> onWhole, Consumer<String> onFailed) {
+        return BodyCollector.create(
+                onWhole, (FailureReason reason, String detail) -> onFailed.accept(detail));
     }
 }
--- /dev/null
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/ReadConnections.java
@@ -0,0 +1,149 @@
+package org.bronzehill.entry.upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.pool.AbstractChannelPoolHandler;
+import io.netty.channel.pool.AbstractChannelPoolMap;
+import io.netty.channel.pool.SimpleChannelPool;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.AttributeKey;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Connections that are used again for idempotent reads of bounded size. Calls that may have an
+ * effect use an {@link HttpExchange} instead. All state belongs to one event loop.
+ */
+final class ReadConnections {
+
+    static final AttributeKey<PooledRead> CURRENT = AttributeKey.valueOf("pooledRead");
+
+    /** Regular reads repeat within a second; a longer pause means that the address is gone. */
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(10);
+
+    private final EventLoop loop;
+    private final Pools pools = new Pools();
+
+    private ReadConnections(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Creates a set without open connections. */
+    static ReadConnections create(EventLoop loop) {
+        return new ReadConnections(loop);
+    }
+
+    /** Starts a read; a read that fails on a used connection is sent again on a new one. */
+    void read(HttpCall call, HttpListener listener) {
+        if (!"GET".equals(call.method())) {
+            throw new IllegalArgumentException(call.method() + " is not an idempotent read");
+        }
+        PooledRead read = new PooledRead(call, listener, loop, this);
+        loop.execute(read::begin);
+    }
+
+    SimpleChannelPool pool(URI uri) {
+        return pools.get(address(uri));
+    }
+
+    /** Closes all idle connections to an address, so that the next read uses a new one. */
+    void discard(URI uri) {
+        pools.remove(address(uri));
+    }
+
+    /** The address stays unresolved, so that a changed host name is resolved again. */
+    private static InetSocketAddress address(URI uri) {
+        return InetSocketAddress.createUnresolved(uri.getHost(), uri.getPort());
+    }
+
+    private final class Pools extends AbstractChannelPoolMap<InetSocketAddress, SimpleChannelPool> {
+        @Override
+        protected SimpleChannelPool newPool(InetSocketAddress address) {
+            Bootstrap bootstrap =
+                    new Bootstrap()
+                            .group(loop)
+                            .channel(NioSocketChannel.class)
+                            .option(ChannelOption.TCP_NODELAY, true)
+                            .option(
+                                    ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                    HttpExchange.CONNECT_TIMEOUT_MS)
+                            .remoteAddress(address);
+            return new SimpleChannelPool(bootstrap, new Installer(address));
+        }
+    }
+
+    private final class Installer extends AbstractChannelPoolHandler {
+        private final InetSocketAddress address;
+
+        Installer(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        @Override
+        public void channelCreated(Channel channel) {
+            channel.pipeline()
+                    .addLast(
+                            new IdleStateHandler(
+                                    0, 0, IDLE_LIMIT.toMillis(), TimeUnit.MILLISECONDS))
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(BodyCollector.MAX_BYTES))
+                    .addLast(new Reader(address));
+        }
+    }
+
+    /** Passes what happens on a connection to the read that uses it. */
+    private final class Reader extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final InetSocketAddress address;
+
+        Reader(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            PooledRead read = context.channel().attr(CURRENT).get();
+            if (read == null) {
+                context.close();
+            } else {
+                read.answered(response);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            broken(context, "connection closed before the answer was complete");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            broken(context, String.valueOf(cause.getMessage()));
+            context.close();
+        }
+
+        private void broken(ChannelHandlerContext context, String detail) {
+            PooledRead read = context.channel().attr(CURRENT).get();
+            if (read != null) {
+                read.broken(detail);
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof IdleStateEvent && context.channel().attr(CURRENT).get() == null) {
+                pools.remove(address);
+                context.close();
+            }
+        }
+    }
+}
