Parse the instance list only when its bytes have changed

The list is read every second and was parsed each time. The last list is returned again while the bytes of the answer are the same; the version alone is known only after parsing, and a changed list under an unchanged version is still noticed.

--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/PlatformClient.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/upstream/PlatformClient.java
@@ -35,6 +35,7 @@
     private final List<URI> configurationUris;
     private final List<URI> listUris;
     private final InputSink inputs;
+    private final InstanceListMemory listMemory = new InstanceListMemory();
     private final AtomicInteger configurationIndex = new AtomicInteger();
     private final AtomicInteger listIndex = new AtomicInteger();
     private volatile Known known = new Known(0, Set.of());
@@ -174,7 +175,8 @@
                 uri,
                 READ_DEADLINE,
                 whole ->
-                        InstanceListParser.parse(whole.body())
+                        listMemory
+                                .parse(whole.body())
                                 .peek(onRead)
                                 .peekLeft(reason -> listFailed(uri, reason)),
                 reason -> listFailed(uri, reason));
--- /dev/null
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/upstream/InstanceListMemoryTest.java
@@ -0,0 +1,49 @@
+package org.bronzehill.entry.upstream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.bronzehill.core.model.InstanceList;
+import org.testng.annotations.Test;
+
+/** Parsing of instance lists that are mostly unchanged. */
+public class InstanceListMemoryTest {
+
+    private final InstanceListMemory memory = new InstanceListMemory();
+
+    private static byte[] json(int version, String upstreams) {
+        return ("{\"version\":" + version + ",\"instances\":[],\"upstreams\":[" + upstreams + "]}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String engine(String state) {
+        return "{\"id\":\"engine-1\",\"kind\":\"engine\",\"uri\":\"http://127.0.0.1:1\",\"state\":\""
+                + state
+                + "\"}";
+    }
+
+    /** Guards against parsing every second a list that does not change for hours. */
+    @Test
+    public void parsesAnUnchangedListOnce() {
+        InstanceList first = memory.parse(json(1, engine("live"))).get();
+        assertSame(memory.parse(json(1, engine("live"))).get(), first);
+    }
+
+    /** Guards against a changed state that is overlooked because the version is the same. */
+    @Test
+    public void seesAChangeUnderTheSameVersion() {
+        memory.parse(json(1, engine("live")));
+        InstanceList second = memory.parse(json(1, engine("leaving"))).get();
+        assertEquals(second, InstanceListParser.parse(json(1, engine("leaving"))).get());
+    }
+
+    /** Guards against an unusable answer that replaces or hides the list read before. */
+    @Test
+    public void keepsTheListAcrossAnUnusableAnswer() {
+        InstanceList first = memory.parse(json(1, engine("live"))).get();
+        assertTrue(memory.parse("{".getBytes(StandardCharsets.UTF_8)).isLeft());
+        assertSame(memory.parse(json(1, engine("live"))).get(), first);
+    }
+}
