Retry a collected answer that breaks after its first chunk

A non-streamed request whose attempt broke after its first chunk was answered with TRUNCATED, although chunks of a collected answer stay in the instance and its caller had received nothing. Such a request of a repeatable kind is now retried like one without chunks: the sink drops what it has collected of the abandoned attempt, and late progress of that attempt is ignored. Streamed answers behave as before.

The new tests cover the retry in the core and the restart of the sink.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -145,8 +145,8 @@
             out.add(new Effect.AbandonAttempt(r.id(), attempt));
             return;
         }
-        boolean relayed = r.relayed() != 0;
-        if (RetryRules.mayRetry(result.code(), r.kind().repeatable(), relayed)) {
+        if (RetryRules.mayRetry(result.code(), r.kind().repeatable(), r.delivered())) {
+            r.restartAnswer();
             retry(r, attempt, result, out);
         } else {
             finish(r, attempt, result, out);
@@ -232,6 +232,10 @@
         if (r == null) {
             return;
         }
+        if (!r.request().stream() && !r.attempts().containsKey(attempt)) {
+            // The collected chunks of an ended attempt are dropped when it is abandoned.
+            return;
+        }
         r.progress(attempt, context.time().nanoTime());
         for (OpenRequest.Attempt other : List.copyOf(r.attempts().values())) {
             if (other.number() != attempt) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/OpenRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/OpenRequest.java
@@ -92,11 +92,21 @@
         return tried;
     }
 
-    /** Returns the attempt of which the caller has received chunks; 0 if there is none. */
+    /** Returns the attempt whose chunks make the answer; 0 if there is none. */
     int relayed() {
         return relayed;
     }
 
+    /** Returns whether the caller has received chunks; a collected answer reaches it only whole. */
+    boolean delivered() {
+        return relayed != 0 && request.stream();
+    }
+
+    /** Drops the chunks of a failed attempt, none of which was delivered. */
+    void restartAnswer() {
+        relayed = 0;
+    }
+
     void progress(int attempt, long now) {
         relayed = attempt;
         progressNanos = now;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/RetryRules.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/RetryRules.java
@@ -38,8 +38,8 @@
     private RetryRules() {}
 
     /** Returns whether a request that ended with this code may be attempted again. */
-    static boolean mayRetry(ResultCode code, boolean repeatable, boolean relayed) {
-        if (relayed) {
+    static boolean mayRetry(ResultCode code, boolean repeatable, boolean delivered) {
+        if (delivered) {
             return false;
         }
         if (code.runState() == RunState.NOT_RUN) {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/CoreRig.java
@@ -279,6 +279,11 @@
         return request(id, "chat", "a-1", TOKEN, null);
     }
 
+    /** Returns a request whose answer is not streamed. */
+    static ModelRequest collected(String id) {
+        return new ModelRequest(id, TOKEN, "chat", "a-1", null, BODY, false, 0, 16);
+    }
+
     static ModelRequest request(
             String id, String kind, String adapter, String token, Duration budget) {
         return new ModelRequest(id, token, kind, adapter, budget, BODY, true, 0, 16);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/node/ModelRequestsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/node/ModelRequestsTest.java
@@ -132,6 +132,25 @@
         assertEquals(rig.attempts.size(), 1);
     }
 
+    /** Guards against a failure told to a caller that has received nothing yet. */
+    @Test
+    public void retriesACollectedAnswerThatBreaksAfterItsFirstChunk() {
+        CoreRig rig = CoreRig.ready(1, 2);
+        rig.ask("entry-1", CoreRig.collected("q-1"));
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt first = rig.lastAttempt();
+        rig.feed("entry-1", new Input.AnswerProgress("q-1", first.attempt(), 1));
+        rig.fail(first, FailureReason.BROKEN, 3);
+        rig.run(Duration.ofSeconds(1));
+        Effect.StartAttempt second = rig.lastAttempt();
+        assertNotEquals(second.attempt(), first.attempt());
+        rig.feed("entry-1", new Input.AnswerProgress("q-1", first.attempt(), 2));
+        assertTrue(rig.answers.isEmpty());
+        rig.finish(second, 4);
+        assertEquals(rig.answers.get(0).code(), ResultCode.OK);
+        assertEquals(rig.answers.get(0).attempt(), second.attempt());
+    }
+
     /** Guards against chunks of an attempt that was given up reaching the caller as whole. */
     @Test
     public void truncatesWhenAnAbandonedAttemptReachedTheCaller() {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/AnswerSink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/AnswerSink.java
@@ -40,6 +40,9 @@
     /** Adds a chunk to the answer; false if the caller does not take it. */
     abstract boolean onData(byte[] data);
 
+    /** Drops what was added so far; false if the caller has received it already. */
+    abstract boolean restart();
+
     /** Ends the answer. */
     abstract void onEnd(Effect.Answer answer);
 
@@ -103,13 +106,18 @@
         return true;
     }
 
-    /** Drops further chunks of an attempt; tells the core if some have been relayed already. */
+    /** Drops the chunks of an attempt; tells the core if the caller has received some already. */
     final void abandon(int attempt) {
         long count;
         synchronized (this) {
             if (ended) {
                 return;
             }
+            if (relayed == attempt && restart()) {
+                relayed = 0;
+                received = 0;
+                provenance = null;
+            }
             if (relayed != attempt) {
                 discard(attempt);
                 return;
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/CollectSink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/CollectSink.java
@@ -35,6 +35,13 @@
         return true;
     }
 
+    @Override
+    boolean restart() {
+        body.reset();
+        provenance = null;
+        return true;
+    }
+
     @Override
     void onEnd(Effect.Answer answer) {
         if (answer.code().isSuccess() && answer.body() == null) {
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/StreamSink.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/relay/StreamSink.java
@@ -44,6 +44,11 @@
         return emit(new String(data, StandardCharsets.UTF_8), "");
     }
 
+    @Override
+    boolean restart() {
+        return false;
+    }
+
     @Override
     void onEnd(Effect.Answer answer) {
         if (!reply.isDone()) {
--- a/bronzehill-entry/src/test/java/org/bronzehill/entry/relay/SinkTableTest.java
+++ b/bronzehill-entry/src/test/java/org/bronzehill/entry/relay/SinkTableTest.java
@@ -76,6 +76,22 @@
         return Flux.from(reply.join().events()).map(Reply.StreamEvent::data).collectList().block();
     }
 
+    /** Guards against a collected answer that joins the chunks of two attempts. */
+    @Test
+    public void collectsTheNextAttemptAfterAnAbandonedOne() {
+        CompletableFuture<Reply> reply = open("q-1", false);
+        chunk("q-1", 1, 0);
+        chunk("q-1", 1, 1);
+        sinks.abandon("q-1", 1);
+        chunk("q-1", 1, 2);
+        assertFalse(reply.isDone());
+        chunk("q-1", 2, 0);
+        chunk("q-1", 2, 1);
+        end("q-1", 2, ResultCode.OK, 2);
+        assertEquals(outcomes.get(0).code(), ResultCode.OK);
+        assertEquals(new String(reply.join().body(), StandardCharsets.UTF_8), "{\"n\":21}");
+    }
+
     /** Guards against a stream without its end mark, headers or audit outcome. */
     @Test
     public void endsAWholeStreamCleanly() {
