--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreContext.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreContext.java
@@ -18,7 +18,7 @@
         CrashRegistry crashes,
         RetryBudget retries,
         OverloadPolicy overload,
-        Gate gate) {
+        ReadinessState readiness) {
 
     /** Returns the configuration in force. */
     Configuration configuration() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -42,8 +42,8 @@
     private final StoreBudget budget;
     private final ConfigurationSpread spread;
     private final Router router;
-    private final EngineDesk engines;
-    private final DispatchDesk dispatches;
+    private final HeldEngines engines;
+    private final DispatchReceiver dispatches;
     private final ModelRequests models;
     private final ServiceRequests services;
     private final ActCoordinator acts;
@@ -74,19 +74,19 @@
                         CrashRegistry.create(settings.self().id(), () -> live(membership), time),
                         RetryBudget.create(),
                         OverloadPolicy.create(time),
-                        new Gate(
+                        new ReadinessState(
                                 () -> spread.caughtUp() && !membership.superseded(),
                                 this::reachesEngine));
         budget = StoreBudget.create(leases, membership, inForce, time, this::onPermit);
         router = Router.create(HolderDirectory.of(membership, leases), inForce, time, random);
         view = new StatusView(context, leases);
         EngineReplies replies = new EngineReplies(context);
-        engines = new EngineDesk(context, schedulers(replies), replies);
+        engines = new HeldEngines(context, schedulers(replies), replies);
         listener.bind(engines, budget);
         AccessCheck access = new AccessCheck(inForce);
         models = new ModelRequests(context, access, router, new Dispatcher(context, engines));
         replies.bind(models);
-        dispatches = new DispatchDesk(context, engines, replies);
+        dispatches = new DispatchReceiver(context, engines, replies);
         ActPeers fleet = ActPeers.of(membership);
         services = new ServiceRequests(context, access, fleet);
         acts = ActCoordinator.create(fleet, time, ids, services::onAct);
@@ -178,7 +178,7 @@
         reports.onTick(out);
         double limit = Math.max(1, context.configuration().limits().openRequests());
         context.overload().update(models.size() / limit);
-        context.gate().update(out);
+        context.readiness().update(out);
         drain.onTick(out);
         gauges.onTick(out);
     }
@@ -190,7 +190,7 @@
         summaries.retain(membership().list().upstreams().stream().map(Upstream::id).toList());
         leases.onInstanceList(membership().list(), out);
         platform.onList();
-        context.gate().onListRead();
+        context.readiness().onListRead();
     }
 
     void onSummaries(Envelope envelope, Effects out) {
@@ -256,11 +256,11 @@
         return router;
     }
 
-    EngineDesk engines() {
+    HeldEngines engines() {
         return engines;
     }
 
-    DispatchDesk dispatches() {
+    DispatchReceiver dispatches() {
         return dispatches;
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/DispatchDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/DispatchReceiver.java
@@ -10,7 +10,7 @@
 import org.bronzehill.protocol.generated.Envelope;
 
 /** Takes the requests that peers send to engines held here. */
-final class DispatchDesk {
+final class DispatchReceiver {
 
     /**
      * A pull from a peer takes a few milliseconds; beyond this the origin had better look
@@ -22,10 +22,10 @@
 
     private final List<Waiting> waiting = new ArrayList<>();
     private final CoreContext context;
-    private final EngineDesk engines;
+    private final HeldEngines engines;
     private final EngineReplies replies;
 
-    DispatchDesk(CoreContext context, EngineDesk engines, EngineReplies replies) {
+    DispatchReceiver(CoreContext context, HeldEngines engines, EngineReplies replies) {
         this.context = context;
         this.engines = engines;
         this.replies = replies;
@@ -38,7 +38,7 @@
         Dispatch message = envelope.getDispatch();
         EngineRequest request = EngineRequest.of(envelope.getFrom(), message);
         long number = envelope.getConfigurationNumber();
-        if (context.gate().isDraining()) {
+        if (context.readiness().isDraining()) {
             replies.refuse(request, ResultCode.DRAINING, out);
         } else if (number <= context.configuration().number()) {
             engines.submit(message.getEngine(), request, number, out);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Dispatcher.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Dispatcher.java
@@ -14,9 +14,9 @@
 final class Dispatcher {
 
     private final CoreContext context;
-    private final EngineDesk engines;
+    private final HeldEngines engines;
 
-    Dispatcher(CoreContext context, EngineDesk engines) {
+    Dispatcher(CoreContext context, HeldEngines engines) {
         this.context = context;
         this.engines = engines;
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/DrainSequence.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/DrainSequence.java
@@ -13,7 +13,7 @@
 final class DrainSequence {
 
     private final CoreContext context;
-    private final EngineDesk engines;
+    private final HeldEngines engines;
     private final LeaseManager leases;
     private final StoreBudget budget;
     private final ActCoordinator acts;
@@ -21,7 +21,7 @@
 
     DrainSequence(
             CoreContext context,
-            EngineDesk engines,
+            HeldEngines engines,
             LeaseManager leases,
             StoreBudget budget,
             ActCoordinator acts,
@@ -36,11 +36,11 @@
 
     /** Lowers the readiness, then tells the peers. */
     void begin(Effects out) {
-        if (context.gate().isDraining()) {
+        if (context.readiness().isDraining()) {
             return;
         }
-        context.gate().onDrain();
-        context.gate().update(out);
+        context.readiness().onDrain();
+        context.readiness().update(out);
         context.membership().leave(out);
         engines.held().values().forEach(s -> s.drain(out));
         onTick(out);
@@ -48,7 +48,8 @@
 
     /** Goes on as far as the requests in flight allow. */
     void onTick(Effects out) {
-        if (context.gate().phase() != CoreStatus.Phase.DRAINING || ownRequests.getAsInt() > 0) {
+        if (context.readiness().phase() != CoreStatus.Phase.DRAINING
+                || ownRequests.getAsInt() > 0) {
             return;
         }
         for (Map.Entry<String, EngineScheduler> e : List.copyOf(engines.held().entrySet())) {
@@ -65,7 +66,7 @@
             leases.release(store, budget.handover(), out);
         }
         acts.handOver(out);
-        context.gate().onDrained();
+        context.readiness().onDrained();
         out.add(new Effect.Drained());
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/EntryCore.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/EntryCore.java
@@ -63,15 +63,15 @@
     /** After a pause nothing known is trusted: peers may have taken over every lease. */
     private void onPause(Effects out) {
         out.add(new Effect.Measure(Signal.PAUSES_DETECTED, "", 1));
-        parts.context().gate().onPause();
+        parts.context().readiness().onPause();
         parts.leases().dropAll(out);
         parts.spread().recheck(out);
         parts.platform().recheck();
-        parts.context().gate().update(out);
+        parts.context().readiness().update(out);
     }
 
     private void onModelRequest(ModelRequest request, Effects out) {
-        ResultCode refusal = parts.context().gate().refusal();
+        ResultCode refusal = parts.context().readiness().refusal();
         if (refusal == null) {
             parts.models().onRequest(request, out);
         } else {
@@ -80,7 +80,7 @@
     }
 
     private void onServiceRequest(ServiceRequest request, Effects out) {
-        ResultCode refusal = parts.context().gate().refusal();
+        ResultCode refusal = parts.context().readiness().refusal();
         if (refusal == null) {
             parts.services().onRequest(request, out);
         } else {
@@ -98,12 +98,12 @@
         } else {
             return false;
         }
-        parts.context().gate().update(out);
+        parts.context().readiness().update(out);
         return true;
     }
 
     private void onUpstream(Input input, Effects out) {
-        EngineDesk engines = parts.engines();
+        HeldEngines engines = parts.engines();
         if (input instanceof Input.EngineReported i) {
             parts.reports().onReportEnded(i.report().engine());
             engines.onReport(i.report(), out);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Gauges.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Gauges.java
@@ -9,11 +9,11 @@
     private static final Duration INTERVAL = Duration.ofSeconds(1);
 
     private final CoreContext context;
-    private final EngineDesk engines;
+    private final HeldEngines engines;
     private final LeaseManager leases;
     private long nextNanos;
 
-    Gauges(CoreContext context, EngineDesk engines, LeaseManager leases) {
+    Gauges(CoreContext context, HeldEngines engines, LeaseManager leases) {
         this.context = context;
         this.engines = engines;
         this.leases = leases;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/EngineDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/HeldEngines.java
@@ -19,7 +19,7 @@
 import org.bronzehill.protocol.generated.HolderHandover;
 
 /** The schedulers of the engines whose lease this instance holds or has held. */
-final class EngineDesk {
+final class HeldEngines {
 
     private final Map<String, EngineScheduler> held = new LinkedHashMap<>();
     private final List<EngineScheduler> retired = new ArrayList<>();
@@ -28,7 +28,7 @@
     private final SchedulerContext schedulers;
     private final EngineReplies replies;
 
-    EngineDesk(CoreContext context, SchedulerContext schedulers, EngineReplies replies) {
+    HeldEngines(CoreContext context, SchedulerContext schedulers, EngineReplies replies) {
         this.context = context;
         this.schedulers = schedulers;
         this.replies = replies;
@@ -94,7 +94,7 @@
     }
 
     private ResultCode refusal(EngineScheduler scheduler, long number) {
-        if (!context.gate().mayDispatch()) {
+        if (!context.readiness().mayDispatch()) {
             return ResultCode.NOT_READY;
         }
         if (scheduler == null) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Leases.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Leases.java
@@ -10,10 +10,10 @@
 /** Tells the engine desk or the store budget about the leases that concern them. */
 final class Leases implements LeaseListener {
 
-    private EngineDesk engines;
+    private HeldEngines engines;
     private StoreBudget budget;
 
-    void bind(EngineDesk newEngines, StoreBudget newBudget) {
+    void bind(HeldEngines newEngines, StoreBudget newBudget) {
         engines = newEngines;
         budget = newBudget;
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -20,10 +20,10 @@
 final class ModelRequests {
 
     /** A new holder needs about the lease time of 2 s; the pause keeps the search cheap. */
-    private static final Duration PARK = Duration.ofMillis(100);
+    private static final Duration HOLDER_RETRY = Duration.ofMillis(100);
 
     /** Lease time, takeover and one renewal; beyond it no holder is expected to appear. */
-    private static final Duration MAX_PARKED = Duration.ofSeconds(4);
+    private static final Duration MAX_HOLDER_WAIT = Duration.ofSeconds(4);
 
     /** Progress is reported every 500 ms; twice that may pass without a silent connection. */
     private static final Duration PROGRESS_SLACK = Duration.ofSeconds(1);
@@ -92,9 +92,9 @@
     }
 
     private void attempt(OpenRequest r, String preferred, Effects out) {
-        if (!context.gate().mayDispatch()) {
+        if (!context.readiness().mayDispatch()) {
             long now = context.time().nanoTime();
-            r.park(now, now + PARK.toNanos());
+            r.waitForHolder(now, now + HOLDER_RETRY.toNanos());
             return;
         }
         ModelRequest request = r.request();
@@ -160,7 +160,7 @@
         if (result.code() == ResultCode.REDIRECT && !result.redirectTo().isEmpty()) {
             attempt(r, result.redirectTo(), out);
         } else if (attempt == 0) {
-            parkOrFinish(r, attempt, result, out);
+            waitOrFinish(r, attempt, result, out);
         } else if (RetryRules.costsNothing(result.code())) {
             // Nothing was given to an engine; the engines already tried are passed over.
             attempt(r, "", out);
@@ -174,14 +174,14 @@
     }
 
     /** No engine is left to try; a new holder may appear for one of them. */
-    private void parkOrFinish(OpenRequest r, int attempt, EngineResult result, Effects out) {
+    private void waitOrFinish(OpenRequest r, int attempt, EngineResult result, Effects out) {
         long now = context.time().nanoTime();
-        if (r.parkedFor(now) > MAX_PARKED.toNanos()) {
+        if (r.waitedForHolder(now) > MAX_HOLDER_WAIT.toNanos()) {
             finish(r, attempt, result, out);
             return;
         }
         r.tried().clear();
-        r.park(now, now + PARK.toNanos());
+        r.waitForHolder(now, now + HOLDER_RETRY.toNanos());
     }
 
     private void finish(OpenRequest r, int attempt, EngineResult result, Effects out) {
@@ -274,7 +274,7 @@
         ended(r, a.number(), result(r, code, a.route().engine()), out);
     }
 
-    /** Enforces deadlines and silence, repeats parked requests, and hedges. */
+    /** Enforces deadlines and silence, repeats requests that wait for a holder, and hedges. */
     void onTick(Effects out) {
         long now = context.time().nanoTime();
         for (OpenRequest r : List.copyOf(open.values())) {
@@ -283,8 +283,8 @@
             } else if (r.relayed() != 0 && isSilent(r, now)) {
                 out.add(new Effect.Measure(Signal.SILENT_CONNECTIONS, "answer", 1));
                 finish(r, r.relayed(), result(r, ResultCode.SILENT_CONNECTION, ""), out);
-            } else if (r.isDue(now) && context.gate().mayDispatch()) {
-                r.park(now, now + PARK.toNanos());
+            } else if (r.isDue(now) && context.readiness().mayDispatch()) {
+                r.waitForHolder(now, now + HOLDER_RETRY.toNanos());
                 attempt(r, "", out);
             } else {
                 checkHolders(r, out);
@@ -322,7 +322,7 @@
                         && r.relayed() == 0
                         && r.attempts().size() == 1
                         && r.counted() < context.settings().maxAttempts();
-        if (!eligible || !context.gate().mayDispatch()) {
+        if (!eligible || !context.readiness().mayDispatch()) {
             return;
         }
         OpenRequest.Attempt first = r.attempts().values().iterator().next();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/OpenRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/OpenRequest.java
@@ -26,7 +26,7 @@
     private int relayed;
     private long progressNanos;
     private long retryNanos = -1;
-    private long parkedSince = -1;
+    private long waitingSince = -1;
     private int counted = 1;
     private boolean hedged;
     private EngineResult uncertain;
@@ -117,16 +117,16 @@
     }
 
     /** Keeps the request until {@code at} without an attempt. */
-    void park(long now, long at) {
-        if (parkedSince < 0) {
-            parkedSince = now;
+    void waitForHolder(long now, long at) {
+        if (waitingSince < 0) {
+            waitingSince = now;
         }
         retryNanos = at;
     }
 
     /** Returns the time since the request was first kept without an attempt. */
-    long parkedFor(long now) {
-        return parkedSince < 0 ? 0 : now - parkedSince;
+    long waitedForHolder(long now) {
+        return waitingSince < 0 ? 0 : now - waitingSince;
     }
 
     /** Returns the number of attempts that count towards the bound. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/PeerInputs.java
@@ -22,8 +22,8 @@
         if (!onControl(envelope, out)) {
             onWork(envelope, out);
         }
-        if (context.gate().phase() == CoreStatus.Phase.CHECKING) {
-            context.gate().update(out);
+        if (context.readiness().phase() == CoreStatus.Phase.CHECKING) {
+            context.readiness().update(out);
         }
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Gate.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ReadinessState.java
@@ -4,7 +4,7 @@
 import org.bronzehill.core.result.ResultCode;
 
 /** Decides whether the instance may take requests, and raises or lowers its readiness. */
-final class Gate {
+final class ReadinessState {
 
     private final BooleanSupplier caughtUp;
     private final BooleanSupplier reachesEngine;
@@ -14,12 +14,12 @@
     private Boolean reported;
 
     /**
-     * Creates a gate that is closed until the first checks have passed.
+     * Creates a state that is not ready until the first checks have passed.
      *
      * @param caughtUp whether the configuration number in force is the highest one known
      * @param reachesEngine whether the holder of any engine can be reached, if there are engines
      */
-    Gate(BooleanSupplier caughtUp, BooleanSupplier reachesEngine) {
+    ReadinessState(BooleanSupplier caughtUp, BooleanSupplier reachesEngine) {
         this.caughtUp = caughtUp;
         this.reachesEngine = reachesEngine;
     }
@@ -28,7 +28,7 @@
         listRead = true;
     }
 
-    /** Closes the gate until the instance list and the configuration number are known again. */
+    /** Ends readiness until the instance list and the configuration number are known again. */
     void onPause() {
         listRead = false;
         if (phase == CoreStatus.Phase.READY) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/Refusals.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/Refusals.java
@@ -25,7 +25,7 @@
                         null,
                         Duration.ZERO,
                         Duration.ZERO,
-                        context.gate().reason()));
+                        context.readiness().reason()));
         out.add(new Effect.Measure(Signal.REFUSALS, code.name(), 1));
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ReportSchedule.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ReportSchedule.java
@@ -22,13 +22,13 @@
     private static final Duration PUBLISH_INTERVAL = Duration.ofMillis(100);
 
     private final CoreContext context;
-    private final EngineDesk engines;
+    private final HeldEngines engines;
     private final SummaryPublisher summaries;
     private final Map<String, Long> nextRead = new HashMap<>();
     private final Map<String, Long> nextCacheEvents = new HashMap<>();
     private long lastPublished;
 
-    ReportSchedule(CoreContext context, EngineDesk engines, SummaryPublisher summaries) {
+    ReportSchedule(CoreContext context, HeldEngines engines, SummaryPublisher summaries) {
         this.context = context;
         this.engines = engines;
         this.summaries = summaries;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ServiceRequests.java
@@ -227,7 +227,7 @@
         o.mayHaveRun |= mayHaveRun;
         if ((mayHaveRun && !o.granted.kind().repeatable())
                 || late
-                || !context.gate().mayDispatch()
+                || !context.readiness().mayDispatch()
                 || o.attempts >= context.settings().maxAttempts()
                 || choose(o) == null
                 || !context.retries().tryTake()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/StatusView.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/StatusView.java
@@ -41,8 +41,8 @@
         return new CoreStatus(
                 context.selfId(),
                 context.settings().self().incarnation(),
-                context.gate().phase(),
-                context.gate().reason(),
+                context.readiness().phase(),
+                context.readiness().reason(),
                 new CoreStatus.ConfigurationView(
                         now.number(), age, staleReads, now.adapters().count(), now.limits()),
                 context.membership().peers().stream().map(StatusView::peer).toList(),
--- a/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Metrics.java
+++ b/bronzehill-entry/src/main/java/org/bronzehill/entry/telemetry/Metrics.java
@@ -34,7 +34,6 @@
                     Signal.QUEUE_LENGTH,
                     Signal.RETRY_BUDGET_TOKENS,
                     Signal.LEASES_HELD,
-                    Signal.STORE_TOKENS,
                     Signal.CONFIGURATION_NUMBER,
                     Signal.CONFIGURATION_AGE_SECONDS,
                     Signal.PEERS_ALIVE);
