--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Declarations.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Declarations.java
@@ -30,6 +30,7 @@
     public static final String OUTSIDER = "visitor";
 
     private static final int CALLERS = 3;
+    private static final Duration IN_THE_RUN = Duration.ofSeconds(10);
     private static final String SHARED_GROUP = "shared";
     private static final String VISITOR_GROUP = "visiting";
 
@@ -37,67 +38,53 @@
 
     /** Returns the kinds of a deployment and their part in the load. */
     public static List<Traffic> traffic(Profile profile) {
-        Duration inTheRun = Duration.ofSeconds(10);
         return switch (profile) {
-            case DRIFTLESS ->
-                    List.of(
-                            Traffic.model(
-                                    "route-chat",
-                                    Urgency.INTERACTIVE,
-                                    inTheRun,
-                                    4,
-                                    0.35,
-                                    24,
-                                    inTheRun),
-                            Traffic.lookup("pickup-lookup", "pickup", "lookup", 0.25),
-                            Traffic.act("pickup-confirmation", "pickup", "confirm", 0.2),
-                            Traffic.model(
-                                    "tank-summary",
-                                    Urgency.SHIFT,
-                                    Duration.ofHours(4),
-                                    2,
-                                    0.12,
-                                    48,
-                                    inTheRun),
-                            Traffic.model(
-                                    "route-plan",
-                                    Urgency.OVERNIGHT,
-                                    Duration.ofHours(8),
-                                    3,
-                                    0.08,
-                                    64,
-                                    inTheRun));
-            case SIALKOT ->
-                    List.of(
-                            Traffic.model(
-                                    "thread-guidance",
-                                    Urgency.INTERACTIVE,
-                                    inTheRun,
-                                    4,
-                                    0.3,
-                                    24,
-                                    inTheRun),
-                            Traffic.model(
-                                    "quality-query",
-                                    Urgency.PROMPT,
-                                    inTheRun,
-                                    2,
-                                    0.15,
-                                    16,
-                                    inTheRun),
-                            Traffic.model(
-                                    "batch-summary",
-                                    Urgency.OVERNIGHT,
-                                    Duration.ofHours(8),
-                                    3,
-                                    0.1,
-                                    64,
-                                    inTheRun),
-                            Traffic.lookup("order-status", "orders", "status", 0.25),
-                            Traffic.act("bobbin-withdrawal", "bobbins", "withdraw", 0.2));
+            case DRIFTLESS -> driftless();
+            case SIALKOT -> sialkot();
         };
     }
 
+    private static List<Traffic> driftless() {
+        return List.of(
+                Traffic.model(
+                        "route-chat", Urgency.INTERACTIVE, IN_THE_RUN, 4, 0.35, 24, IN_THE_RUN),
+                Traffic.lookup("pickup-lookup", "pickup", "lookup", 0.25),
+                Traffic.act("pickup-confirmation", "pickup", "confirm", 0.2),
+                Traffic.model(
+                        "tank-summary",
+                        Urgency.SHIFT,
+                        Duration.ofHours(4),
+                        2,
+                        0.12,
+                        48,
+                        IN_THE_RUN),
+                Traffic.model(
+                        "route-plan",
+                        Urgency.OVERNIGHT,
+                        Duration.ofHours(8),
+                        3,
+                        0.08,
+                        64,
+                        IN_THE_RUN));
+    }
+
+    private static List<Traffic> sialkot() {
+        return List.of(
+                Traffic.model(
+                        "thread-guidance", Urgency.INTERACTIVE, IN_THE_RUN, 4, 0.3, 24, IN_THE_RUN),
+                Traffic.model("quality-query", Urgency.PROMPT, IN_THE_RUN, 2, 0.15, 16, IN_THE_RUN),
+                Traffic.model(
+                        "batch-summary",
+                        Urgency.OVERNIGHT,
+                        Duration.ofHours(8),
+                        3,
+                        0.1,
+                        64,
+                        IN_THE_RUN),
+                Traffic.lookup("order-status", "orders", "status", 0.25),
+                Traffic.act("bobbin-withdrawal", "bobbins", "withdraw", 0.2));
+    }
+
     /** Creates the declaration with {@link Profile#ADAPTERS} adapters under a number. */
     public static Configuration create(Profile profile, long number, long seed) {
         Random random = new Random(seed);
