Use one implementation of crash history, declaration directories and declaration files

Cause: the duplicate search showed CrashHistory.of written again in CoreParts, the declaration directory written again in the stand-in, and the reading of declarations in two commands. Change: the existing pieces are called; DeclarationFile serves both commands.

--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/CheckCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/CheckCommand.java
@@ -3,18 +3,13 @@
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.Callable;
 import org.bronzehill.cli.ExitStatus;
+import org.bronzehill.cli.internal.DeclarationFile;
 import org.bronzehill.cli.internal.Output;
 import org.bronzehill.config.Configuration;
-import org.bronzehill.config.DeclarationReader;
-import org.bronzehill.config.Problem;
-import org.bronzehill.core.result.ResultCode;
 
 /** Checks a declaration and lists every error with its line and field. */
 @Command(name = "check", description = "Checks a declaration and lists all errors")
@@ -26,10 +21,8 @@
 
     @Override
     public ExitStatus call() throws IOException {
-        Either<List<Problem>, Configuration> read =
-                DeclarationReader.read(file, Files.readString(Path.of(file)));
-        if (read.isLeft()) {
-            Output.problems(ResultCode.INVALID_DECLARATION, read.getLeft());
+        Option<Configuration> read = DeclarationFile.read(file);
+        if (read.isEmpty()) {
             return ExitStatus.INVALID;
         }
         Configuration c = read.get();
--- a/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExportCommand.java
+++ b/bronzehill-cli/src/main/java/org/bronzehill/cli/command/ExportCommand.java
@@ -4,21 +4,16 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import io.vavr.control.Either;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.Callable;
 import org.bronzehill.cli.ExitStatus;
+import org.bronzehill.cli.internal.DeclarationFile;
 import org.bronzehill.cli.internal.Output;
 import org.bronzehill.config.Configuration;
 import org.bronzehill.config.ConfigurationImage;
 import org.bronzehill.config.DeclarationDirectory;
-import org.bronzehill.config.DeclarationReader;
 import org.bronzehill.config.ImageCodec;
-import org.bronzehill.config.Problem;
-import org.bronzehill.core.result.ResultCode;
 
 /** Writes the manifest and shards that the configuration service publishes. */
 @Command(name = "export", description = "Writes the manifest and shards to be published")
@@ -34,13 +29,11 @@
 
     @Override
     public ExitStatus call() throws IOException {
-        Either<List<Problem>, Configuration> read =
-                DeclarationReader.read(file, Files.readString(Path.of(file)));
-        if (read.isLeft()) {
-            Output.problems(ResultCode.INVALID_DECLARATION, read.getLeft());
+        Configuration read = DeclarationFile.read(file).getOrNull();
+        if (read == null) {
             return ExitStatus.INVALID;
         }
-        ConfigurationImage image = ImageCodec.encode(read.get());
+        ConfigurationImage image = ImageCodec.encode(read);
         DeclarationDirectory.write(image, Path.of(directory));
         Output.line(
                 "number "
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/CoreParts.java
@@ -1,6 +1,5 @@
 package org.bronzehill.core.node;
 
-import java.util.Collection;
 import java.util.List;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -110,30 +109,11 @@
                 context.inForce(),
                 context.time(),
                 context.ids(),
-                crashHistory(context.crashes()),
+                CrashHistory.of(context.crashes()),
                 router,
                 replies);
     }
 
-    private static CrashHistory crashHistory(CrashRegistry registry) {
-        return new CrashHistory() {
-            @Override
-            public int marks(byte[] fingerprint) {
-                return registry.marks(fingerprint);
-            }
-
-            @Override
-            public void crashed(Collection<byte[]> fingerprints, Effects out) {
-                registry.crashed(fingerprints, out);
-            }
-
-            @Override
-            public void completed(byte[] fingerprint, Effects out) {
-                registry.completed(fingerprint, out);
-            }
-        };
-    }
-
     private static List<String> live(Membership membership) {
         return membership.peers().stream().filter(p -> p.status().isLive()).map(Peer::id).toList();
     }
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/driver/internal/Deployment.java
@@ -10,10 +10,10 @@
 import java.util.List;
 import java.util.Map;
 import org.bronzehill.config.Configuration;
+import org.bronzehill.config.DeclarationDirectory;
 import org.bronzehill.config.ImageCodec;
 import org.bronzehill.standin.Profile;
 import org.bronzehill.standin.Role;
-import org.bronzehill.standin.internal.ConfigurationService;
 import org.bronzehill.standin.internal.Json;
 
 /** A deployment's stand-ins and entry instances as processes on loopback. */
@@ -173,7 +173,7 @@
     }
 
     private void write(Configuration configuration) throws IOException {
-        ConfigurationService.write(
+        DeclarationDirectory.write(
                 ImageCodec.encode(configuration), directoryOf(configuration.number()));
     }
 
--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ConfigurationService.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/ConfigurationService.java
@@ -1,13 +1,13 @@
 package org.bronzehill.standin.internal;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.bronzehill.config.ConfigurationImage;
+import org.bronzehill.config.DeclarationDirectory;
 import org.bronzehill.config.ImageCodec;
 import org.bronzehill.config.Manifest;
 
@@ -33,28 +33,9 @@
         return new ConfigurationService(id);
     }
 
-    /** Writes an image as a declaration directory. */
-    public static void write(ConfigurationImage image, Path directory) throws IOException {
-        Files.createDirectories(directory.resolve("shards"));
-        for (Map.Entry<String, byte[]> e : image.shards().entrySet()) {
-            Files.write(directory.resolve("shards").resolve(e.getKey()), e.getValue());
-        }
-        Files.write(
-                directory.resolve("manifest.json"), ImageCodec.encodeManifest(image.manifest()));
-    }
-
     /** Publishes a declaration directory, whatever its number. */
     public void publish(Path directory) throws IOException {
-        Manifest manifest =
-                ImageCodec.decodeManifest(Files.readAllBytes(directory.resolve("manifest.json")))
-                        .getOrElseThrow(why -> new IOException(why));
-        Map<String, byte[]> content = new HashMap<>();
-        List<String> hashes = new ArrayList<>(manifest.shards());
-        hashes.add(manifest.base());
-        for (String hash : hashes) {
-            content.put(hash, Files.readAllBytes(directory.resolve("shards").resolve(hash)));
-        }
-        publish(new ConfigurationImage(manifest, content));
+        publish(DeclarationDirectory.read(directory));
     }
 
     /** Publishes an image, whatever its number. */
