--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/ExpectationGenerator.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/expect/ExpectationGenerator.java
@@ -80,7 +80,7 @@
     private boolean mayOutlastTrace(TraceRecord.Model m) {
         return Deployment.named(trace.header().deployment()).kinds().stream()
                 .filter(k -> k.name().equals(m.kind()))
-                .anyMatch(k -> m.at() + k.deadline().toMillis() > trace.header().durationMs());
+                .anyMatch(k -> m.at() + k.deadline().toMillis() > trace.durationMs());
     }
 
     private List<String> modelOutcomes(TraceRecord.Model m) {
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/Replay.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/harness/Replay.java
@@ -27,7 +27,7 @@
         Deployment d = Deployment.named(trace.header().deployment());
         World world = World.create(d, factory, trace.header().seed()).logMessages(messages);
         world.schedule(trace.records());
-        world.runUntilMs(trace.header().durationMs());
+        world.runUntilMs(trace.durationMs());
         return world.result();
     }
 }
--- a/bronzehill-replay/src/main/java/org/bronzehill/replay/trace/TraceHeader.java
+++ b/bronzehill-replay/src/main/java/org/bronzehill/replay/trace/TraceHeader.java
@@ -6,7 +6,8 @@
  * @param version version of the format; a reader refuses any other
  * @param deployment name of the deployment whose instances, upstreams and adapters are used
  * @param seed seed of the generator and of all random choices during replay
- * @param durationMs virtual time at which replay ends
+ * @param durationMs virtual time at which replay ends; 0 in a recorded trace, whose end the
+ *     recorder cannot know
  */
 public record TraceHeader(
         String format, int version, String deployment, long seed, long durationMs, String title) {
--- a/bronzehill-replay/src/test/java/org/bronzehill/replay/trace/TraceFormatTest.java
+++ b/bronzehill-replay/src/test/java/org/bronzehill/replay/trace/TraceFormatTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import org.bronzehill.replay.generate.Deployment;
 import org.bronzehill.replay.generate.Scenario;
 import org.bronzehill.replay.generate.TraceGenerator;
@@ -35,6 +36,20 @@
         }
     }
 
+    /**
+     * Guards against a recorded trace of which nothing is replayed, because its header has no
+     * duration.
+     */
+    @Test
+    public void recordedTraceEndsAfterItsLastRecord() {
+        TraceHeader header = TraceHeader.of("driftless", 0, 0, "recorded");
+        Trace recorded = new Trace(header, TRACE.records());
+        long last = TRACE.records().get(TRACE.records().size() - 1).at();
+        assertTrue(recorded.durationMs() > last, "ends at " + recorded.durationMs());
+        assertEquals(new Trace(header, List.of()).durationMs(), 0);
+        assertEquals(TRACE.durationMs(), TRACE.header().durationMs());
+    }
+
     @Test
     public void namesTheLineOfAnUnknownRecord() {
         String text = TraceFormat.line(TRACE.header()) + "\n{\"type\":\"unknown\",\"at\":1}\n";
