Keep the crash threshold in one place; remove an unused interval

Cause: the number of crashes at which a request is refused stood in CrashRegistry and again in ModelRequests, Admitter and Dispatcher, so a change of one would have left the others; SummaryInterval.fresh had no caller. Change: all use CrashRegistry; the unused method is gone. Behaviour is the same. Result: tests, formatter and linter pass for protocol, config and core; the other modules were not run again.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/Admitter.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/Admitter.java
@@ -8,6 +8,7 @@
 import org.bronzehill.config.Urgency;
 import org.bronzehill.core.admission.Entitlement;
 import org.bronzehill.core.admission.OverloadPolicy;
+import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.result.ResultCode;
 
@@ -15,8 +16,6 @@
 final class Admitter {
 
     private static final Duration RETRY_AFTER_FULL = Duration.ofSeconds(1);
-    private static final int MAX_MARKS = 2;
-
     private final EngineState engine;
     private final LoadPlanner loads;
     private final Dispatcher dispatcher;
@@ -51,7 +50,8 @@
         }
         if (code == null
                 && r.fingerprint().length > 0
-                && engine.context().crashes().marks(r.fingerprint()) >= MAX_MARKS) {
+                && engine.context().crashes().marks(r.fingerprint())
+                        >= CrashRegistry.REFUSAL_THRESHOLD) {
             code = ResultCode.CRASHES_UPSTREAMS;
         }
         if (code != null) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/engine/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.bronzehill.config.Urgency;
 import org.bronzehill.core.admission.Entitlement;
+import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.FailureReason;
@@ -19,7 +20,6 @@
 final class Dispatcher {
 
     private static final int MAX_REQUEUES = 2;
-    private static final int MAX_MARKS = 2;
     private static final long UNREACHABLE_NANOS = Duration.ofMillis(500).toNanos();
 
     /** Time after its deadline or cancellation in which an attempt must end by itself. */
@@ -65,7 +65,7 @@
             return false;
         }
         int marks = marks(q.request());
-        return marks == 0 || marks >= MAX_MARKS || !markedRuns();
+        return marks == 0 || marks >= CrashRegistry.REFUSAL_THRESHOLD || !markedRuns();
     }
 
     /** Resolves the version again under the configuration in force, then starts the request. */
@@ -78,7 +78,7 @@
             ends.notStarted(q, resolved.getLeft(), Duration.ZERO, out);
             return false;
         }
-        if (marks(r) >= MAX_MARKS) {
+        if (marks(r) >= CrashRegistry.REFUSAL_THRESHOLD) {
             ends.notStarted(q, ResultCode.CRASHES_UPSTREAMS, Duration.ZERO, out);
             return false;
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/node/ModelRequests.java
@@ -28,9 +28,6 @@
     /** Progress is reported every 500 ms; twice that may pass without a silent connection. */
     private static final Duration PROGRESS_SLACK = Duration.ofSeconds(1);
 
-    /** A request with this many crash marks is refused. */
-    private static final int MAX_CRASH_MARKS = 2;
-
     private final Map<String, OpenRequest> open = new LinkedHashMap<>();
     private final CoreContext context;
     private final AccessCheck access;
@@ -78,9 +75,7 @@
         if (context.overload().sheds(granted.kind().urgency())) {
             return ResultCode.SHED;
         }
-        return context.crashes().marks(fingerprint) >= MAX_CRASH_MARKS
-                ? ResultCode.CRASHES_UPSTREAMS
-                : null;
+        return context.crashes().refuses(fingerprint) ? ResultCode.CRASHES_UPSTREAMS : null;
     }
 
     private void refuse(ModelRequest request, ResultCode code, Effects out) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/placement/SummaryInterval.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/placement/SummaryInterval.java
@@ -14,8 +14,6 @@
     /** At 300 engines of a region, counts are sent every 4.5 s. */
     private static final Duration PER_ENGINE = Duration.ofMillis(15);
 
-    private static final int FRESH_REPEATS = 3;
-
     /** Up to this number of engines the bytes do not matter and every count is sent. */
     private static final int MAX_ENGINES_IN_DETAIL = 32;
 
@@ -31,11 +29,6 @@
         return longer(SHORTEST_REPEAT, PER_ENGINE.multipliedBy(engines));
     }
 
-    /** Returns the age up to which a summary is taken for current. */
-    public static Duration fresh(int engines) {
-        return ofRepeats(engines).multipliedBy(FRESH_REPEATS);
-    }
-
     /** Returns whether the numbers of running requests of single adapters are left out. */
     public static boolean coarse(int engines) {
         return engines > MAX_ENGINES_IN_DETAIL;
