--- a/bronzehill-core/src/main/java/org/bronzehill/core/admission/RetryBudget.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/admission/RetryBudget.java
@@ -17,18 +17,45 @@
     /** Retries allowed before any request was counted, for an instance with little traffic. */
     private static final double INITIAL = 10;
 
-    private double tokens = INITIAL;
+    private final double ratio;
+    private double capacity;
+    private double tokens;
 
-    private RetryBudget() {}
+    private RetryBudget(double ratio, double capacity, double initial) {
+        this.ratio = ratio;
+        this.capacity = capacity;
+        this.tokens = initial;
+    }
 
     /** Creates a budget of one retry for every ten new requests. */
     public static RetryBudget create() {
-        return new RetryBudget();
+        return new RetryBudget(RATIO, CAPACITY, INITIAL);
+    }
+
+    /**
+     * Creates a budget that is full at first.
+     *
+     * @param ratio retries earned by each new request
+     * @param capacity largest number of saved retries
+     */
+    public static RetryBudget of(double ratio, double capacity) {
+        return new RetryBudget(ratio, capacity, capacity);
     }
 
     /** Counts a new request, which is neither a retry nor a hedge. */
     public void onNewRequest() {
-        tokens = Math.min(CAPACITY, tokens + RATIO);
+        earn(ratio);
+    }
+
+    /** Adds retries that are earned by the passing of time. */
+    public void earn(double retries) {
+        tokens = Math.min(capacity, tokens + retries);
+    }
+
+    /** Changes the largest number of saved retries. */
+    public void setCapacity(double newCapacity) {
+        capacity = newCapacity;
+        tokens = Math.min(tokens, capacity);
     }
 
     /** Takes one token; returns false, and takes nothing, if there is none. */
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -0,0 +1,359 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.bronzehill.core.time.TimeSource;
+import org.jboss.logging.Logger;
+
+/**
+ * Orders that the claiming instance gives to one engine: it loads the adapters that requests wait
+ * for, and makes room by unloading the one that was used least recently and is not in use.
+ *
+ * <p>Answers a load in which rare adapters are asked for at once: wishes are served in their order
+ * of arrival, as many at a time as the engine fetches in parallel, and an adapter stays for a
+ * minimum time, so that a burst of rare ones does not evict what has just arrived.
+ */
+final class AdapterDesk {
+
+    private static final Logger LOG = Logger.getLogger(AdapterDesk.class);
+
+    /** Adapters that an engine fetches at once. */
+    private static final int PARALLEL_LOADS = 4;
+
+    /** Time between questions whether a load that should be over has ended. */
+    private static final Duration RECHECK = Duration.ofMillis(40);
+
+    /** Pause after the engine was busy or gave no answer. */
+    private static final Duration RETRY = Duration.ofMillis(60);
+
+    /** An adapter stays at least so long after its last use, so that waiting requests reach it. */
+    private static final Duration MIN_STAY = Duration.ofMillis(500);
+
+    /** A report may be so old; what changed since is not taken from it. */
+    private static final Duration REPORT_LAG = Duration.ofMillis(1000);
+
+    private final UpstreamState upstream;
+    private final OrderTransport transport;
+    private final TimeSource time;
+    private final LongSupplier fencing;
+    private final Listener listener;
+    private final Map<AdapterRef, Place> places = new HashMap<>();
+    private final Map<AdapterRef, Long> removedAt = new HashMap<>();
+    private final LinkedHashMap<AdapterRef, Integer> wanted = new LinkedHashMap<>();
+    private double loadMs;
+    private Option<EngineSpec> engine = Option.none();
+    private boolean orderOpen;
+    private long quietUntil;
+
+    /** Receives what becomes of the orders. */
+    interface Listener {
+        /** The adapter is held now. */
+        void resident(UpstreamState upstream, AdapterRef adapter, int version);
+
+        /** The adapter cannot be loaded. */
+        void failed(UpstreamState upstream, AdapterRef adapter);
+
+        /** The engine has seen a higher fencing number. */
+        void fenced(UpstreamState upstream);
+    }
+
+    private enum Phase {
+        LOADING,
+        HELD,
+        UNLOADING
+    }
+
+    private static final class Place {
+        private int version;
+        private Phase phase;
+        private long changedAt;
+        private long usedAt;
+        private long checkAt;
+
+        private Place(int version, Phase phase, long now) {
+            this.version = version;
+            this.phase = phase;
+            this.changedAt = now;
+            this.usedAt = now;
+            this.checkAt = now;
+        }
+    }
+
+    /**
+     * @param fencing fencing number of orders; negative if none may be given now
+     * @param expectedLoad load time assumed until one was measured
+     */
+    AdapterDesk(
+            UpstreamState upstream,
+            OrderTransport transport,
+            TimeSource time,
+            LongSupplier fencing,
+            Duration expectedLoad,
+            Listener listener) {
+        this.upstream = upstream;
+        this.transport = transport;
+        this.time = time;
+        this.fencing = fencing;
+        this.listener = listener;
+        this.loadMs = expectedLoad.toMillis();
+        this.quietUntil = time.nanoTime();
+    }
+
+    /** Notes that requests wait for an adapter. */
+    void want(AdapterRef adapter, int version) {
+        Place place = places.get(adapter);
+        if (place != null && place.phase == Phase.HELD && place.version >= version) {
+            place.usedAt = time.nanoTime();
+            listener.resident(upstream, adapter, place.version);
+        } else if (place == null || place.phase != Phase.LOADING || place.version < version) {
+            wanted.merge(adapter, version, Math::max);
+        }
+    }
+
+    /** Notes which adapters requests use now. */
+    void onUse(AdapterRef adapter) {
+        Place place = places.get(adapter);
+        if (place != null) {
+            place.usedAt = time.nanoTime();
+        }
+    }
+
+    /** Takes over a report, except for what changed more recently than the report may be old. */
+    void onReport(EngineStatus status) {
+        long now = time.nanoTime();
+        upstream.setModels(status.models());
+        status.adapters().forEach((a, v) -> merge(a, v, Phase.HELD, now));
+        status.coming().forEach((a, v) -> merge(a, v, Phase.LOADING, now));
+        places.entrySet()
+                .removeIf(
+                        e ->
+                                isSettled(e.getValue(), now)
+                                        && !status.adapters().containsKey(e.getKey())
+                                        && !status.coming().containsKey(e.getKey()));
+        publish();
+    }
+
+    private void merge(AdapterRef adapter, int version, Phase phase, long now) {
+        Place place = places.get(adapter);
+        if (place == null) {
+            if (phase == Phase.LOADING || !recentlyRemoved(adapter, now)) {
+                places.put(adapter, new Place(version, phase, now - REPORT_LAG.toNanos()));
+            }
+        } else if (isSettled(place, now)) {
+            place.version = version;
+            place.phase = phase;
+        }
+    }
+
+    private boolean recentlyRemoved(AdapterRef adapter, long now) {
+        removedAt.values().removeIf(at -> now - at > REPORT_LAG.toNanos());
+        return removedAt.containsKey(adapter);
+    }
+
+    private static boolean isSettled(Place place, long now) {
+        return now - place.changedAt >= REPORT_LAG.toNanos();
+    }
+
+    /** Gives the next order, if one is due. */
+    void onTick(Option<EngineSpec> spec) {
+        engine = spec;
+        orderNext();
+    }
+
+    private void orderNext() {
+        if (orderOpen
+                || engine.isEmpty()
+                || fencing.getAsLong() < 0
+                || time.nanoTime() - quietUntil < 0) {
+            return;
+        }
+        if (checkLoads()) {
+            return;
+        }
+        loadNext(engine.get());
+    }
+
+    /** Asks about a load that should be over, by ordering it again. */
+    private boolean checkLoads() {
+        long now = time.nanoTime();
+        for (Map.Entry<AdapterRef, Place> e : places.entrySet()) {
+            Place p = e.getValue();
+            if (p.phase == Phase.LOADING && now - p.checkAt >= 0) {
+                p.checkAt = now + RECHECK.toNanos();
+                orderLoad(e.getKey(), p);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void loadNext(EngineSpec engine) {
+        if (wanted.isEmpty() || countLoading() >= PARALLEL_LOADS) {
+            return;
+        }
+        Map.Entry<AdapterRef, Integer> next = wanted.entrySet().iterator().next();
+        AdapterRef adapter = next.getKey();
+        Option<ModelSpec> model = engine.model(adapter.model());
+        if (model.isEmpty() || !upstream.holdsModel(adapter.model())) {
+            wanted.remove(adapter);
+            listener.failed(upstream, adapter);
+            return;
+        }
+        Place held = places.get(adapter);
+        if (held == null && places.size() >= capacity(engine, model.get())) {
+            evictOne();
+            return;
+        }
+        wanted.remove(adapter);
+        long now = time.nanoTime();
+        Place place = new Place(next.getValue(), Phase.LOADING, now);
+        place.checkAt = now + Duration.ofMillis(Math.round(loadMs)).toNanos();
+        places.put(adapter, place);
+        orderLoad(adapter, place);
+    }
+
+    private int countLoading() {
+        return (int) places.values().stream().filter(p -> p.phase == Phase.LOADING).count();
+    }
+
+    /** Returns how many adapters fit beside the weights that the engine holds. */
+    private int capacity(EngineSpec engine, ModelSpec model) {
+        double weights = 0;
+        for (String held : upstream.models()) {
+            weights += engine.model(held).map(ModelSpec::weightsMb).getOrElse(0.0);
+        }
+        if (model.adapterMb() <= 0) {
+            return engine.adapterPlaces();
+        }
+        int byMemory = (int) Math.floor((engine.weightsMb() - weights) / model.adapterMb());
+        return Math.max(0, Math.min(engine.adapterPlaces(), byMemory));
+    }
+
+    private void evictOne() {
+        long now = time.nanoTime();
+        AdapterRef victim = null;
+        long oldest = now - MIN_STAY.toNanos();
+        for (Map.Entry<AdapterRef, Place> e : places.entrySet()) {
+            Place p = e.getValue();
+            if (p.phase == Phase.HELD
+                    && p.usedAt - oldest < 0
+                    && !upstream.isUsed(e.getKey())
+                    && !wanted.containsKey(e.getKey())) {
+                victim = e.getKey();
+                oldest = p.usedAt;
+            }
+        }
+        if (victim == null) {
+            quietUntil = now + RETRY.toNanos();
+            return;
+        }
+        orderUnload(victim, places.get(victim));
+    }
+
+    private void orderLoad(AdapterRef adapter, Place place) {
+        Order order = new Order(Order.Operation.LOAD, adapter, place.version, fencing.getAsLong());
+        orderOpen = true;
+        transport.order(upstream.upstream(), order, r -> onLoadReply(adapter, place, order, r));
+    }
+
+    private void onLoadReply(AdapterRef adapter, Place place, Order order, OrderReply reply) {
+        orderOpen = false;
+        log(order, reply);
+        long now = time.nanoTime();
+        switch (reply) {
+            case ALREADY -> {
+                if (place.phase == Phase.LOADING) {
+                    double took = (now - place.changedAt) / 1e6;
+                    loadMs = Math.min(loadMs * 0.8 + took * 0.2, 4 * loadMs);
+                }
+                place.phase = Phase.HELD;
+                place.changedAt = now;
+                place.usedAt = now;
+                publish();
+                listener.resident(upstream, adapter, place.version);
+            }
+            case ACCEPTED -> publish();
+            case BUSY, UNKNOWN -> quietUntil = now + RETRY.toNanos();
+            case FENCED -> listener.fenced(upstream);
+            default -> {
+                places.remove(adapter);
+                publish();
+                listener.failed(upstream, adapter);
+            }
+        }
+        orderNext();
+    }
+
+    private void orderUnload(AdapterRef adapter, Place place) {
+        place.phase = Phase.UNLOADING;
+        place.changedAt = time.nanoTime();
+        publish();
+        Order order = new Order(Order.Operation.UNLOAD, adapter, 0, fencing.getAsLong());
+        orderOpen = true;
+        transport.order(
+                upstream.upstream(),
+                order,
+                reply -> {
+                    orderOpen = false;
+                    log(order, reply);
+                    onUnloadReply(adapter, reply);
+                });
+    }
+
+    private void onUnloadReply(AdapterRef adapter, OrderReply reply) {
+        long now = time.nanoTime();
+        switch (reply) {
+            case ALREADY -> {
+                places.remove(adapter);
+                removedAt.put(adapter, now);
+            }
+            case FENCED -> listener.fenced(upstream);
+            // Requests still use it, or nothing is known: the next report tells what is held.
+            default -> quietUntil = now + RETRY.toNanos();
+        }
+        orderNext();
+    }
+
+    private void log(Order order, OrderReply reply) {
+        LOG.infof(
+                "event=order upstream=%s operation=%s adapter=%s version=%d fencing=%d reply=%s"
+                        + " places=%d wanted=%d",
+                upstream.id(),
+                order.operation(),
+                order.target().key(),
+                order.version(),
+                order.fencing(),
+                reply,
+                places.size(),
+                wanted.size());
+    }
+
+    /** Makes the present places known to the choice of upstreams. */
+    private void publish() {
+        Map<AdapterRef, Integer> held = new HashMap<>();
+        Map<AdapterRef, Integer> coming = new HashMap<>();
+        places.forEach(
+                (a, p) -> {
+                    if (p.phase == Phase.HELD) {
+                        held.put(a, p.version);
+                    } else if (p.phase == Phase.LOADING) {
+                        coming.put(a, p.version);
+                    }
+                });
+        wanted.forEach(coming::putIfAbsent);
+        upstream.setAdapters(held, coming);
+    }
+
+    /** Notes that the engine turned away a request for lack of the adapter. */
+    void onMissing(AdapterRef adapter) {
+        Place place = places.get(adapter);
+        if (place != null && place.phase == Phase.HELD) {
+            places.remove(adapter);
+            publish();
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRef.java
@@ -0,0 +1,29 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+
+/**
+ * Adapter of a base model, or the base model itself.
+ *
+ * @param adapter empty for the base model
+ */
+public record AdapterRef(String model, String adapter) {
+
+    /** Returns whether this is the base model without an adapter. */
+    public boolean isBase() {
+        return adapter.isEmpty();
+    }
+
+    /** Returns the form in which peers name the adapter. */
+    public String key() {
+        return model + "/" + adapter;
+    }
+
+    /** Reads the form returned by {@link #key()}; empty if there is no slash. */
+    public static Option<AdapterRef> parse(String key) {
+        int slash = key.indexOf('/');
+        return slash <= 0
+                ? Option.none()
+                : Option.of(new AdapterRef(key.substring(0, slash), key.substring(slash + 1)));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -0,0 +1,137 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.time.TimeSource;
+
+/** Calls that wait for an adapter at an upstream; one load serves all that wait for it. */
+final class AdapterWaits {
+
+    /** Interval at which a wish is repeated, since messages may be lost. */
+    private static final Duration REPEAT = Duration.ofMillis(150);
+
+    /** Part of the expected load times that are waited before the calls look elsewhere. */
+    private static final int PATIENCE_LOADS = 3;
+
+    /** Weight of one load in the average load time. */
+    private static final double WEIGHT = 0.1;
+
+    private final TimeSource time;
+    private final Map<Key, Wait> waits = new HashMap<>();
+    private double loadMs;
+
+    record Key(String upstream, AdapterRef adapter) {}
+
+    /** Calls that wait for one load. */
+    static final class Wait {
+        private final List<ForwardCall> calls = new ArrayList<>();
+        private final int version;
+        private final long since;
+        private long askedAt;
+
+        private Wait(int version, long since) {
+            this.version = version;
+            this.since = since;
+            this.askedAt = since;
+        }
+
+        int version() {
+            return version;
+        }
+
+        List<ForwardCall> calls() {
+            return calls;
+        }
+    }
+
+    /**
+     * @param expected load time assumed until one was measured
+     */
+    AdapterWaits(TimeSource time, Duration expected) {
+        this.time = time;
+        this.loadMs = expected.toMillis();
+    }
+
+    /** Returns the expected time from the wish to the adapter's arrival. */
+    Duration expectedLoad() {
+        return Duration.ofMillis(Math.round(loadMs));
+    }
+
+    /** Adds a call; returns whether it is the first that waits for this load. */
+    boolean add(ForwardCall call, AdapterRef adapter, int version) {
+        Key key = new Key(call.upstream().id(), adapter);
+        Wait wait = waits.get(key);
+        boolean first = wait == null;
+        if (first) {
+            wait = new Wait(version, time.nanoTime());
+            waits.put(key, wait);
+        }
+        wait.calls.add(call);
+        return first;
+    }
+
+    /** Ends a wait because the adapter has arrived; returns the calls to be sent. */
+    List<ForwardCall> arrived(String upstream, AdapterRef adapter, int version) {
+        Key key = new Key(upstream, adapter);
+        Wait wait = waits.get(key);
+        if (wait == null || version < wait.version) {
+            return List.of();
+        }
+        waits.remove(key);
+        double took = (time.nanoTime() - wait.since) / 1e6;
+        loadMs = loadMs * (1 - WEIGHT) + took * WEIGHT;
+        return wait.calls;
+    }
+
+    /** Ends a wait because the adapter will not arrive; returns the calls to be placed again. */
+    List<ForwardCall> failed(String upstream, AdapterRef adapter) {
+        Wait wait = waits.remove(new Key(upstream, adapter));
+        return wait == null ? List.of() : wait.calls;
+    }
+
+    /** Ends the waits at an upstream that is gone. */
+    List<ForwardCall> failedAt(String upstream) {
+        List<ForwardCall> calls = new ArrayList<>();
+        for (Key key : List.copyOf(waits.keySet())) {
+            if (key.upstream().equals(upstream)) {
+                calls.addAll(failed(upstream, key.adapter()));
+            }
+        }
+        return calls;
+    }
+
+    /** Returns the waits that have lasted several load times, and removes them. */
+    List<ForwardCall> overdue() {
+        long limit = Math.max(expectedLoad().toNanos(), REPEAT.toNanos()) * PATIENCE_LOADS;
+        List<ForwardCall> calls = new ArrayList<>();
+        for (Map.Entry<Key, Wait> e : List.copyOf(waits.entrySet())) {
+            if (time.nanoTime() - e.getValue().since > limit) {
+                calls.addAll(failed(e.getKey().upstream(), e.getKey().adapter()));
+            }
+        }
+        return calls;
+    }
+
+    /** Returns the loads that calls wait for. */
+    List<Key> keys() {
+        return List.copyOf(waits.keySet());
+    }
+
+    /** Returns the waits whose wish is to be repeated now; drops those that no call needs. */
+    Map<Key, Wait> toRepeat() {
+        long now = time.nanoTime();
+        Map<Key, Wait> due = new HashMap<>();
+        waits.values().removeIf(w -> w.calls.stream().noneMatch(ForwardCall::isLoading));
+        waits.forEach(
+                (key, wait) -> {
+                    if (now - wait.askedAt >= REPEAT.toNanos()) {
+                        wait.askedAt = now;
+                        due.put(key, wait);
+                    }
+                });
+        return due;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallerLimits.java
@@ -0,0 +1,19 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+
+/**
+ * Bounds on what a caller may send.
+ *
+ * @param maxHeaderBytes size of the request line and headers
+ * @param maxBodyBytes size of the body
+ * @param headerTimeout longest time from the first byte to the end of the headers
+ * @param idleTimeout how long a connection without a request is kept
+ */
+public record CallerLimits(
+        int maxHeaderBytes, int maxBodyBytes, Duration headerTimeout, Duration idleTimeout) {
+
+    /** Bounds until a configuration is known; the sizes are those that Netty defaults to. */
+    public static final CallerLimits INITIAL =
+            new CallerLimits(8192, 1 << 20, Duration.ofSeconds(10), Duration.ofSeconds(30));
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineStatus.java
@@ -0,0 +1,27 @@
+package org.bronzehill.core.forward;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Report of an engine; some hundred milliseconds old.
+ *
+ * @param startedAtMs start of its incarnation, Unix time in ms; 0 if the report does not say
+ * @param models base models that it holds
+ * @param adapters adapters that it holds, with their versions
+ * @param coming adapters that it fetches, with their versions
+ */
+public record EngineStatus(
+        long startedAtMs,
+        int running,
+        int queued,
+        Set<String> models,
+        Map<AdapterRef, Integer> adapters,
+        Map<AdapterRef, Integer> coming) {
+
+    public EngineStatus {
+        models = Set.copyOf(models);
+        adapters = Map.copyOf(adapters);
+        coming = Map.copyOf(coming);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EventSplitter.java
@@ -0,0 +1,96 @@
+package org.bronzehill.core.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Splits a text/event-stream into whole events, so that a stream that breaks off can be continued
+ * by another upstream after the last whole event. Events that were passed on before are left out.
+ */
+public final class EventSplitter {
+
+    /** No event with a number has been seen. */
+    public static final long NO_EVENT = -1;
+
+    private static final String ID_FIELD = "id:";
+
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private long lastId;
+    private boolean gap;
+    private int lineLength;
+
+    private EventSplitter(long lastId) {
+        this.lastId = lastId;
+    }
+
+    /**
+     * Creates a splitter.
+     *
+     * @param lastId number of the last event that was passed on, or {@link #NO_EVENT}
+     */
+    public static EventSplitter after(long lastId) {
+        return new EventSplitter(lastId);
+    }
+
+    /** Takes bytes and returns those of the events that are whole now. */
+    public byte[] accept(byte[] bytes) {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream(bytes.length + pending.size());
+        for (byte b : bytes) {
+            pending.write(b);
+            if (b == '\n') {
+                if (lineLength == 0) {
+                    endEvent(whole);
+                }
+                lineLength = 0;
+            } else if (b != '\r') {
+                lineLength++;
+            }
+        }
+        return whole.toByteArray();
+    }
+
+    private void endEvent(ByteArrayOutputStream whole) {
+        byte[] event = pending.toByteArray();
+        pending.reset();
+        long id = idOf(event);
+        if (id != NO_EVENT) {
+            if (id <= lastId) {
+                return;
+            }
+            gap |= lastId != NO_EVENT && id != lastId + 1;
+            if (gap) {
+                return;
+            }
+            lastId = id;
+        }
+        whole.writeBytes(event);
+    }
+
+    private static long idOf(byte[] event) {
+        for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
+            if (line.startsWith(ID_FIELD)) {
+                try {
+                    return Long.parseLong(line.substring(ID_FIELD.length()).trim());
+                } catch (NumberFormatException e) {
+                    return NO_EVENT;
+                }
+            }
+        }
+        return NO_EVENT;
+    }
+
+    /** Returns the bytes after the last whole event. */
+    public byte[] rest() {
+        return pending.toByteArray();
+    }
+
+    /** Returns whether an event was missing between two others; nothing after it is returned. */
+    public boolean hasGap() {
+        return gap;
+    }
+
+    /** Returns the number of the last event, or {@link #NO_EVENT}. */
+    public long lastId() {
+        return lastId;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -0,0 +1,422 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.result.RunState;
+import org.jboss.logging.Logger;
+
+/**
+ * Life of one request of a caller: placed at an upstream, sent, and answered or refused.
+ *
+ * <p>The transport reports what happens to the running attempt; each report ends the attempt except
+ * for {@link #onProgress}.
+ */
+public final class ForwardCall {
+
+    private static final Logger LOG = Logger.getLogger(ForwardCall.class);
+
+    /** Time left to an upstream's own answer at the deadline before the call is ended here. */
+    private static final Duration DEADLINE_GRACE = Duration.ofMillis(120);
+
+    /**
+     * Sendings that upstreams turned away without running them, after which the call is refused.
+     */
+    private static final int MAX_TURNED_AWAY = 4;
+
+    /** Part of the time limit after which a request is no longer worth sending. */
+    private static final double LAST_SEND = 0.9;
+
+    private enum State {
+        PLACING,
+        WAITING,
+        LOADING,
+        SENT,
+        ENDED
+    }
+
+    private final ForwardRequest request;
+    private final CallTransport transport;
+    private final Forwarder forwarder;
+    private final long order;
+    private final Set<String> avoid = new HashSet<>();
+    private State state = State.PLACING;
+    private UpstreamState upstream;
+    private Scheduler.Timer endTimer;
+    private Scheduler.Timer stallTimer;
+    private long sentNanos;
+    private long progressNanos;
+    private int attempts;
+    private int turnedAway;
+    private boolean answerBegun;
+    private boolean mayHaveRun;
+
+    ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long order) {
+        this.request = request;
+        this.transport = transport;
+        this.forwarder = forwarder;
+        this.order = order;
+    }
+
+    ForwardRequest request() {
+        return request;
+    }
+
+    /** Returns the rank of the call by arrival. */
+    long order() {
+        return order;
+    }
+
+    /** Returns the last moment at which sending the request is worth it, in monotonic time. */
+    long lastSendNanos() {
+        long limit = request.endsNanos() - request.arrivedNanos();
+        return request.arrivedNanos() + (long) (limit * LAST_SEND);
+    }
+
+    Set<String> avoided() {
+        return avoid;
+    }
+
+    UpstreamState upstream() {
+        return upstream;
+    }
+
+    boolean hasEnded() {
+        return state == State.ENDED;
+    }
+
+    boolean isLoading() {
+        return state == State.LOADING;
+    }
+
+    void start() {
+        long left = request.endsNanos() - forwarder.now();
+        endTimer =
+                forwarder.after(
+                        Duration.ofNanos(Math.max(0, left)).plus(DEADLINE_GRACE),
+                        this::onEndOfTime);
+        if (forwarder.crashesUpstreams(request)) {
+            refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
+            return;
+        }
+        place();
+    }
+
+    /** Looks for an upstream; waits, or refuses the call, if none has room. */
+    void place() {
+        forwarder.leaveQueue(this);
+        state = State.PLACING;
+        Option<UpstreamChooser.Choice> choice = forwarder.choose(this);
+        if (choice.isEmpty()) {
+            await();
+        } else if (choice.get().adapterReady()) {
+            take(choice.get().upstream());
+            send();
+        } else {
+            take(choice.get().upstream());
+            state = State.LOADING;
+            log("wait-adapter");
+            forwarder.wantAdapter(this);
+        }
+    }
+
+    private void await() {
+        Option<ResultCode> refusal = forwarder.refusalFor(this);
+        if (refusal.isDefined()) {
+            refuse(refusal.get(), forwarder.retryAfter(this));
+            return;
+        }
+        state = State.WAITING;
+        forwarder.enterQueue(this);
+        log("queue");
+    }
+
+    private void take(UpstreamState chosen) {
+        upstream = chosen;
+        upstream.begin(request);
+    }
+
+    private void release() {
+        if (upstream != null) {
+            UpstreamState released = upstream;
+            upstream = null;
+            released.end(request);
+            forwarder.onRoom(request.service());
+        }
+    }
+
+    /** Sends the request, whose adapter has arrived. */
+    void onAdapterReady() {
+        if (state == State.LOADING) {
+            send();
+        }
+    }
+
+    /** Looks for another upstream, since the adapter did not arrive at the chosen one. */
+    void onAdapterFailed() {
+        if (state == State.LOADING) {
+            log("adapter-failed");
+            avoid.add(upstream.id());
+            release();
+            place();
+        }
+    }
+
+    private void send() {
+        long now = forwarder.now();
+        long left = request.endsNanos() - now;
+        if (left <= 0) {
+            onEndOfTime();
+            return;
+        }
+        attempts++;
+        state = State.SENT;
+        sentNanos = now;
+        progressNanos = now;
+        log("send");
+        Attempt attempt =
+                new Attempt(
+                        attempts + turnedAway,
+                        upstream.upstream(),
+                        Duration.ofNanos(left),
+                        forwarder.requiredVersion(request),
+                        request.route().priority());
+        armStallTimer(forwarder.patience(request, answerBegun));
+        transport.send(attempt);
+    }
+
+    private void armStallTimer(Duration delay) {
+        cancel(stallTimer);
+        stallTimer = forwarder.after(delay, this::onStallTimer);
+    }
+
+    private void onStallTimer() {
+        if (state != State.SENT) {
+            return;
+        }
+        Duration patience = forwarder.patience(request, answerBegun);
+        long silent = forwarder.now() - progressNanos;
+        if (silent < patience.toNanos()) {
+            armStallTimer(patience.minusNanos(silent));
+        } else if (mayRepeat() && forwarder.hasAlternative(this) && forwarder.takeRetry(request)) {
+            log("stalled");
+            transport.cancelAttempt();
+            forwarder.onOutcome(this, false);
+            repeatElsewhere();
+        }
+    }
+
+    /** Notes that the answer has begun, or that more of it was passed on to the caller. */
+    public void onProgress() {
+        if (!answerBegun) {
+            answerBegun = true;
+            forwarder.onFirstByte(this, forwarder.now() - sentNanos);
+        }
+        progressNanos = forwarder.now();
+    }
+
+    /** Notes that the request could not be delivered: no connection was opened. */
+    public void onUnreachable(String reason) {
+        if (state != State.SENT) {
+            return;
+        }
+        attempts--;
+        turnedAway++;
+        log("unreachable", reason);
+        forwarder.onUnreachable(this);
+        avoid.add(upstream.id());
+        release();
+        placeAgain(true);
+    }
+
+    /**
+     * Notes that the upstream stated that it has not run the request.
+     *
+     * @param adapterMissing whether it lacks the adapter, or the version of it
+     */
+    public void onNotRun(String reason, boolean adapterMissing) {
+        if (state != State.SENT) {
+            return;
+        }
+        attempts--;
+        turnedAway++;
+        log("not-run", reason);
+        if (adapterMissing) {
+            forwarder.onAdapterMissing(this);
+        } else {
+            avoid.add(upstream.id());
+        }
+        release();
+        placeAgain(forwarder.takeRetry(request));
+    }
+
+    private void placeAgain(boolean allowed) {
+        if (allowed && turnedAway <= MAX_TURNED_AWAY) {
+            place();
+        } else {
+            refuse(ResultCode.NO_UPSTREAM, forwarder.retryAfter(this));
+        }
+    }
+
+    /**
+     * Decides on a complete answer, or the head of a stream, that reports a failure.
+     *
+     * @return whether to pass it on; otherwise the request is sent to another upstream
+     */
+    public boolean acceptsFailure(int status) {
+        if (state != State.SENT) {
+            return false;
+        }
+        if (status >= 500
+                && mayRepeat()
+                && forwarder.hasAlternative(this)
+                && forwarder.takeRetry(request)) {
+            log("upstream-failed", "status-" + status);
+            forwarder.onOutcome(this, false);
+            repeatElsewhere();
+            return false;
+        }
+        return true;
+    }
+
+    /** Notes that the attempt broke off; the request may have run. */
+    public void onBroken(String reason) {
+        if (state != State.SENT) {
+            return;
+        }
+        mayHaveRun = true;
+        log("broken", reason);
+        forwarder.onOutcome(this, false);
+        forwarder.onBrokenOff(this);
+        if (mayRepeat() && !forwarder.crashesUpstreams(request) && forwarder.takeRetry(request)) {
+            repeatElsewhere();
+        } else {
+            fail(ResultCode.UPSTREAM_FAILED);
+        }
+    }
+
+    private boolean mayRepeat() {
+        return request.route().kind().isRepeatable()
+                && attempts < request.route().maxAttempts()
+                && forwarder.now() - lastSendNanos() < 0;
+    }
+
+    private void repeatElsewhere() {
+        mayHaveRun = true;
+        avoid.add(upstream.id());
+        release();
+        place();
+    }
+
+    /** Notes that the whole answer was passed on. */
+    public void onComplete(int status) {
+        if (state != State.SENT) {
+            return;
+        }
+        forwarder.onOutcome(this, status < 500);
+        forwarder.onCompleted(this, status);
+        log("complete", "status-" + status);
+        end();
+    }
+
+    /** Notes that the caller has closed its connection. */
+    public void onCallerLeft() {
+        if (state == State.ENDED) {
+            return;
+        }
+        log("caller-left");
+        if (state == State.SENT) {
+            transport.cancelAttempt();
+        }
+        end();
+    }
+
+    private void onEndOfTime() {
+        if (state == State.ENDED) {
+            return;
+        }
+        if (state == State.SENT) {
+            transport.cancelAttempt();
+            if (!answerBegun) {
+                forwarder.onOutcome(this, false);
+            }
+            mayHaveRun = true;
+        }
+        fail(mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_HOPELESS);
+    }
+
+    /** Refuses a call that waits and can no longer be served. */
+    void giveUp(ResultCode code) {
+        refuse(code, forwarder.retryAfter(this));
+    }
+
+    private void refuse(ResultCode code, Option<Duration> retryAfter) {
+        if (answerBegun || (mayHaveRun && code.runState() == RunState.NOT_RUN)) {
+            fail(ResultCode.UPSTREAM_FAILED);
+            return;
+        }
+        log("refuse", "code-" + code.number());
+        forwarder.onRefused(request, code);
+        end();
+        transport.refuse(code, retryAfter);
+    }
+
+    private void fail(ResultCode code) {
+        log(answerBegun ? "break-off" : "fail", "code-" + code.number());
+        forwarder.onRefused(request, code);
+        boolean begun = answerBegun;
+        end();
+        if (begun) {
+            transport.breakOff(code);
+        } else {
+            transport.refuse(code, Option.none());
+        }
+    }
+
+    private void end() {
+        cancel(endTimer);
+        cancel(stallTimer);
+        forwarder.leaveQueue(this);
+        state = State.ENDED;
+        release();
+        forwarder.onEnded(this);
+    }
+
+    private static void cancel(Scheduler.Timer timer) {
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
+    private void log(String decision) {
+        log(decision, "");
+    }
+
+    private void log(String decision, String reason) {
+        if (LOG.isInfoEnabled()) {
+            LOG.info(describe(decision, reason));
+        }
+    }
+
+    private String describe(String decision, String reason) {
+        StringBuilder line = new StringBuilder(160);
+        line.append("request=").append(request.id()).append(" decision=").append(decision);
+        if (!reason.isEmpty()) {
+            line.append(" reason=").append(reason);
+        }
+        line.append(" route=").append(request.route().name());
+        line.append(" age-ms=").append((forwarder.now() - request.arrivedNanos()) / 1_000_000);
+        line.append(" attempt=").append(attempts).append(" turned-away=").append(turnedAway);
+        request.adapter().forEach(a -> line.append(" adapter=").append(a.key()));
+        if (upstream != null) {
+            line.append(" upstream=").append(upstream.id());
+            line.append(" upstream-requests=").append(upstream.totalRequests());
+            line.append(" own=").append(upstream.ownRequests());
+            line.append(" failing=").append(Math.round(upstream.health().failureRate() * 100));
+        }
+        line.append(" configuration=").append(forwarder.configurationVersion());
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardPorts.java
@@ -0,0 +1,18 @@
+package org.bronzehill.core.forward;
+
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
+
+/**
+ * What a forwarder works with.
+ *
+ * @param out carries messages to other instances
+ */
+public record ForwardPorts(
+        TimeSource time,
+        Scheduler scheduler,
+        Membership membership,
+        Effects out,
+        OrderTransport orders,
+        ForwardListener listener) {}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -0,0 +1,38 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+
+/**
+ * Request of a caller, as far as decisions depend on it.
+ *
+ * @param id identifier that the caller gave this attempt
+ * @param arrivedNanos monotonic time of its first byte
+ * @param patience how long the caller waits
+ * @param adapter model or adapter that answers it; empty for a plain service
+ * @param promptTokens size of the prompt; 0 for a plain service
+ * @param outputTokens most tokens that are generated; 0 for a plain service
+ * @param fingerprint hash of path and body, by which a repeated request is recognised
+ */
+public record ForwardRequest(
+        String id,
+        Route route,
+        String service,
+        long arrivedNanos,
+        Duration patience,
+        Option<AdapterRef> adapter,
+        long promptTokens,
+        long outputTokens,
+        byte[] fingerprint) {
+
+    /** Returns the tokens that the request may occupy in an engine's memory. */
+    public long tokens() {
+        return promptTokens + outputTokens;
+    }
+
+    /** Returns the monotonic time at which the caller, or the route's timeout, gives up. */
+    public long endsNanos() {
+        Duration limit = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
+        return arrivedNanos + limit.toNanos();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Latency.java
@@ -0,0 +1,27 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+
+/** Usual time from sending a request of a route to the first byte of its answer. */
+final class Latency {
+
+    /** Weight of one answer in the average. */
+    private static final double WEIGHT = 0.05;
+
+    private double nanos;
+
+    /**
+     * @param target target latency of the route; a quarter of it is assumed at first
+     */
+    Latency(Duration target) {
+        this.nanos = target.toNanos() / 4.0;
+    }
+
+    void add(long measuredNanos) {
+        nanos = nanos * (1 - WEIGHT) + measuredNanos * WEIGHT;
+    }
+
+    Duration usual() {
+        return Duration.ofNanos((long) nanos);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -0,0 +1,160 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.AdapterPlace;
+import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.LoadShare;
+import org.bronzehill.protocol.generated.OrderedUpstream;
+import org.bronzehill.protocol.generated.UpstreamLoad;
+
+/** Tells the other instances what this one sends where, and takes over what they tell. */
+final class LoadShares {
+
+    /** Shortest interval between shares; a request lasts some hundred milliseconds and more. */
+    private static final Duration SHORTEST = Duration.ofMillis(100);
+
+    /**
+     * Interval per live instance, so that what an instance receives does not grow with the fleet.
+     */
+    private static final Duration PER_INSTANCE = Duration.ofMillis(12);
+
+    /** Interval at which an unchanged share is repeated; well below the lifetime of a share. */
+    private static final Duration REPEAT = Duration.ofMillis(800);
+
+    private final Membership membership;
+    private final UpstreamTable upstreams;
+    private final OrderOffice office;
+    private final TimeSource time;
+    private final BiConsumer<String, AdapterRef> useListener;
+    private LoadShare last = LoadShare.getDefaultInstance();
+    private long lastAt;
+    private long nextAt;
+
+    /**
+     * @param useListener receives the upstream and adapter of requests of other instances
+     */
+    LoadShares(
+            Membership membership,
+            UpstreamTable upstreams,
+            OrderOffice office,
+            TimeSource time,
+            BiConsumer<String, AdapterRef> useListener) {
+        this.membership = membership;
+        this.upstreams = upstreams;
+        this.office = office;
+        this.time = time;
+        this.useListener = useListener;
+        this.nextAt = time.nanoTime();
+        this.lastAt = nextAt;
+    }
+
+    /** Sends the share if it is due. */
+    void onTick(boolean atOnce, Effects out) {
+        long now = time.nanoTime();
+        if (!atOnce && now - nextAt < 0) {
+            return;
+        }
+        int live = membership.live().size();
+        nextAt = now + Math.max(SHORTEST.toNanos(), PER_INSTANCE.toNanos() * live);
+        LoadShare share = build();
+        if (!atOnce && share.equals(last) && now - lastAt < REPEAT.toNanos()) {
+            return;
+        }
+        last = share;
+        lastAt = now;
+        for (InstanceRef peer : membership.live()) {
+            if (!peer.id().equals(membership.self().id())) {
+                Envelope.Builder envelope = Envelope.newBuilder().setLoadShare(share);
+                out.add(new Effect.SendPeer(peer.id(), envelope, false));
+            }
+        }
+    }
+
+    private LoadShare build() {
+        LoadShare.Builder share = LoadShare.newBuilder();
+        for (UpstreamState u : upstreams.all()) {
+            if (u.ownRequests() > 0) {
+                UpstreamLoad.Builder load =
+                        UpstreamLoad.newBuilder()
+                                .setUpstream(u.id())
+                                .setRequests(u.ownRequests())
+                                .setTokens(u.ownTokens());
+                u.ownAdapters().forEach(a -> load.addAdapters(a.key()));
+                share.addLoads(load);
+            }
+        }
+        office.claims().own().forEach((id, fencing) -> share.addOrdered(ordered(id, fencing)));
+        return share.build();
+    }
+
+    private OrderedUpstream ordered(String id, long fencing) {
+        OrderedUpstream.Builder b =
+                OrderedUpstream.newBuilder().setUpstream(id).setFencing(fencing);
+        UpstreamState u = upstreams.get(id);
+        if (u != null && office.reported().contains(u)) {
+            b.setStartedAtMs(u.upstream().startedAtMs());
+            u.adapters(false).forEach((a, v) -> b.addPlaces(place(a, v, false)));
+            u.adapters(true).forEach((a, v) -> b.addPlaces(place(a, v, true)));
+        }
+        return b.build();
+    }
+
+    private static AdapterPlace place(AdapterRef adapter, int version, boolean loading) {
+        return AdapterPlace.newBuilder()
+                .setAdapter(adapter.key())
+                .setVersion(version)
+                .setLoading(loading)
+                .build();
+    }
+
+    /** Takes over the share of another instance. */
+    void onShare(String peer, LoadShare share) {
+        Set<String> named = new HashSet<>();
+        for (UpstreamLoad load : share.getLoadsList()) {
+            UpstreamState u = upstreams.get(load.getUpstream());
+            if (u == null) {
+                continue;
+            }
+            named.add(u.id());
+            Set<AdapterRef> adapters = new HashSet<>();
+            load.getAdaptersList().forEach(k -> AdapterRef.parse(k).forEach(adapters::add));
+            u.onPeerLoad(peer, load.getRequests(), load.getTokens(), adapters);
+            adapters.forEach(a -> useListener.accept(u.id(), a));
+        }
+        upstreams.all().stream()
+                .filter(u -> !named.contains(u.id()))
+                .forEach(u -> u.dropPeer(peer));
+        Map<String, Long> claims = new HashMap<>();
+        for (OrderedUpstream ordered : share.getOrderedList()) {
+            claims.put(ordered.getUpstream(), ordered.getFencing());
+        }
+        office.claims().onPeerClaims(peer, claims);
+        share.getOrderedList().forEach(o -> takeOver(peer, o));
+    }
+
+    private void takeOver(String peer, OrderedUpstream ordered) {
+        UpstreamState u = upstreams.get(ordered.getUpstream());
+        if (u == null
+                || u.upstream().startedAtMs() != ordered.getStartedAtMs()
+                || !office.claims().holder(u.id()).contains(peer)) {
+            return;
+        }
+        Map<AdapterRef, Integer> held = new HashMap<>();
+        Map<AdapterRef, Integer> coming = new HashMap<>();
+        for (AdapterPlace p : ordered.getPlacesList()) {
+            AdapterRef.parse(p.getAdapter())
+                    .forEach(a -> (p.getLoading() ? coming : held).put(a, p.getVersion()));
+        }
+        u.setAdapters(held, coming);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
@@ -0,0 +1,195 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.time.TimeSource;
+import org.jboss.logging.Logger;
+
+/** Everything that this instance does for the engines to which it gives orders. */
+final class OrderOffice {
+
+    private static final Logger LOG = Logger.getLogger(OrderOffice.class);
+
+    /** Interval between reports of an engine while nothing is loaded; each report has a price. */
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(2000);
+
+    /** Interval between reports of an engine that holds no weights yet. */
+    private static final Duration EMPTY_REPORT_INTERVAL = Duration.ofMillis(300);
+
+    private final Membership membership;
+    private final OrderTransport transport;
+    private final TimeSource time;
+    private final OrderClaims claims;
+    private final AdapterDesk.Listener listener;
+    private final Duration expectedLoad;
+    private final Map<String, Held> held = new HashMap<>();
+    private long nextWeightsAt;
+
+    private static final class Held {
+        private final UpstreamState upstream;
+        private final AdapterDesk desk;
+        private long nextReportAt;
+        private boolean reportOpen;
+        private boolean reported;
+        private boolean weightsOpen;
+
+        private Held(UpstreamState upstream, AdapterDesk desk, long now) {
+            this.upstream = upstream;
+            this.desk = desk;
+            this.nextReportAt = now;
+        }
+    }
+
+    OrderOffice(
+            Membership membership,
+            ForwardSettings settings,
+            OrderTransport transport,
+            TimeSource time,
+            Duration expectedLoad,
+            AdapterDesk.Listener listener) {
+        this.membership = membership;
+        this.transport = transport;
+        this.time = time;
+        this.expectedLoad = expectedLoad;
+        this.listener = listener;
+        this.claims = new OrderClaims(membership, settings, time);
+        this.nextWeightsAt = time.nanoTime();
+    }
+
+    OrderClaims claims() {
+        return claims;
+    }
+
+    /** Gives the orders that are due; returns whether the own claims have changed. */
+    boolean onTick(Map<UpstreamState, EngineSpec> engines) {
+        Set<String> ids = new HashSet<>();
+        engines.keySet().forEach(u -> ids.add(u.id()));
+        boolean changed = claims.onTick(ids);
+        held.values()
+                .removeIf(h -> !claims.holds(h.upstream.id()) || !engines.containsKey(h.upstream));
+        engines.forEach(
+                (u, spec) -> {
+                    if (claims.holds(u.id())) {
+                        serve(held.computeIfAbsent(u.id(), id -> open(u)), spec, engines);
+                    }
+                });
+        return changed;
+    }
+
+    private Held open(UpstreamState u) {
+        AdapterDesk desk =
+                new AdapterDesk(
+                        u,
+                        transport,
+                        time,
+                        () -> claims.fencing(u.id()).getOrElse(-1L),
+                        expectedLoad,
+                        listener);
+        return new Held(u, desk, time.nanoTime());
+    }
+
+    private void serve(Held h, EngineSpec spec, Map<UpstreamState, EngineSpec> engines) {
+        if (claims.fencing(h.upstream.id()).isEmpty()) {
+            return;
+        }
+        long now = time.nanoTime();
+        if (!h.reportOpen && now - h.nextReportAt >= 0) {
+            readReport(h);
+        }
+        if (!h.reported) {
+            return;
+        }
+        if (h.upstream.models().isEmpty()) {
+            loadWeights(h, spec, engines);
+        }
+        h.desk.onTick(Option.of(spec));
+    }
+
+    private void readReport(Held h) {
+        h.reportOpen = true;
+        transport.report(
+                h.upstream.upstream(),
+                status -> {
+                    h.reportOpen = false;
+                    Duration interval =
+                            h.upstream.models().isEmpty() ? EMPTY_REPORT_INTERVAL : REPORT_INTERVAL;
+                    h.nextReportAt = time.nanoTime() + interval.toNanos();
+                    status.forEach(
+                            s -> {
+                                h.reported = true;
+                                h.desk.onReport(s);
+                            });
+                });
+    }
+
+    /** Orders the model that the fewest engines hold; the weight store bounds the rate. */
+    private void loadWeights(Held h, EngineSpec spec, Map<UpstreamState, EngineSpec> engines) {
+        long now = time.nanoTime();
+        if (h.weightsOpen || h.upstream.upstream().draining() || now - nextWeightsAt < 0) {
+            return;
+        }
+        Option<ModelSpec> model =
+                Option.ofOptional(
+                        spec.models().stream()
+                                .filter(m -> m.weightsMb() <= spec.weightsMb())
+                                .min(Comparator.comparingLong(m -> holders(m, engines))));
+        if (model.isEmpty()) {
+            return;
+        }
+        int fleet = Math.max(1, membership.live().size());
+        double gap = fleet / Math.max(spec.loadsPerSecond(), 0.1);
+        nextWeightsAt = now + (long) (gap * 1e9);
+        h.weightsOpen = true;
+        Order order =
+                new Order(
+                        Order.Operation.LOAD,
+                        new AdapterRef(model.get().name(), ""),
+                        0,
+                        claims.fencing(h.upstream.id()).get());
+        transport.order(
+                h.upstream.upstream(),
+                order,
+                reply -> {
+                    h.weightsOpen = false;
+                    h.nextReportAt = time.nanoTime() + EMPTY_REPORT_INTERVAL.toNanos();
+                    LOG.infof(
+                            "event=order upstream=%s operation=LOAD model=%s fencing=%d reply=%s",
+                            h.upstream.id(), model.get().name(), order.fencing(), reply);
+                    if (reply == OrderReply.FENCED) {
+                        listener.fenced(h.upstream);
+                    }
+                });
+    }
+
+    private static long holders(ModelSpec model, Map<UpstreamState, EngineSpec> engines) {
+        return engines.keySet().stream().filter(u -> u.holdsModel(model.name())).count();
+    }
+
+    /** Returns the desk of an engine that this instance gives orders to. */
+    Option<AdapterDesk> desk(String upstream) {
+        return Option.of(held.get(upstream)).map(h -> h.desk);
+    }
+
+    /** Returns the engines that this instance gives orders to and has a report of. */
+    List<UpstreamState> reported() {
+        List<UpstreamState> found = new ArrayList<>();
+        held.values().stream().filter(h -> h.reported).forEach(h -> found.add(h.upstream));
+        return found;
+    }
+
+    /** Ends the work for an engine that is gone or has restarted. */
+    void drop(UpstreamState upstream) {
+        Held h = held.get(upstream.id());
+        if (h != null && h.upstream == upstream) {
+            held.remove(upstream.id());
+        }
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderReply.java
@@ -0,0 +1,17 @@
+package org.bronzehill.core.forward;
+
+/** How an engine answered an order. */
+public enum OrderReply {
+    /** The order is being carried out. */
+    ACCEPTED,
+    /** What the order asks for already holds. */
+    ALREADY,
+    /** Another order is in progress. */
+    BUSY,
+    /** Another instance has ordered with a higher fencing number. */
+    FENCED,
+    /** The engine knows no such order, or the address belongs to another upstream. */
+    REJECTED,
+    /** No answer came, so the order may have been accepted. */
+    UNKNOWN
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RetryShares.java
@@ -0,0 +1,74 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.bronzehill.core.admission.RetryBudget;
+import org.bronzehill.core.time.TimeSource;
+
+/**
+ * This instance's part of each service's retry budget. Every instance earns by its own requests and
+ * takes an equal part of the slack, so the sum stays under the bound without messages.
+ */
+final class RetryShares {
+
+    /**
+     * Part of the bound that is spent; the rest covers instances whose view of the fleet's size is
+     * behind.
+     */
+    private static final double SAFETY = 0.8;
+
+    /** Half of the slack may be saved up, the other half is earned over the window. */
+    private static final double SAVED = 0.5;
+
+    /** How long a larger fleet is remembered, since instances that vanish may only be cut off. */
+    private static final Duration FLEET_MEMORY = Duration.ofSeconds(60);
+
+    private final ForwardSettings settings;
+    private final TimeSource time;
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private int fleet = 1;
+    private long fleetSeenAt;
+    private long earnedAt;
+
+    RetryShares(ForwardSettings settings, TimeSource time) {
+        this.settings = settings;
+        this.time = time;
+        this.earnedAt = time.nanoTime();
+        this.fleetSeenAt = earnedAt;
+    }
+
+    void onRequest(String service) {
+        budget(service).onNewRequest();
+    }
+
+    boolean tryTake(String service) {
+        return budget(service).tryTake();
+    }
+
+    /** Adds what the passing of time has earned. */
+    void onTick(int liveInstances) {
+        long now = time.nanoTime();
+        if (liveInstances >= fleet || now - fleetSeenAt > FLEET_MEMORY.toNanos()) {
+            fleet = Math.max(1, liveInstances);
+            fleetSeenAt = now;
+            budgets.values().forEach(b -> b.setCapacity(savedSlack()));
+        }
+        double windows = (double) (now - earnedAt) / settings.retryWindow().toNanos();
+        earnedAt = now;
+        budgets.values().forEach(b -> b.earn(share() * (1 - SAVED) * windows));
+    }
+
+    private RetryBudget budget(String service) {
+        return budgets.computeIfAbsent(
+                service, s -> RetryBudget.of(settings.retryRatio() * SAFETY, savedSlack()));
+    }
+
+    private double savedSlack() {
+        return share() * SAVED;
+    }
+
+    private double share() {
+        return settings.retrySlack() * SAFETY / fleet;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -0,0 +1,132 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the upstream of a request: the one with the least expected time to a complete answer.
+ *
+ * <p>Answers a load in which few adapters get most requests: a busy engine that holds the adapter
+ * is left for an idle one as soon as the wait there exceeds the time of a load, which spreads
+ * copies of busy adapters. A random part breaks ties, so that instances with the same view of the
+ * load do not all send to the same upstream.
+ */
+final class UpstreamChooser {
+
+    /** Expected extra time at an engine whose batch is full, against an idle one. */
+    private static final double FULL_BATCH_MS = 600;
+
+    /** Expected time lost by a request that fails and is sent again, or is lost. */
+    private static final double FAILURE_MS = 2500;
+
+    /** Cost of the way to another data centre and back; keeps traffic local at equal load. */
+    private static final double REMOTE_MS = 12;
+
+    /** Largest random part; below the cost of a data centre's distance. */
+    private static final double JITTER_MS = 6;
+
+    /** Adapters that an engine fetches at once; later ones wait. */
+    private static final int PARALLEL_LOADS = 4;
+
+    private final String dataCentre;
+    private final RandomGenerator random;
+
+    /**
+     * @param dataCentre data centre of this instance
+     */
+    UpstreamChooser(String dataCentre, RandomGenerator random) {
+        this.dataCentre = dataCentre;
+        this.random = random;
+    }
+
+    /** Upstream for a request, and whether its adapter is there. */
+    record Choice(UpstreamState upstream, boolean adapterReady, double costMs) {}
+
+    /** What the choice depends on besides the upstreams. */
+    record Demand(
+            ForwardRequest request,
+            Option<EngineSpec> engine,
+            int adapterVersion,
+            Duration adapterLoad,
+            Set<String> avoid) {}
+
+    /** Returns the best upstream that has room; empty if none has. */
+    Option<Choice> choose(Demand demand, Collection<UpstreamState> upstreams) {
+        Choice best = null;
+        for (UpstreamState u : upstreams) {
+            if (demand.avoid().contains(u.id()) || u.health().isPaused() || !hasRoom(demand, u)) {
+                continue;
+            }
+            Choice c = rate(demand, u);
+            if (best == null || c.costMs() < best.costMs()) {
+                best = c;
+            }
+        }
+        return Option.of(best);
+    }
+
+    private Choice rate(Demand demand, UpstreamState u) {
+        boolean ready = isReady(demand, u);
+        double cost = load(demand, u) * FULL_BATCH_MS;
+        cost += u.health().failureRate() * FAILURE_MS;
+        cost += random.nextDouble() * JITTER_MS;
+        if (!u.upstream().dataCentre().equals(dataCentre)) {
+            cost += REMOTE_MS;
+        }
+        if (!ready) {
+            cost += waitForAdapter(demand, u);
+        }
+        return new Choice(u, ready, cost);
+    }
+
+    private static boolean isReady(Demand demand, UpstreamState u) {
+        return demand.request()
+                .adapter()
+                .forAll(
+                        a ->
+                                u.holdsModel(a.model())
+                                        && (a.isBase() || u.holds(a, demand.adapterVersion())));
+    }
+
+    private static double waitForAdapter(Demand demand, UpstreamState u) {
+        double load = demand.adapterLoad().toMillis();
+        AdapterRef adapter = demand.request().adapter().get();
+        if (!u.holdsModel(adapter.model())) {
+            // The weights must come first; only an engine that has just started lacks them.
+            return 4 * load;
+        }
+        if (u.isLoading(adapter)) {
+            return load / 2;
+        }
+        int ahead = u.loadingCount() / PARALLEL_LOADS;
+        return load * (1 + ahead);
+    }
+
+    /** Returns how full the upstream is; 1 when its batch or its memory is full. */
+    static double load(Demand demand, UpstreamState u) {
+        int slots =
+                Math.max(1, demand.engine().map(EngineSpec::slots).getOrElse(u.upstream().slots()));
+        double bySlots = (double) u.totalRequests() / slots;
+        double byMemory =
+                demand.engine()
+                        .map(e -> (double) u.totalTokens() / Math.max(1, e.memoryTokens()))
+                        .getOrElse(0.0);
+        return Math.max(bySlots, byMemory);
+    }
+
+    /**
+     * Returns whether the upstream can begin the request soon. A plain service answers in a few
+     * hundredths of a second, so one request may wait there for each that runs.
+     */
+    private static boolean hasRoom(Demand demand, UpstreamState u) {
+        if (demand.engine().isEmpty()) {
+            return u.totalRequests() < 2 * Math.max(1, u.upstream().slots());
+        }
+        EngineSpec e = demand.engine().get();
+        return u.totalRequests() < e.slots()
+                && u.totalTokens() + demand.request().tokens() <= e.memoryTokens();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamRecord.java
@@ -0,0 +1,39 @@
+package org.bronzehill.core.forward;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the platform publishes about one upstream.
+ *
+ * @param startedAtMs start of its incarnation, Unix time in ms; 0 if unknown
+ * @param slots requests that it runs at once
+ * @param draining whether it has announced that it leaves
+ * @param models base models that it holds
+ * @param adapters adapters that it held when the record was written, with their versions
+ */
+public record UpstreamRecord(
+        String id,
+        long startedAtMs,
+        String service,
+        String host,
+        int port,
+        String dataCentre,
+        int slots,
+        boolean draining,
+        Set<String> models,
+        Map<AdapterRef, Integer> adapters) {
+
+    public UpstreamRecord {
+        models = Set.copyOf(models);
+        adapters = Map.copyOf(adapters);
+    }
+
+    /** Returns whether both records describe the same run of the upstream. */
+    public boolean sameIncarnation(UpstreamRecord other) {
+        return id.equals(other.id)
+                && startedAtMs == other.startedAtMs
+                && host.equals(other.host)
+                && port == other.port;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -0,0 +1,165 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.time.TimeSource;
+
+/** What this instance knows of one upstream: its record, load, adapters and outcomes. */
+final class UpstreamState {
+
+    /** Age at which a peer's counts no longer count; several times the interval between shares. */
+    private static final Duration SHARE_LIFETIME = Duration.ofSeconds(3);
+
+    private final TimeSource time;
+    private final OutcomeHealth health;
+    private final Map<String, PeerLoad> peers = new HashMap<>();
+    private final Map<AdapterRef, Integer> users = new HashMap<>();
+    private final Map<AdapterRef, Integer> resident = new HashMap<>();
+    private final Map<AdapterRef, Integer> loading = new HashMap<>();
+    private final Set<String> models = new HashSet<>();
+    private UpstreamRecord upstream;
+    private int requests;
+    private long tokens;
+
+    private record PeerLoad(int requests, long tokens, Set<AdapterRef> adapters, long atNanos) {}
+
+    UpstreamState(UpstreamRecord upstream, TimeSource time) {
+        this.upstream = upstream;
+        this.time = time;
+        this.health = new OutcomeHealth(time);
+        models.addAll(upstream.models());
+        resident.putAll(upstream.adapters());
+    }
+
+    UpstreamRecord upstream() {
+        return upstream;
+    }
+
+    String id() {
+        return upstream.id();
+    }
+
+    OutcomeHealth health() {
+        return health;
+    }
+
+    /** Takes over a newer record of the same incarnation. */
+    void update(UpstreamRecord newer) {
+        upstream = newer;
+        // Models appear in the record when they are loaded; adapters are reported elsewhere.
+        models.clear();
+        models.addAll(newer.models());
+    }
+
+    void begin(ForwardRequest request) {
+        requests++;
+        tokens += request.tokens();
+        request.adapter().forEach(a -> users.merge(a, 1, Integer::sum));
+    }
+
+    void end(ForwardRequest request) {
+        requests--;
+        tokens -= request.tokens();
+        request.adapter().forEach(a -> users.computeIfPresent(a, (k, n) -> n > 1 ? n - 1 : null));
+    }
+
+    int ownRequests() {
+        return requests;
+    }
+
+    long ownTokens() {
+        return tokens;
+    }
+
+    Set<AdapterRef> ownAdapters() {
+        return users.keySet();
+    }
+
+    void onPeerLoad(String peer, int count, long tokenCount, Set<AdapterRef> adapters) {
+        peers.put(peer, new PeerLoad(count, tokenCount, adapters, time.nanoTime()));
+    }
+
+    void dropPeer(String peer) {
+        peers.remove(peer);
+    }
+
+    /** Returns the requests of all instances that are at the upstream or on their way to it. */
+    int totalRequests() {
+        expirePeers();
+        return requests + peers.values().stream().mapToInt(PeerLoad::requests).sum();
+    }
+
+    /** Returns the tokens of those requests. */
+    long totalTokens() {
+        return tokens + peers.values().stream().mapToLong(PeerLoad::tokens).sum();
+    }
+
+    /** Returns whether a request of any instance uses the adapter. */
+    boolean isUsed(AdapterRef adapter) {
+        return users.containsKey(adapter)
+                || peers.values().stream().anyMatch(p -> p.adapters().contains(adapter));
+    }
+
+    private void expirePeers() {
+        long oldest = time.nanoTime() - SHARE_LIFETIME.toNanos();
+        peers.values().removeIf(p -> p.atNanos() - oldest < 0);
+    }
+
+    boolean holdsModel(String model) {
+        return models.contains(model);
+    }
+
+    void setModels(Set<String> held) {
+        models.clear();
+        models.addAll(held);
+    }
+
+    Set<String> models() {
+        return models;
+    }
+
+    /** Takes over what the instance that gives orders to the upstream says of its adapters. */
+    void setAdapters(Map<AdapterRef, Integer> held, Map<AdapterRef, Integer> coming) {
+        resident.clear();
+        resident.putAll(held);
+        loading.clear();
+        loading.putAll(coming);
+    }
+
+    void setResident(AdapterRef adapter, int version) {
+        resident.put(adapter, version);
+        loading.remove(adapter);
+    }
+
+    void setAbsent(AdapterRef adapter) {
+        resident.remove(adapter);
+        loading.remove(adapter);
+    }
+
+    /** Returns the version of the adapter that the upstream holds. */
+    Option<Integer> residentVersion(AdapterRef adapter) {
+        return Option.of(resident.get(adapter));
+    }
+
+    boolean holds(AdapterRef adapter, int minVersion) {
+        Integer version = resident.get(adapter);
+        return version != null && version >= minVersion;
+    }
+
+    boolean isLoading(AdapterRef adapter) {
+        return loading.containsKey(adapter);
+    }
+
+    /** Returns the adapters that the upstream holds, or those that it fetches. */
+    Map<AdapterRef, Integer> adapters(boolean fetching) {
+        return fetching ? loading : resident;
+    }
+
+    int loadingCount() {
+        return loading.size();
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -0,0 +1,135 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.time.TimeSource;
+import org.jboss.logging.Logger;
+
+/** Upstreams by identifier, kept from what the platform publishes. */
+final class UpstreamTable {
+
+    private static final Logger LOG = Logger.getLogger(UpstreamTable.class);
+
+    private final TimeSource time;
+    private final Duration returnTime;
+    private final Map<String, UpstreamState> states = new LinkedHashMap<>();
+    private final Map<String, Long> missing = new HashMap<>();
+    private long connectedAt;
+
+    /**
+     * @param returnTime how long after an outage of the store a missing record may still come back
+     */
+    UpstreamTable(TimeSource time, Duration returnTime) {
+        this.time = time;
+        this.returnTime = returnTime;
+        this.connectedAt = time.nanoTime();
+    }
+
+    /** Notes that the store answers again after it had not for some time. */
+    void onStoreReturned() {
+        connectedAt = time.nanoTime();
+    }
+
+    /**
+     * Takes over a complete list; upstreams that it does not name are gone.
+     *
+     * @return upstreams that are gone or were replaced
+     */
+    List<UpstreamState> replaceAll(Collection<UpstreamRecord> records) {
+        List<UpstreamState> ended = new ArrayList<>();
+        Set<String> named = new HashSet<>();
+        for (UpstreamRecord r : records) {
+            named.add(r.id());
+            ended.addAll(put(r));
+        }
+        for (String id : List.copyOf(states.keySet())) {
+            if (!named.contains(id)) {
+                ended.addAll(remove(id));
+            }
+        }
+        return ended;
+    }
+
+    /** Takes over one record; returns the state of an earlier incarnation, if there was one. */
+    List<UpstreamState> put(UpstreamRecord r) {
+        missing.remove(r.id());
+        UpstreamState state = states.get(r.id());
+        if (state != null && state.upstream().sameIncarnation(r)) {
+            if (r.draining() && !state.upstream().draining()) {
+                LOG.infof("event=upstream-draining upstream=%s service=%s", r.id(), r.service());
+            }
+            state.update(r);
+            return List.of();
+        }
+        LOG.infof(
+                "event=upstream-listed upstream=%s service=%s address=%s:%d started-ms=%d",
+                r.id(), r.service(), r.host(), r.port(), r.startedAtMs());
+        states.put(r.id(), new UpstreamState(r, time));
+        return state == null ? List.of() : List.of(state);
+    }
+
+    /**
+     * Removes an upstream whose record is gone. Shortly after an outage of the store the record may
+     * have lapsed although the upstream lives, so it gets the time to come back.
+     */
+    List<UpstreamState> remove(String id) {
+        if (!states.containsKey(id)) {
+            return List.of();
+        }
+        if (time.nanoTime() - connectedAt < returnTime.toNanos()) {
+            if (missing.putIfAbsent(id, connectedAt + returnTime.toNanos()) == null) {
+                LOG.infof("event=upstream-lapsed upstream=%s action=keep-until-store-settles", id);
+            }
+            return List.of();
+        }
+        return drop(id);
+    }
+
+    /** Removes lapsed upstreams whose time to come back is over. */
+    List<UpstreamState> onTick() {
+        List<UpstreamState> ended = new ArrayList<>();
+        if (!missing.isEmpty()) {
+            long now = time.nanoTime();
+            for (String id : List.copyOf(missing.keySet())) {
+                if (now - missing.get(id) >= 0) {
+                    ended.addAll(drop(id));
+                }
+            }
+        }
+        return ended;
+    }
+
+    private List<UpstreamState> drop(String id) {
+        missing.remove(id);
+        UpstreamState state = states.remove(id);
+        LOG.infof("event=upstream-gone upstream=%s", id);
+        return state == null ? List.of() : List.of(state);
+    }
+
+    /** Returns the state of an upstream; null if it is not listed. */
+    UpstreamState get(String id) {
+        return states.get(id);
+    }
+
+    Collection<UpstreamState> all() {
+        return states.values();
+    }
+
+    /** Returns the upstreams of a service that take new work. */
+    List<UpstreamState> serving(String service) {
+        List<UpstreamState> found = new ArrayList<>();
+        for (UpstreamState s : states.values()) {
+            if (s.upstream().service().equals(service) && !s.upstream().draining()) {
+                found.add(s);
+            }
+        }
+        return found;
+    }
+}
