Share loads on change, keep adapters at home engines, weigh the price of a load

Cause: streams paused above 250 ms where prompts met at one engine (62 of 1,230), and 20% of the adapter loads were copies made for small differences in load. Unread prompt tokens are shared now, and an engine without the adapter must be far less loaded.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -54,6 +54,7 @@
     private int turnedAway;
     private boolean answerBegun;
     private boolean mayHaveRun;
+    private boolean promptUnread;
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long order) {
         this.request = request;
@@ -142,6 +143,7 @@
 
     private void release() {
         if (upstream != null) {
+            endPrompt();
             UpstreamState released = upstream;
             upstream = null;
             released.end(request);
@@ -166,6 +168,13 @@
         }
     }
 
+    private void endPrompt() {
+        if (promptUnread) {
+            promptUnread = false;
+            upstream.endPrompt(request.promptTokens());
+        }
+    }
+
     private void send() {
         long now = forwarder.now();
         long left = request.endsNanos() - now;
@@ -185,6 +194,8 @@
                         Duration.ofNanos(left),
                         forwarder.requiredVersion(request),
                         request.route().priority());
+        promptUnread = true;
+        upstream.beginPrompt(request.promptTokens());
         armStallTimer(forwarder.patience(request, answerBegun));
         transport.send(attempt);
     }
@@ -212,6 +223,7 @@
 
     /** Notes that the answer has begun, or that more of it was passed on to the caller. */
     public void onProgress() {
+        endPrompt();
         if (!answerBegun) {
             answerBegun = true;
             firstByteNanos = forwarder.now();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -13,6 +13,7 @@
 import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.membership.Peer;
+import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.result.ResultCode;
@@ -65,6 +66,7 @@
     private final Map<String, WaitingCalls> queues = new HashMap<>();
     private final Map<String, Latency> latencies = new HashMap<>();
     private final Map<AdapterRef, Integer> versions = new HashMap<>();
+    private final PromptPace promptPace = new PromptPace();
     private final Set<ForwardCall> open = new HashSet<>();
     private final Map<String, List<Break>> breaks = new HashMap<>();
     private final Map<AdapterWaits.Key, Set<String>> waitingPeers = new HashMap<>();
@@ -198,14 +200,16 @@
 
     Option<UpstreamChooser.Choice> choose(ForwardCall call) {
         ForwardRequest r = call.request();
+        List<UpstreamState> serving = upstreams.serving(r.service());
         UpstreamChooser.Demand demand =
                 new UpstreamChooser.Demand(
                         r,
                         configuration.service(r.service()).flatMap(ServiceSpec::engine),
                         requiredVersion(r).getOrElse(0),
                         waits.expectedLoad(),
+                        home(r, serving),
+                        promptPace.msPerToken(),
                         call.avoided());
-        List<UpstreamState> serving = upstreams.serving(r.service());
         Option<UpstreamChooser.Choice> choice = chooser.choose(demand, serving);
         if (choice.isEmpty() && !call.avoided().isEmpty()) {
             // An upstream that turned the request away earlier may have room again.
@@ -214,6 +218,23 @@
         return choice;
     }
 
+    /** Returns the first upstream in the rendezvous order of the request's adapter. */
+    private static String home(ForwardRequest request, List<UpstreamState> serving) {
+        String best = "";
+        if (request.adapter().isDefined() && !request.adapter().get().isBase()) {
+            long key = RendezvousHash.keyHash(request.adapter().get().key());
+            long most = Long.MIN_VALUE;
+            for (UpstreamState u : serving) {
+                long weight = RendezvousHash.weightOf(key, u.nameHash());
+                if (weight >= most) {
+                    most = weight;
+                    best = u.id();
+                }
+            }
+        }
+        return best;
+    }
+
     /** Returns the version of the adapter that must answer; empty if any may. */
     Option<Integer> requiredVersion(ForwardRequest request) {
         return request.adapter().flatMap(a -> Option.of(versions.get(a)));
@@ -297,6 +318,7 @@
 
     void onFirstByte(ForwardCall call, long nanos) {
         latency(call.request().route()).add(nanos);
+        promptPace.add(call.request().promptTokens(), nanos);
     }
 
     void onOutcome(ForwardCall call, boolean good) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -20,24 +20,23 @@
 /** Tells the other instances what this one sends where, and takes over what they tell. */
 final class LoadShares {
 
-    /** Shortest interval between shares; a request lasts some hundred milliseconds and more. */
-    private static final Duration SHORTEST = Duration.ofMillis(100);
-
     /**
-     * Interval per live instance, so that what an instance receives does not grow with the fleet.
+     * Interval between shares per live instance: an instance receives at most 250 of them a second,
+     * however large the fleet is.
      */
-    private static final Duration PER_INSTANCE = Duration.ofMillis(12);
+    private static final Duration PER_INSTANCE = Duration.ofMillis(4);
 
     /** Interval at which an unchanged share is repeated; well below the lifetime of a share. */
-    private static final Duration REPEAT = Duration.ofMillis(800);
+    private static final Duration REPEAT = Duration.ofMillis(1000);
 
     private final Membership membership;
     private final UpstreamTable upstreams;
     private final OrderOffice office;
     private final TimeSource time;
     private final BiConsumer<String, AdapterRef> useListener;
+    private final Map<String, OrderedUpstream> sentPlaces = new HashMap<>();
     private LoadShare last = LoadShare.getDefaultInstance();
-    private long lastAt;
+    private long repeatedAt;
     private long nextAt;
 
     /**
@@ -55,7 +54,7 @@
         this.time = time;
         this.useListener = useListener;
         this.nextAt = time.nanoTime();
-        this.lastAt = nextAt;
+        this.repeatedAt = nextAt;
     }
 
     /** Sends the share if it is due. */
@@ -65,22 +64,30 @@
             return;
         }
         int live = membership.live().size();
-        nextAt = now + Math.max(SHORTEST.toNanos(), PER_INSTANCE.toNanos() * live);
-        LoadShare share = build();
-        if (!atOnce && share.equals(last) && now - lastAt < REPEAT.toNanos()) {
+        nextAt = now + PER_INSTANCE.toNanos() * live;
+        boolean repeat = now - repeatedAt >= REPEAT.toNanos();
+        LoadShare share = build(repeat);
+        if (!atOnce && !repeat && share.equals(last)) {
             return;
         }
-        last = share;
-        lastAt = now;
+        if (repeat) {
+            repeatedAt = now;
+        }
+        // Without the adapters that were named just now, which are not named again.
+        last = build(false);
         for (InstanceRef peer : membership.live()) {
             if (!peer.id().equals(membership.self().id())) {
-                Envelope.Builder envelope = Envelope.newBuilder().setLoadShare(share);
+                Envelope.Builder envelope =
+                        Envelope.newBuilder().setLoadShare(withUses(share, peer.id()));
                 out.add(new Effect.SendPeer(peer.id(), envelope, false));
             }
         }
     }
 
-    private LoadShare build() {
+    /**
+     * @param all whether to name the adapters of engines where nothing has changed
+     */
+    private LoadShare build(boolean all) {
         LoadShare.Builder share = LoadShare.newBuilder();
         for (UpstreamState u : upstreams.all()) {
             if (u.ownRequests() > 0) {
@@ -88,25 +95,39 @@
                         UpstreamLoad.newBuilder()
                                 .setUpstream(u.id())
                                 .setRequests(u.ownRequests())
-                                .setTokens(u.ownTokens());
-                u.ownAdapters().forEach(a -> load.addAdapters(a.key()));
+                                .setTokens(u.ownTokens())
+                                .setUnreadTokens(u.ownUnreadTokens());
                 share.addLoads(load);
             }
         }
-        office.claims().own().forEach((id, fencing) -> share.addOrdered(ordered(id, fencing)));
+        office.claims().own().forEach((id, fencing) -> share.addOrdered(ordered(id, fencing, all)));
         return share.build();
     }
 
-    private OrderedUpstream ordered(String id, long fencing) {
+    /** Adds which adapters are in use at the engines that the peer gives orders to. */
+    private LoadShare withUses(LoadShare share, String peer) {
+        LoadShare.Builder b = share.toBuilder();
+        for (UpstreamLoad.Builder load : b.getLoadsBuilderList()) {
+            UpstreamState u = upstreams.get(load.getUpstream());
+            if (office.claims().holder(u.id()).contains(peer)) {
+                u.ownAdapters().forEach(a -> load.addAdapters(a.key()));
+            }
+        }
+        return b.build();
+    }
+
+    private OrderedUpstream ordered(String id, long fencing, boolean all) {
         OrderedUpstream.Builder b =
                 OrderedUpstream.newBuilder().setUpstream(id).setFencing(fencing);
         UpstreamState u = upstreams.get(id);
-        if (u != null && office.reported().contains(u)) {
-            b.setStartedAtMs(u.upstream().startedAtMs());
-            u.adapters(false).forEach((a, v) -> b.addPlaces(place(a, v, false)));
-            u.adapters(true).forEach((a, v) -> b.addPlaces(place(a, v, true)));
+        if (u == null || !office.reported().contains(u)) {
+            return b.build();
         }
-        return b.build();
+        OrderedUpstream claim = b.setStartedAtMs(u.upstream().startedAtMs()).build();
+        u.adapters(false).forEach((a, v) -> b.addPlaces(place(a, v, false)));
+        u.adapters(true).forEach((a, v) -> b.addPlaces(place(a, v, true)));
+        OrderedUpstream full = b.setComplete(true).build();
+        return full.equals(sentPlaces.put(id, full)) && !all ? claim : full;
     }
 
     private static AdapterPlace place(AdapterRef adapter, int version, boolean loading) {
@@ -128,7 +149,14 @@
             named.add(u.id());
             Set<AdapterRef> adapters = new HashSet<>();
             load.getAdaptersList().forEach(k -> AdapterRef.parse(k).forEach(adapters::add));
-            u.onPeerLoad(peer, load.getRequests(), load.getTokens(), adapters);
+            u.onPeerLoad(
+                    peer,
+                    new UpstreamState.PeerLoad(
+                            load.getRequests(),
+                            load.getTokens(),
+                            load.getUnreadTokens(),
+                            adapters,
+                            time.nanoTime()));
             adapters.forEach(a -> useListener.accept(u.id(), a));
         }
         upstreams.all().stream()
@@ -145,6 +173,7 @@
     private void takeOver(String peer, OrderedUpstream ordered) {
         UpstreamState u = upstreams.get(ordered.getUpstream());
         if (u == null
+                || !ordered.getComplete()
                 || u.upstream().startedAtMs() != ordered.getStartedAtMs()
                 || !office.claims().holder(u.id()).contains(peer)) {
             return;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -22,8 +22,19 @@
     /** Expected time lost by a request that fails and is sent again, or is lost. */
     private static final double FAILURE_MS = 2500;
 
+    /**
+     * What a load costs others beside the wait: the store's bandwidth and another adapter's place.
+     */
+    private static final double LOAD_MS = 400;
+
+    /**
+     * Advantage of the engine that is first in an adapter's rendezvous order: it is likely to have
+     * held the adapter before and to load it faster.
+     */
+    private static final double HOME_MS = 80;
+
     /** Cost of the way to another data centre and back; keeps traffic local at equal load. */
-    private static final double REMOTE_MS = 12;
+    private static final double REMOTE_MS = 40;
 
     /** Largest random part; below the cost of a data centre's distance. */
     private static final double JITTER_MS = 6;
@@ -51,6 +62,8 @@
             Option<EngineSpec> engine,
             int adapterVersion,
             Duration adapterLoad,
+            String home,
+            double msPerPromptToken,
             Set<String> avoid) {}
 
     /** Returns the best upstream that has room; empty if none has. */
@@ -72,6 +85,7 @@
         boolean ready = isReady(demand, u);
         double cost = load(demand, u) * FULL_BATCH_MS;
         cost += u.health().failureRate() * FAILURE_MS;
+        cost += u.totalUnreadTokens() * demand.msPerPromptToken();
         cost += random.nextDouble() * JITTER_MS;
         if (!u.upstream().dataCentre().equals(dataCentre)) {
             cost += REMOTE_MS;
@@ -102,7 +116,8 @@
             return load / 2;
         }
         int ahead = u.loadingCount() / PARALLEL_LOADS;
-        return load * (1 + ahead);
+        double home = u.id().equals(demand.home()) ? HOME_MS : 0;
+        return load * (1 + ahead) + LOAD_MS - home;
     }
 
     /** Returns how full the upstream is; 1 when its batch or its memory is full. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.time.TimeSource;
 
 /** What this instance knows of one upstream: its record, load, adapters and outcomes. */
@@ -22,14 +23,19 @@
     private final Map<AdapterRef, Integer> loading = new HashMap<>();
     private final Set<String> models = new HashSet<>();
     private UpstreamRecord upstream;
+    private final long nameHash;
     private int requests;
     private long tokens;
+    private long unreadTokens;
 
-    private record PeerLoad(int requests, long tokens, Set<AdapterRef> adapters, long atNanos) {}
+    /** What another instance has sent to the upstream. */
+    record PeerLoad(
+            int requests, long tokens, long unreadTokens, Set<AdapterRef> adapters, long atNanos) {}
 
     UpstreamState(UpstreamRecord upstream, TimeSource time) {
         this.upstream = upstream;
         this.time = time;
+        this.nameHash = RendezvousHash.nameHash(upstream.id());
         this.health = new OutcomeHealth(time);
         models.addAll(upstream.models());
         resident.putAll(upstream.adapters());
@@ -39,6 +45,11 @@
         return upstream;
     }
 
+    /** Returns the hash of the identifier for rendezvous hashing. */
+    long nameHash() {
+        return nameHash;
+    }
+
     String id() {
         return upstream.id();
     }
@@ -67,6 +78,25 @@
         request.adapter().forEach(a -> users.computeIfPresent(a, (k, n) -> n > 1 ? n - 1 : null));
     }
 
+    /** Notes that a prompt is on its way to the upstream. */
+    void beginPrompt(long promptTokens) {
+        unreadTokens += promptTokens;
+    }
+
+    /** Notes that the upstream has read a prompt, or will not. */
+    void endPrompt(long promptTokens) {
+        unreadTokens -= promptTokens;
+    }
+
+    long ownUnreadTokens() {
+        return unreadTokens;
+    }
+
+    /** Returns the prompt tokens of all instances that the upstream has still to read. */
+    long totalUnreadTokens() {
+        return unreadTokens + peers.values().stream().mapToLong(PeerLoad::unreadTokens).sum();
+    }
+
     int ownRequests() {
         return requests;
     }
@@ -79,8 +109,8 @@
         return users.keySet();
     }
 
-    void onPeerLoad(String peer, int count, long tokenCount, Set<AdapterRef> adapters) {
-        peers.put(peer, new PeerLoad(count, tokenCount, adapters, time.nanoTime()));
+    void onPeerLoad(String peer, PeerLoad load) {
+        peers.put(peer, load);
     }
 
     void dropPeer(String peer) {
