--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -33,6 +33,16 @@
     /** Part of the load time for an adapter that the engine held before and still has at hand. */
     private static final double REPEATED_LOAD = 0.15;
 
+    /** A wish is repeated while a request waits; one that is not repeated has lost its purpose. */
+    private static final Duration WISH_LIFETIME = Duration.ofMillis(500);
+
+    /**
+     * Load time, as a multiple of the shortest seen, above which fewer adapters are fetched at
+     * once: the store is then shared by more loads than it serves at full speed, and finishing some
+     * before others begin brings each of them earlier.
+     */
+    private static final double CONGESTED = 1.35;
+
     /** Weight of one load in the average load time. */
     private static final double WEIGHT = 0.2;
 
@@ -56,7 +66,7 @@
     private final Listener listener;
     private final Map<AdapterRef, Place> places = new HashMap<>();
     private final Map<AdapterRef, Long> removedAt = new HashMap<>();
-    private final LinkedHashMap<AdapterRef, Integer> wanted = new LinkedHashMap<>();
+    private final LinkedHashMap<AdapterRef, Wish> wanted = new LinkedHashMap<>();
     private final Map<AdapterRef, Boolean> heldBefore =
             new LinkedHashMap<>() {
                 @Override
@@ -65,6 +75,7 @@
                 }
             };
     private double loadMs;
+    private double shortestLoadMs;
     private Option<EngineSpec> engine = Option.none();
     private boolean orderOpen;
     private long quietUntil;
@@ -104,6 +115,11 @@
         }
     }
 
+    private static final class Wish {
+        private int version;
+        private long askedAt;
+    }
+
     /**
      * @param fencing fencing number of orders; negative if none may be given now
      * @param expectedLoad load time assumed until one was measured
@@ -123,6 +139,7 @@
         this.fencing = fencing;
         this.listener = listener;
         this.loadMs = expectedLoad.toMillis();
+        this.shortestLoadMs = loadMs;
         this.quietUntil = time.nanoTime();
     }
 
@@ -133,7 +150,9 @@
             place.usedAt = time.nanoTime();
             listener.resident(upstream, adapter, place.version);
         } else if (place == null || place.phase != Phase.LOADING || place.version < version) {
-            wanted.merge(adapter, version, Math::max);
+            Wish wish = wanted.computeIfAbsent(adapter, a -> new Wish());
+            wish.version = Math.max(wish.version, version);
+            wish.askedAt = time.nanoTime();
         }
     }
 
@@ -215,10 +234,12 @@
     }
 
     private void loadNext(EngineSpec engine) {
-        if (wanted.isEmpty() || countLoading() >= PARALLEL_LOADS) {
+        long oldest = time.nanoTime() - WISH_LIFETIME.toNanos();
+        wanted.values().removeIf(w -> w.askedAt - oldest < 0);
+        if (wanted.isEmpty() || countLoading() >= parallelLoads()) {
             return;
         }
-        Map.Entry<AdapterRef, Integer> next = wanted.entrySet().iterator().next();
+        Map.Entry<AdapterRef, Wish> next = wanted.entrySet().iterator().next();
         AdapterRef adapter = next.getKey();
         Option<ModelSpec> model = engine.model(adapter.model());
         if (model.isEmpty() || !upstream.holdsModel(adapter.model())) {
@@ -233,7 +254,7 @@
         }
         wanted.remove(adapter);
         long now = time.nanoTime();
-        Place place = new Place(next.getValue(), Phase.LOADING, now);
+        Place place = new Place(next.getValue().version, Phase.LOADING, now);
         place.repeated = heldBefore.containsKey(adapter);
         places.put(adapter, place);
         checkAfter(place, Duration.ofNanos((long) (expectedMs(place) * FIRST_CHECK * 1e6)));
@@ -249,6 +270,13 @@
         scheduler.after(delay, this::orderNext);
     }
 
+    private int parallelLoads() {
+        double congestion = loadMs / Math.max(1, shortestLoadMs);
+        return congestion <= CONGESTED
+                ? PARALLEL_LOADS
+                : Math.max(1, (int) Math.floor(PARALLEL_LOADS * CONGESTED / congestion));
+    }
+
     private int countLoading() {
         return (int) places.values().stream().filter(p -> p.phase == Phase.LOADING).count();
     }
@@ -324,6 +352,7 @@
     /** A load that ends while its own order is on the way was at hand already and tells nothing. */
     private void learn(Place place, double tookMs) {
         if (!place.repeated && tookMs > loadMs * REPEATED_LOAD) {
+            shortestLoadMs = Math.min(shortestLoadMs, tookMs);
             loadMs = loadMs * (1 - WEIGHT) + Math.min(tookMs, 2 * loadMs) * WEIGHT;
         }
     }
@@ -389,7 +418,7 @@
                         coming.put(a, p.version);
                     }
                 });
-        wanted.forEach(coming::putIfAbsent);
+        wanted.forEach((a, w) -> coming.putIfAbsent(a, w.version));
         upstream.setAdapters(held, coming);
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -13,8 +13,8 @@
     /** Interval at which a wish is repeated, since messages may be lost. */
     private static final Duration REPEAT = Duration.ofMillis(150);
 
-    /** Part of the expected load times that are waited before the calls look elsewhere. */
-    private static final int PATIENCE_LOADS = 3;
+    /** Wishes without a sign of the instance that gives the orders before calls look elsewhere. */
+    private static final int MAX_UNANSWERED = 4;
 
     /** Weight of one load in the average load time. */
     private static final double WEIGHT = 0.1;
@@ -31,6 +31,7 @@
         private final int version;
         private final long since;
         private long askedAt;
+        private int unanswered;
 
         private Wait(int version, long since) {
             this.version = version;
@@ -103,12 +104,19 @@
         return calls;
     }
 
-    /** Returns the waits that have lasted several load times, and removes them. */
+    /** Notes that the load is known to the instance that gives the orders. */
+    void underWay(String upstream, AdapterRef adapter) {
+        Wait wait = waits.get(new Key(upstream, adapter));
+        if (wait != null) {
+            wait.unanswered = 0;
+        }
+    }
+
+    /** Ends the waits of which nobody takes notice; returns their calls. */
     List<ForwardCall> overdue() {
-        long limit = Math.max(expectedLoad().toNanos(), REPEAT.toNanos()) * PATIENCE_LOADS;
         List<ForwardCall> calls = new ArrayList<>();
         for (Map.Entry<Key, Wait> e : List.copyOf(waits.entrySet())) {
-            if (time.nanoTime() - e.getValue().since > limit) {
+            if (e.getValue().unanswered > MAX_UNANSWERED) {
                 calls.addAll(failed(e.getKey().upstream(), e.getKey().adapter()));
             }
         }
@@ -129,6 +137,7 @@
                 (key, wait) -> {
                     if (now - wait.askedAt >= REPEAT.toNanos()) {
                         wait.askedAt = now;
+                        wait.unanswered++;
                         due.put(key, wait);
                     }
                 });
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -74,7 +74,10 @@
 
     /** Returns the last moment at which sending the request is worth it, in monotonic time. */
     long lastSendNanos() {
-        long limit = request.endsNanos() - request.arrivedNanos();
+        if (answerBegun) {
+            return request.endsNanos();
+        }
+        long limit = request.firstEventByNanos() - request.arrivedNanos();
         return request.arrivedNanos() + (long) (limit * LAST_SEND);
     }
 
@@ -117,6 +120,9 @@
         } else if (choice.get().adapterReady()) {
             take(choice.get().upstream());
             send();
+        } else if (!answerBegun
+                && forwarder.now() + choice.get().adapterWait().toNanos() - lastSendNanos() > 0) {
+            refuse(ResultCode.LOAD_FAILED, forwarder.retryAfter(this));
         } else {
             take(choice.get().upstream());
             state = State.LOADING;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -30,6 +30,12 @@
         return promptTokens + outputTokens;
     }
 
+    /** Returns the monotonic time by which the first sign of an answer must reach the caller. */
+    public long firstEventByNanos() {
+        long byRoute = arrivedNanos + route.eventPatience().toNanos();
+        return route.kind().isStream() ? Math.min(byRoute, endsNanos()) : endsNanos();
+    }
+
     /** Returns the monotonic time at which the caller, or the route's timeout, gives up. */
     public long endsNanos() {
         Duration limit = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -385,6 +385,7 @@
     private void ask(String upstream, AdapterRef adapter, int version) {
         Option<AdapterDesk> desk = office.desk(upstream);
         if (desk.isDefined()) {
+            waits.underWay(upstream, adapter);
             desk.get().want(adapter, version);
             tickOrders();
             return;
@@ -503,6 +504,9 @@
         for (AdapterWaits.Key key : waits.keys()) {
             UpstreamState u = upstreams.get(key.upstream());
             if (u != null) {
+                if (u.isLoading(key.adapter())) {
+                    waits.underWay(key.upstream(), key.adapter());
+                }
                 u.residentVersion(key.adapter())
                         .forEach(
                                 v ->
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -28,13 +28,13 @@
     private static final Logger LOG = Logger.getLogger(OrderClaims.class);
 
     /** Time after a start in which instances find each other before anybody claims. */
-    private static final Duration SETTLE = Duration.ofMillis(2500);
+    private static final Duration SETTLE = Duration.ofMillis(1500);
 
     /** How long an upstream must be without a claim before one is made. */
-    private static final Duration UNCLAIMED = Duration.ofMillis(400);
+    private static final Duration UNCLAIMED = Duration.ofMillis(300);
 
     /** Time from a claim to its first order: several intervals between load shares. */
-    private static final Duration ANNOUNCE = Duration.ofMillis(400);
+    private static final Duration ANNOUNCE = Duration.ofMillis(250);
 
     /** Bits below the milliseconds of a fencing number, which tell instances apart. */
     private static final int INSTANCE_BITS = 12;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.WeakHashMap;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.time.TimeSource;
 import org.jboss.logging.Logger;
@@ -24,6 +25,9 @@
     /** Interval between reports of an engine that holds no weights yet. */
     private static final Duration EMPTY_REPORT_INTERVAL = Duration.ofMillis(300);
 
+    /** Interval between looks at an engine that nobody gives orders to. */
+    private static final Duration LOOK_INTERVAL = Duration.ofMillis(1500);
+
     private final Membership membership;
     private final OrderTransport transport;
     private final TimeSource time;
@@ -32,6 +36,7 @@
     private final AdapterDesk.Listener listener;
     private final Duration expectedLoad;
     private final Map<String, Held> held = new HashMap<>();
+    private final Map<UpstreamState, Long> lookedAt = new WeakHashMap<>();
     private long nextWeightsAt;
 
     private static final class Held {
@@ -80,6 +85,9 @@
                 .removeIf(h -> !claims.holds(h.upstream.id()) || !engines.containsKey(h.upstream));
         engines.forEach(
                 (u, spec) -> {
+                    if (claims.holder(u.id()).isEmpty()) {
+                        lookAt(u);
+                    }
                     if (claims.holds(u.id())) {
                         serve(held.computeIfAbsent(u.id(), id -> open(u)), spec, engines);
                     }
@@ -87,6 +95,23 @@
         return changed;
     }
 
+    /** Reads the report of an engine of which no instance tells what it holds, as after a start. */
+    private void lookAt(UpstreamState u) {
+        long now = time.nanoTime();
+        if (now - lookedAt.getOrDefault(u, now - LOOK_INTERVAL.toNanos())
+                >= LOOK_INTERVAL.toNanos()) {
+            lookedAt.put(u, now);
+            transport.report(
+                    u.upstream(),
+                    status ->
+                            status.forEach(
+                                    s -> {
+                                        u.setModels(s.models());
+                                        u.setAdapters(s.adapters(), s.coming());
+                                    }));
+        }
+    }
+
     private Held open(UpstreamState u) {
         AdapterDesk desk =
                 new AdapterDesk(
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
@@ -12,6 +12,7 @@
  * @param priority rank among routes; 0 is the most urgent
  * @param services at least one
  * @param maxAttempts largest number of upstreams that may run one request
+ * @param eventPatience time without an event after which callers abandon a stream
  */
 public record Route(
         String name,
@@ -22,7 +23,8 @@
         Duration target,
         int priority,
         List<ServiceShare> services,
-        int maxAttempts) {
+        int maxAttempts,
+        Duration eventPatience) {
 
     public Route {
         services = List.copyOf(services);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -54,7 +54,8 @@
     }
 
     /** Upstream for a request, and whether its adapter is there. */
-    record Choice(UpstreamState upstream, boolean adapterReady, double costMs) {}
+    record Choice(
+            UpstreamState upstream, boolean adapterReady, Duration adapterWait, double costMs) {}
 
     /** What the choice depends on besides the upstreams. */
     record Demand(
@@ -90,10 +91,11 @@
         if (!u.upstream().dataCentre().equals(dataCentre)) {
             cost += REMOTE_MS;
         }
+        double wait = ready ? 0 : waitForAdapter(demand, u);
         if (!ready) {
-            cost += waitForAdapter(demand, u);
+            cost += wait + priceOfLoad(demand, u);
         }
-        return new Choice(u, ready, cost);
+        return new Choice(u, ready, Duration.ofMillis(Math.round(wait)), cost);
     }
 
     private static boolean isReady(Demand demand, UpstreamState u) {
@@ -115,9 +117,14 @@
         if (u.isLoading(adapter)) {
             return load / 2;
         }
-        int ahead = u.loadingCount() / PARALLEL_LOADS;
-        double home = u.id().equals(demand.home()) ? HOME_MS : 0;
-        return load * (1 + ahead) + LOAD_MS - home;
+        return load * (1 + (double) u.loadingCount() / PARALLEL_LOADS);
+    }
+
+    private static double priceOfLoad(Demand demand, UpstreamState u) {
+        if (u.isLoading(demand.request().adapter().get())) {
+            return 0;
+        }
+        return LOAD_MS - (u.id().equals(demand.home()) ? HOME_MS : 0);
     }
 
     /** Returns how full the upstream is; 1 when its batch or its memory is full. */
