Stop using upstreams whose address has passed on; share which models engines hold

Cause: after a crash the engine was back at its address under another id; 100 orders and the requests that waited for them went to the old record until it lapsed, and the new engine stood idle for 2 s because its weights were known from the store only.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -88,6 +88,9 @@
         /** The adapter cannot be loaded. */
         void failed(UpstreamState upstream, AdapterRef adapter);
 
+        /** Another upstream has the engine's address. */
+        void misaddressed(UpstreamState upstream);
+
         /** The engine has seen a higher fencing number. */
         void fenced(UpstreamState upstream);
     }
@@ -340,6 +343,7 @@
             case ACCEPTED -> publish();
             case BUSY, UNKNOWN -> pause();
             case FENCED -> listener.fenced(upstream);
+            case MISADDRESSED -> listener.misaddressed(upstream);
             default -> {
                 places.remove(adapter);
                 publish();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -122,7 +122,7 @@
             send();
         } else if (!answerBegun
                 && forwarder.now() + choice.get().adapterWait().toNanos() - lastSendNanos() > 0) {
-            refuse(ResultCode.LOAD_FAILED, forwarder.retryAfter(this));
+            refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterLoads(this));
         } else {
             take(choice.get().upstream());
             state = State.LOADING;
@@ -257,19 +257,19 @@
     /**
      * Notes that the upstream stated that it has not run the request.
      *
-     * @param adapterMissing whether it lacks the adapter, or the version of it
+     * @param cause what must change before the request can run
      */
-    public void onNotRun(String reason, boolean adapterMissing) {
+    public void onNotRun(String reason, NotRun cause) {
         if (state != State.SENT) {
             return;
         }
         attempts--;
         turnedAway++;
         log("not-run", reason);
-        if (adapterMissing) {
-            forwarder.onAdapterMissing(this);
-        } else {
-            avoid.add(upstream.id());
+        switch (cause) {
+            case ADAPTER_MISSING -> forwarder.onAdapterMissing(this);
+            case MISADDRESSED -> forwarder.onMisaddressed(upstream);
+            default -> avoid.add(upstream.id());
         }
         release();
         placeAgain(forwarder.takeRetry(request));
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -252,13 +252,24 @@
 
     /** Returns when the caller should come back; empty if it has no time left to do so. */
     Option<Duration> retryAfter(ForwardCall call) {
+        return retryAfter(call, queue(call.request().service()).expectedWait(call));
+    }
+
+    /**
+     * Returns when a caller should come back whose adapter would arrive too late: as late as it
+     * will wait, since many adapters must arrive first and it may come back only once.
+     */
+    Option<Duration> retryAfterLoads(ForwardCall call) {
+        return retryAfter(call, call.request().route().timeout());
+    }
+
+    private Option<Duration> retryAfter(ForwardCall call, Duration expectedWait) {
         long left = call.request().endsNanos() - now();
         if (left <= 0) {
             return Option.none();
         }
         long most = (long) (left * MAX_RETURN);
-        long expected = queue(call.request().service()).expectedWait(call).toNanos();
-        long wait = Math.min(most, Math.max(expected, MIN_RETURN.toNanos()));
+        long wait = Math.min(most, Math.max(expectedWait.toNanos(), MIN_RETURN.toNanos()));
         // Spreads the returns, so that they do not arrive as another burst.
         return Option.of(Duration.ofNanos((long) (wait * (0.5 + random.nextDouble() / 2))));
     }
@@ -404,6 +415,15 @@
         out.add(new Effect.SendPeer(holder.get(), envelope, false));
     }
 
+    /** Stops using an upstream whose address has passed to another one; its record will go. */
+    void onMisaddressed(UpstreamState upstream) {
+        if (upstream.setMisaddressed()) {
+            LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
+            countCrash(upstream.id());
+            waits.failedAt(upstream.id()).forEach(ForwardCall::onAdapterFailed);
+        }
+    }
+
     void onAdapterMissing(ForwardCall call) {
         AdapterRef adapter = call.request().adapter().getOrElse(new AdapterRef("", ""));
         call.upstream().setAbsent(adapter);
@@ -434,6 +454,11 @@
             tellWaiting(upstream, adapter, 0, false);
         }
 
+        @Override
+        public void misaddressed(UpstreamState upstream) {
+            onMisaddressed(upstream);
+        }
+
         @Override
         public void fenced(UpstreamState upstream) {
             office.claims().onFenced(upstream.id());
@@ -542,6 +567,7 @@
             configuration
                     .service(u.upstream().service())
                     .flatMap(ServiceSpec::engine)
+                    .filter(e -> !u.isMisaddressed())
                     .forEach(e -> engines.put(u, e));
         }
         return office.onTick(engines);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -124,6 +124,7 @@
             return b.build();
         }
         OrderedUpstream claim = b.setStartedAtMs(u.upstream().startedAtMs()).build();
+        b.addAllModels(u.models());
         u.adapters(false).forEach((a, v) -> b.addPlaces(place(a, v, false)));
         u.adapters(true).forEach((a, v) -> b.addPlaces(place(a, v, true)));
         OrderedUpstream full = b.setComplete(true).build();
@@ -184,6 +185,7 @@
             AdapterRef.parse(p.getAdapter())
                     .forEach(a -> (p.getLoading() ? coming : held).put(a, p.getVersion()));
         }
+        u.setModels(Set.copyOf(ordered.getModelsList()));
         u.setAdapters(held, coming);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -31,10 +31,10 @@
     private static final Duration SETTLE = Duration.ofMillis(1500);
 
     /** How long an upstream must be without a claim before one is made. */
-    private static final Duration UNCLAIMED = Duration.ofMillis(300);
+    private static final Duration UNCLAIMED = Duration.ofMillis(150);
 
     /** Time from a claim to its first order: several intervals between load shares. */
-    private static final Duration ANNOUNCE = Duration.ofMillis(250);
+    private static final Duration ANNOUNCE = Duration.ofMillis(200);
 
     /** Bits below the milliseconds of a fencing number, which tell instances apart. */
     private static final int INSTANCE_BITS = 12;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderReply.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderReply.java
@@ -10,8 +10,10 @@
     BUSY,
     /** Another instance has ordered with a higher fencing number. */
     FENCED,
-    /** The engine knows no such order, or the address belongs to another upstream. */
+    /** The engine knows no such order, or lacks the model. */
     REJECTED,
+    /** Another upstream has the address now. */
+    MISADDRESSED,
     /** No answer came, so the order may have been accepted. */
     UNKNOWN
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -24,6 +24,7 @@
     private final Set<String> models = new HashSet<>();
     private UpstreamRecord upstream;
     private final long nameHash;
+    private boolean misaddressed;
     private int requests;
     private long tokens;
     private long unreadTokens;
@@ -60,10 +61,12 @@
 
     /** Takes over a newer record of the same incarnation. */
     void update(UpstreamRecord newer) {
+        boolean modelsChanged = !newer.models().equals(upstream.models());
         upstream = newer;
-        // Models appear in the record when they are loaded; adapters are reported elsewhere.
-        models.clear();
-        models.addAll(newer.models());
+        // Reports may know of a load before the record does; adapters are only in reports.
+        if (modelsChanged) {
+            setModels(newer.models());
+        }
     }
 
     void begin(ForwardRequest request) {
@@ -139,6 +142,17 @@
         peers.values().removeIf(p -> p.atNanos() - oldest < 0);
     }
 
+    /** Notes that another upstream has the address; returns whether that is new. */
+    boolean setMisaddressed() {
+        boolean changed = !misaddressed;
+        misaddressed = true;
+        return changed;
+    }
+
+    boolean isMisaddressed() {
+        return misaddressed;
+    }
+
     boolean holdsModel(String model) {
         return models.contains(model);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -126,7 +126,9 @@
     List<UpstreamState> serving(String service) {
         List<UpstreamState> found = new ArrayList<>();
         for (UpstreamState s : states.values()) {
-            if (s.upstream().service().equals(service) && !s.upstream().draining()) {
+            if (s.upstream().service().equals(service)
+                    && !s.upstream().draining()
+                    && !s.isMisaddressed()) {
                 found.add(s);
             }
         }
