Test calls and adapter loads on virtual time; share waits for adapters at once

Faults that the tests found: a second request for an adapter chose another engine until the first order was answered (two loads for one adapter); requests whose adapter came too late waited until their callers left, and took the places of others.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -156,6 +156,7 @@
             Wish wish = wanted.computeIfAbsent(adapter, a -> new Wish());
             wish.version = Math.max(wish.version, version);
             wish.askedAt = time.nanoTime();
+            publish();
         }
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -17,7 +17,7 @@
     private static final int MAX_UNANSWERED = 4;
 
     /** Weight of one load in the average load time. */
-    private static final double WEIGHT = 0.1;
+    private static final double WEIGHT = 0.2;
 
     private final TimeSource time;
     private final Map<Key, Wait> waits = new HashMap<>();
@@ -82,9 +82,21 @@
             return List.of();
         }
         waits.remove(key);
+        learn(wait);
+        return wait.calls;
+    }
+
+    /** Notes that a call gave up waiting, which counts as a load of that time. */
+    void late(String upstream, AdapterRef adapter) {
+        Wait wait = waits.get(new Key(upstream, adapter));
+        if (wait != null) {
+            learn(wait);
+        }
+    }
+
+    private void learn(Wait wait) {
         double took = (time.nanoTime() - wait.since) / 1e6;
         loadMs = loadMs * (1 - WEIGHT) + took * WEIGHT;
-        return wait.calls;
     }
 
     /** Ends a wait because the adapter will not arrive; returns the calls to be placed again. */
@@ -123,6 +135,13 @@
         return calls;
     }
 
+    /** Returns the calls that wait. */
+    List<ForwardCall> calls() {
+        List<ForwardCall> calls = new ArrayList<>();
+        waits.values().forEach(w -> calls.addAll(w.calls));
+        return calls;
+    }
+
     /** Returns the loads that calls wait for. */
     List<Key> keys() {
         return List.copyOf(waits.keySet());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -126,6 +126,7 @@
         } else {
             take(choice.get().upstream());
             state = State.LOADING;
+            upstream.beginAwait(request.adapter().get());
             log("wait-adapter");
             forwarder.wantAdapter(this);
         }
@@ -150,6 +151,9 @@
     private void release() {
         if (upstream != null) {
             endPrompt();
+            if (state == State.LOADING) {
+                upstream.endAwait(request.adapter().get());
+            }
             UpstreamState released = upstream;
             upstream = null;
             released.end(request);
@@ -160,6 +164,8 @@
     /** Sends the request, whose adapter has arrived. */
     void onAdapterReady() {
         if (state == State.LOADING) {
+            upstream.endAwait(request.adapter().get());
+            state = State.PLACING;
             send();
         }
     }
@@ -174,6 +180,14 @@
         }
     }
 
+    /** Refuses the call if its adapter has not arrived while sending was worth it. */
+    void giveUpIfLate() {
+        if (state == State.LOADING && forwarder.now() - lastSendNanos() > 0) {
+            forwarder.onAdapterLate(this);
+            refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterLoads(this));
+        }
+    }
+
     private void endPrompt() {
         if (promptUnread) {
             promptUnread = false;
@@ -402,8 +416,8 @@
         cancel(endTimer);
         cancel(stallTimer);
         forwarder.leaveQueue(this);
-        state = State.ENDED;
         release();
+        state = State.ENDED;
         forwarder.onEnded(this);
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -424,6 +424,11 @@
         }
     }
 
+    /** Notes that a call gave up its wait for an adapter. */
+    void onAdapterLate(ForwardCall call) {
+        waits.late(call.upstream().id(), call.request().adapter().get());
+    }
+
     void onAdapterMissing(ForwardCall call) {
         AdapterRef adapter = call.request().adapter().getOrElse(new AdapterRef("", ""));
         call.upstream().setAbsent(adapter);
@@ -548,6 +553,7 @@
         retries.onTick(membership.live().size());
         upstreams.onTick().forEach(this::onUpstreamEnded);
         waits.overdue().forEach(ForwardCall::onAdapterFailed);
+        waits.calls().forEach(ForwardCall::giveUpIfLate);
         waits.toRepeat().forEach((k, w) -> ask(k.upstream(), k.adapter(), w.version()));
         boolean claimsChanged = tickOrders();
         shares.onTick(claimsChanged, out);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -117,7 +117,8 @@
         if (u.isLoading(adapter)) {
             return load / 2;
         }
-        return load * (1 + (double) u.loadingCount() / PARALLEL_LOADS);
+        // The average wait already holds the usual number of others; more of them wait in turn.
+        return load * (1 + (double) u.loadingCount() / (2 * PARALLEL_LOADS));
     }
 
     private static double priceOfLoad(Demand demand, UpstreamState u) {
@@ -148,7 +149,7 @@
             return u.totalRequests() < 2 * Math.max(1, u.upstream().slots());
         }
         EngineSpec e = demand.engine().get();
-        return u.totalRequests() < e.slots()
+        return u.sentRequests() < e.slots()
                 && u.totalTokens() + demand.request().tokens() <= e.memoryTokens();
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -24,6 +24,8 @@
     private final Set<String> models = new HashSet<>();
     private UpstreamRecord upstream;
     private final long nameHash;
+    private final Map<AdapterRef, Integer> awaited = new HashMap<>();
+    private int awaiting;
     private boolean misaddressed;
     private int requests;
     private long tokens;
@@ -195,7 +197,24 @@
     }
 
     boolean isLoading(AdapterRef adapter) {
-        return loading.containsKey(adapter);
+        return loading.containsKey(adapter) || awaited.containsKey(adapter);
+    }
+
+    /** Notes that a request waits for an adapter here. */
+    void beginAwait(AdapterRef adapter) {
+        awaited.merge(adapter, 1, Integer::sum);
+        awaiting++;
+    }
+
+    /** Notes that a request no longer waits for an adapter here. */
+    void endAwait(AdapterRef adapter) {
+        awaited.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
+        awaiting--;
+    }
+
+    /** Returns the requests of all instances that are at the upstream, without those that wait. */
+    int sentRequests() {
+        return totalRequests() - awaiting;
     }
 
     /** Returns the adapters that the upstream holds, or those that it fetches. */
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -0,0 +1,149 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import org.bronzehill.core.result.ResultCode;
+import org.testng.annotations.Test;
+
+/** Adapters that requests wait for, on virtual time with engines that share one store. */
+public class AdapterLoadsTest {
+
+    private static final Duration LOAD = Duration.ofMillis(250);
+
+    private static FakeTransport ask(ForwardRig rig, int adapter) {
+        return rig.open(RequestKind.RESUMABLE_STREAM, 2, Option.of(ForwardRig.adapter(adapter)));
+    }
+
+    /** Ends a stream that has been sent, so that its place is free again. */
+    private static void finish(FakeTransport t) {
+        if (!t.attempts().isEmpty()) {
+            t.call().onProgress();
+            t.call().onComplete(200);
+        }
+    }
+
+    @Test
+    public void requestIsSentSoonAfterItsAdapterArrives() {
+        ForwardRig rig = new ForwardRig(2, 4, LOAD, 8);
+        FakeTransport t = ask(rig, 1);
+        rig.scheduler().advance(Duration.ofMillis(245));
+        assertTrue(t.attempts().isEmpty());
+        // A quarter of the target of 200 ms may pass until the arrival is noticed.
+        rig.scheduler().advance(Duration.ofMillis(55));
+        assertEquals(t.attempts().size(), 1);
+    }
+
+    /** Guards against one load for each request that waits. */
+    @Test
+    public void oneLoadServesAllThatWait() {
+        ForwardRig rig = new ForwardRig(2, 4, LOAD, 8);
+        List<FakeTransport> waiting = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            waiting.add(ask(rig, 1));
+        }
+        rig.scheduler().advance(Duration.ofMillis(400));
+        waiting.forEach(t -> assertEquals(t.attempts().size(), 1));
+        assertEquals(rig.engines().fetched().size(), 1);
+    }
+
+    /** Guards against orders beyond the engine's places, which would crash it. */
+    @Test
+    public void placesAreNeverExceeded() {
+        ForwardRig rig = new ForwardRig(1, 3, LOAD, 8);
+        for (int i = 0; i < 12; i++) {
+            FakeTransport t = ask(rig, i);
+            rig.scheduler().advance(Duration.ofMillis(900));
+            finish(t);
+        }
+        assertEquals(rig.engines().mostPlaces(), 3);
+        assertTrue(rig.engines().fetched().size() >= 12);
+    }
+
+    /** Guards against the eviction of an adapter that requests still use. */
+    @Test
+    public void adapterInUseIsNotEvicted() {
+        ForwardRig rig = new ForwardRig(1, 2, LOAD, 8);
+        FakeTransport kept = ask(rig, 1);
+        rig.scheduler().advance(Duration.ofMillis(1500));
+        for (int i = 2; i < 6; i++) {
+            FakeTransport t = ask(rig, i);
+            rig.scheduler().advance(Duration.ofMillis(1200));
+            finish(t);
+        }
+        assertNull(kept.refused());
+        assertTrue(rig.engines().held("e1").containsKey(ForwardRig.adapter(1)));
+    }
+
+    /**
+     * Replays rare adapters asked for at once, faster than the store delivers. Guards against waits
+     * that are given up and begun again elsewhere, which fetches the same adapter several times.
+     */
+    @Test
+    public void burstOfRareAdaptersFetchesEachOnce() {
+        ForwardRig rig = new ForwardRig(4, 20, LOAD, 4);
+        List<FakeTransport> calls = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            calls.add(ask(rig, i));
+            rig.scheduler().advance(Duration.ofMillis(30));
+        }
+        rig.scheduler().advance(Duration.ofSeconds(4));
+        List<String> fetched = rig.engines().fetched();
+        assertEquals(new HashSet<>(fetched).size(), fetched.size(), "an adapter fetched again");
+        long copies =
+                fetched.size() - fetched.stream().map(f -> f.split(" ")[1]).distinct().count();
+        assertEquals(copies, 0, "copies: " + fetched);
+    }
+
+    /** Guards against requests that wait until callers abandon them for lack of an event. */
+    @Test
+    public void requestWhoseAdapterComesTooLateIsRefusedAtOnce() {
+        ForwardRig rig = new ForwardRig(1, 60, Duration.ofSeconds(1), 1);
+        List<FakeTransport> calls = new ArrayList<>();
+        for (int round = 0; round < 8; round++) {
+            for (int i = 0; i < 6; i++) {
+                calls.add(ask(rig, round * 6 + i));
+            }
+            rig.scheduler().advance(Duration.ofMillis(500));
+        }
+        FakeTransport last = ask(rig, 99);
+        assertNotNull(last.refused());
+        assertEquals(last.refused(), ResultCode.LOAD_FAILED);
+        assertTrue(last.retryAfter().get().toMillis() >= 500, last.retryAfter().toString());
+    }
+
+    /** Guards against orders under a claim that another instance has taken over. */
+    @Test
+    public void fencedInstanceStopsOrdering() {
+        ForwardRig rig = new ForwardRig(1, 4, LOAD, 8);
+        rig.engines().force(OrderReply.FENCED);
+        ask(rig, 1);
+        rig.scheduler().advance(Duration.ofMillis(500));
+        int orders = rig.engines().orders().size();
+        rig.scheduler().advance(Duration.ofMillis(2000));
+        assertEquals(rig.engines().orders().size(), orders);
+    }
+
+    /** Guards against a fencing number that is used again after it was refused. */
+    @Test
+    public void laterClaimHasAHigherNumber() {
+        ForwardRig rig = new ForwardRig(1, 4, LOAD, 8);
+        rig.engines().force(OrderReply.FENCED);
+        ask(rig, 1);
+        rig.scheduler().advance(Duration.ofMillis(500));
+        long refused = rig.engines().orders().get(0).fencing();
+        rig.engines().force(null);
+        rig.scheduler().advance(Duration.ofSeconds(5));
+        ask(rig, 2);
+        rig.scheduler().advance(Duration.ofMillis(500));
+        List<Order> orders = rig.engines().orders();
+        assertTrue(orders.get(orders.size() - 1).fencing() > refused);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/EventSplitterTest.java
@@ -0,0 +1,58 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.Test;
+
+/** Events of streams that arrive in pieces, break off and go on. */
+public class EventSplitterTest {
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: x" + id + "\n\n";
+    }
+
+    @Test
+    public void returnsWholeEventsOnly() {
+        EventSplitter s = EventSplitter.after(EventSplitter.NO_EVENT);
+        assertEquals(text(s.accept(bytes("id: 1\nda"))), "");
+        assertEquals(text(s.accept(bytes("ta: x1\n\nid: 2"))), event(1));
+        assertEquals(s.lastId(), 1);
+        assertEquals(text(s.rest()), "id: 2");
+    }
+
+    /** Guards against an event that comes twice when a stream goes on elsewhere. */
+    @Test
+    public void leavesOutWhatWasPassedOn() {
+        EventSplitter s = EventSplitter.after(2);
+        assertEquals(text(s.accept(bytes(event(1) + event(2) + event(3)))), event(3));
+    }
+
+    /** Guards against a stream with a missing event that looks whole. */
+    @Test
+    public void noticesAGap() {
+        EventSplitter s = EventSplitter.after(2);
+        assertEquals(text(s.accept(bytes(event(3) + event(5) + event(6)))), event(3));
+        assertTrue(s.hasGap());
+        assertEquals(s.lastId(), 3);
+    }
+
+    @Test
+    public void takesCarriageReturnsAndOtherFields() {
+        EventSplitter s = EventSplitter.after(EventSplitter.NO_EVENT);
+        String event = "other: 3\r\nid: 7\r\ndata: y\r\n\r\n";
+        assertEquals(text(s.accept(bytes(event))), event);
+        assertEquals(s.lastId(), 7);
+        assertFalse(s.hasGap());
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -0,0 +1,131 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Engines that carry out orders on virtual time and share one weight store. Loads run at full speed
+ * up to a number over all engines and in proportion slower beyond it.
+ */
+final class FakeEngines implements OrderTransport {
+
+    /** Time of an order on its way to the engine and back. */
+    private static final Duration ROUND_TRIP = Duration.ofMillis(2);
+
+    private static final Duration STEP = Duration.ofMillis(5);
+
+    private final VirtualScheduler scheduler;
+    private final Duration loadTime;
+    private final int atFullSpeed;
+    private final Map<String, Map<AdapterRef, Integer>> held = new HashMap<>();
+    private final Map<String, Map<AdapterRef, Double>> loading = new HashMap<>();
+    private final List<String> fetched = new ArrayList<>();
+    private final List<Order> orders = new ArrayList<>();
+    private int mostLoading;
+    private OrderReply forced;
+
+    FakeEngines(VirtualScheduler scheduler, Duration loadTime, int atFullSpeed) {
+        this.scheduler = scheduler;
+        this.loadTime = loadTime;
+        this.atFullSpeed = atFullSpeed;
+        scheduler.after(STEP, this::step);
+    }
+
+    private void step() {
+        int all = loading.values().stream().mapToInt(Map::size).sum();
+        double speed = all <= atFullSpeed ? 1 : (double) atFullSpeed / all;
+        double part = speed * STEP.toNanos() / loadTime.toNanos();
+        loading.forEach(
+                (engine, loads) -> {
+                    loads.replaceAll((a, done) -> done + part);
+                    loads.entrySet()
+                            .removeIf(
+                                    e -> {
+                                        boolean done = e.getValue() >= 1;
+                                        if (done) {
+                                            held(engine).put(e.getKey(), 1);
+                                        }
+                                        return done;
+                                    });
+                });
+        scheduler.after(STEP, this::step);
+    }
+
+    Map<AdapterRef, Integer> held(String engine) {
+        return held.computeIfAbsent(engine, e -> new HashMap<>());
+    }
+
+    private Map<AdapterRef, Double> loading(String engine) {
+        return loading.computeIfAbsent(engine, e -> new HashMap<>());
+    }
+
+    /** Answers all further orders in the same way; null ends this. */
+    void force(OrderReply reply) {
+        forced = reply;
+    }
+
+    List<Order> orders() {
+        return orders;
+    }
+
+    /** Returns the loads that began: engine and adapter. */
+    List<String> fetched() {
+        return fetched;
+    }
+
+    /** Returns the largest number of adapters that one engine fetched or held at once. */
+    int mostPlaces() {
+        return mostLoading;
+    }
+
+    @Override
+    public void order(UpstreamRecord upstream, Order order, Consumer<OrderReply> reply) {
+        scheduler.after(
+                ROUND_TRIP,
+                () -> {
+                    orders.add(order);
+                    reply.accept(forced != null ? forced : carryOut(upstream.id(), order));
+                });
+    }
+
+    private OrderReply carryOut(String engine, Order order) {
+        AdapterRef target = order.target();
+        if (order.operation() == Order.Operation.UNLOAD) {
+            held(engine).remove(target);
+            return OrderReply.ALREADY;
+        }
+        if (held(engine).containsKey(target)) {
+            return OrderReply.ALREADY;
+        }
+        if (loading(engine).putIfAbsent(target, 0.0) == null) {
+            fetched.add(engine + " " + target.key());
+        }
+        mostLoading = Math.max(mostLoading, held(engine).size() + loading(engine).size());
+        return OrderReply.ACCEPTED;
+    }
+
+    @Override
+    public void report(UpstreamRecord upstream, Consumer<Option<EngineStatus>> reply) {
+        scheduler.after(
+                ROUND_TRIP,
+                () -> {
+                    Map<AdapterRef, Integer> coming = new HashMap<>();
+                    loading(upstream.id()).keySet().forEach(a -> coming.put(a, 1));
+                    reply.accept(
+                            Option.of(
+                                    new EngineStatus(
+                                            0,
+                                            0,
+                                            0,
+                                            Set.of("m"),
+                                            Map.copyOf(held(upstream.id())),
+                                            coming)));
+                });
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
@@ -0,0 +1,72 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.bronzehill.core.result.ResultCode;
+
+/** Records what a call asks of its connections. */
+final class FakeTransport implements CallTransport {
+
+    private final List<Attempt> attempts = new ArrayList<>();
+    private ForwardCall call;
+    private int cancelled;
+    private ResultCode refused;
+    private Option<Duration> retryAfter = Option.none();
+    private ResultCode brokenOff;
+
+    @Override
+    public void opened(ForwardCall opened) {
+        call = opened;
+    }
+
+    @Override
+    public void send(Attempt attempt) {
+        attempts.add(attempt);
+    }
+
+    @Override
+    public void cancelAttempt() {
+        cancelled++;
+    }
+
+    @Override
+    public void refuse(ResultCode code, Option<Duration> after) {
+        refused = code;
+        retryAfter = after;
+    }
+
+    @Override
+    public void breakOff(ResultCode code) {
+        brokenOff = code;
+    }
+
+    ForwardCall call() {
+        return call;
+    }
+
+    List<Attempt> attempts() {
+        return attempts;
+    }
+
+    Attempt last() {
+        return attempts.get(attempts.size() - 1);
+    }
+
+    int cancelled() {
+        return cancelled;
+    }
+
+    ResultCode refused() {
+        return refused;
+    }
+
+    Option<Duration> retryAfter() {
+        return retryAfter;
+    }
+
+    ResultCode brokenOff() {
+        return brokenOff;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardCallTest.java
@@ -0,0 +1,173 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.result.RunState;
+import org.testng.annotations.Test;
+
+/** What happens to one call when its attempts fail. */
+public class ForwardCallTest {
+
+    private static ForwardRig rig() {
+        return new ForwardRig(2, 4, Duration.ofMillis(250), 8);
+    }
+
+    /** Calls that may run at most once. */
+    public static class OnceOnly {
+
+        /** Guards against a second run, and against a refusal that claims that none happened. */
+        @Test
+        public void isNeverSentAgainAfterItMayHaveRun() {
+            FakeTransport t = rig().open(RequestKind.ONCE_ONLY, 2);
+            t.call().onBroken("reset");
+            assertEquals(t.attempts().size(), 1);
+            assertEquals(t.refused().runState(), RunState.MAY_HAVE_RUN);
+        }
+
+        @Test
+        public void isSentElsewhereAfterAProofThatItHasNotRun() {
+            FakeTransport t = rig().open(RequestKind.ONCE_ONLY, 1);
+            String first = t.last().upstream().id();
+            t.call().onNotRun("status-503", NotRun.TURNED_AWAY);
+            assertEquals(t.attempts().size(), 2);
+            assertNotEquals(t.last().upstream().id(), first);
+        }
+
+        @Test
+        public void isSentElsewhereIfNoConnectionOpens() {
+            FakeTransport t = rig().open(RequestKind.ONCE_ONLY, 1);
+            t.call().onUnreachable("connect-failed");
+            assertEquals(t.attempts().size(), 2);
+            assertNull(t.refused());
+        }
+
+        /** Guards the statement "not run" after an attempt that ran into the time limit. */
+        @Test
+        public void endOfTimeWhileSentIsNoPromise() {
+            ForwardRig rig = rig();
+            FakeTransport t = rig.open(RequestKind.ONCE_ONLY, 1);
+            rig.scheduler().advance(Duration.ofMillis(8300));
+            assertEquals(t.refused(), ResultCode.DEADLINE_PASSED);
+            assertEquals(t.cancelled(), 1);
+        }
+
+        @Test
+        public void failureOfTheUpstreamIsPassedOn() {
+            FakeTransport t = rig().open(RequestKind.ONCE_ONLY, 2);
+            assertTrue(t.call().acceptsFailure(500));
+            assertEquals(t.attempts().size(), 1);
+        }
+    }
+
+    /** Calls that may run again. */
+    public static class Idempotent {
+
+        @Test
+        public void isSentElsewhereAfterAFailure() {
+            FakeTransport t = rig().open(RequestKind.IDEMPOTENT, 2);
+            String first = t.last().upstream().id();
+            assertEquals(t.call().acceptsFailure(500), false);
+            assertNotEquals(t.last().upstream().id(), first);
+        }
+
+        @Test
+        public void attemptsAreBounded() {
+            FakeTransport t = rig().open(RequestKind.IDEMPOTENT, 2);
+            t.call().onBroken("reset");
+            t.call().onBroken("reset");
+            assertEquals(t.attempts().size(), 2);
+            assertEquals(t.refused(), ResultCode.UPSTREAM_FAILED);
+        }
+
+        /** Guards against a wait until the deadline for an upstream that does not answer. */
+        @Test
+        public void silentUpstreamIsLeft() {
+            ForwardRig rig = rig();
+            FakeTransport t = rig.open(RequestKind.IDEMPOTENT, 2);
+            rig.scheduler().advance(Duration.ofMillis(400));
+            assertEquals(t.attempts().size(), 2);
+            assertEquals(t.cancelled(), 1);
+        }
+    }
+
+    /** Streams that may continue at another engine. */
+    public static class ResumableStream {
+
+        @Test
+        public void continuesElsewhereAfterABreak() {
+            FakeTransport t = rig().open(RequestKind.RESUMABLE_STREAM, 2);
+            t.call().onProgress();
+            t.call().onBroken("closed");
+            assertEquals(t.attempts().size(), 2);
+            assertNull(t.brokenOff());
+        }
+
+        @Test
+        public void otherStreamsAreBrokenOff() {
+            FakeTransport t = rig().open(RequestKind.STREAM, 2);
+            t.call().onProgress();
+            t.call().onBroken("closed");
+            assertEquals(t.attempts().size(), 1);
+            assertEquals(t.brokenOff(), ResultCode.UPSTREAM_FAILED);
+        }
+    }
+
+    @Test
+    public void callerThatLeavesEndsTheAttempt() {
+        ForwardRig rig = rig();
+        FakeTransport t = rig.open(RequestKind.IDEMPOTENT, 2);
+        t.call().onCallerLeft();
+        assertEquals(t.cancelled(), 1);
+        assertEquals(rig.forwarder().openCalls(), 0);
+    }
+
+    /** Guards against orders and requests to a record whose address another upstream has. */
+    @Test
+    public void misaddressedUpstreamIsNotUsedAgain() {
+        ForwardRig rig = rig();
+        FakeTransport t = rig.open(RequestKind.ONCE_ONLY, 1);
+        String old = t.last().upstream().id();
+        t.call().onNotRun("other-instance-x", NotRun.MISADDRESSED);
+        for (int i = 0; i < 3; i++) {
+            assertNotEquals(rig.open(RequestKind.ONCE_ONLY, 1).last().upstream().id(), old);
+        }
+    }
+
+    /** Guards against waiting until the deadline when no upstream is left. */
+    @Test
+    public void isRefusedAtOnceWithoutUpstreams() {
+        ForwardRig rig = rig();
+        rig.forwarder().onUpstreams(java.util.List.of());
+        FakeTransport t = rig.open(RequestKind.ONCE_ONLY, 1);
+        assertEquals(t.refused(), ResultCode.NO_UPSTREAM);
+        assertTrue(t.retryAfter().isDefined());
+    }
+
+    /** Guards against a request that goes on crashing the upstreams which run it. */
+    @Test
+    public void requestThatCrashedUpstreamsIsRefused() {
+        ForwardRig rig = rig();
+        FakeTransport t = rig.open(RequestKind.IDEMPOTENT, 2);
+        for (int i = 0; i < 2; i++) {
+            String id = t.last().upstream().id();
+            t.call().onBroken("reset");
+            rig.forwarder().onUpstreamRemoved(id);
+            rig.forwarder().onUpstream(ForwardRig.plain(id, 200 + i));
+        }
+        assertEquals(t.attempts().size(), 2);
+        assertEquals(t.refused(), ResultCode.UPSTREAM_FAILED);
+    }
+
+    @Test
+    public void baseModelNeedsNoOrder() {
+        ForwardRig rig = rig();
+        FakeTransport t = rig.open(RequestKind.STREAM, 1, Option.of(new AdapterRef("m", "")));
+        assertEquals(t.attempts().size(), 1);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -0,0 +1,168 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.result.ResultCode;
+
+/** One instance on virtual time, with two plain upstreams and some engines. */
+final class ForwardRig {
+
+    static final String PLAIN = "ledger";
+    static final String ENGINES = "pool";
+
+    private static final Duration TICK = Duration.ofMillis(25);
+
+    private final VirtualScheduler scheduler = new VirtualScheduler();
+    private final FakeEngines engines;
+    private final Forwarder forwarder;
+    private final List<Effect> effects = new ArrayList<>();
+    private final EngineSpec spec;
+    private int sequence;
+
+    ForwardRig(int engineCount, int places, Duration loadTime, int atFullSpeed) {
+        spec = new EngineSpec(8, 100_000, 1000, places, 4, List.of(new ModelSpec("m", 500, 1)));
+        engines = new FakeEngines(scheduler, loadTime, atFullSpeed);
+        InstanceRef self = new InstanceRef("i1", 1, "10.0.0.1", 7000, "a", "r");
+        ForwardSettings settings =
+                new ForwardSettings(
+                        "i1",
+                        "a",
+                        0.2,
+                        50,
+                        Duration.ofSeconds(10),
+                        Duration.ofSeconds(2),
+                        Duration.ofSeconds(3));
+        ForwardListener listener =
+                new ForwardListener() {
+                    @Override
+                    public void completed(ForwardRequest r, int status, Duration took) {}
+
+                    @Override
+                    public void refused(ForwardRequest r, ResultCode code, Duration took) {}
+                };
+        ForwardPorts ports =
+                new ForwardPorts(
+                        scheduler.time(),
+                        scheduler,
+                        Membership.create(self, scheduler.time(), new Random(1)),
+                        effects::add,
+                        engines,
+                        listener);
+        forwarder = Forwarder.create(settings, ports, new Random(2));
+        forwarder.onConfiguration(configuration());
+        forwarder.onUpstreams(upstreams(engineCount));
+        scheduler.after(TICK, this::tick);
+        // Claims are made and reports read before the first request.
+        scheduler.advance(Duration.ofSeconds(4));
+    }
+
+    private void tick() {
+        forwarder.onTick();
+        scheduler.after(TICK, this::tick);
+    }
+
+    private RoutingConfiguration configuration() {
+        return RoutingConfiguration.of(
+                1,
+                List.of(),
+                List.of(
+                        new ServiceSpec(PLAIN, 100, Option.none()),
+                        new ServiceSpec(ENGINES, 100, Option.of(spec))),
+                CallerLimits.INITIAL);
+    }
+
+    private static List<UpstreamRecord> upstreams(int engineCount) {
+        List<UpstreamRecord> records = new ArrayList<>();
+        records.add(plain("p1", 100));
+        records.add(plain("p2", 100));
+        for (int i = 1; i <= engineCount; i++) {
+            records.add(
+                    new UpstreamRecord(
+                            "e" + i,
+                            100,
+                            ENGINES,
+                            "10.0.1." + i,
+                            80,
+                            "a",
+                            8,
+                            false,
+                            Set.of("m"),
+                            Map.of()));
+        }
+        return records;
+    }
+
+    static UpstreamRecord plain(String id, long startedAtMs) {
+        return new UpstreamRecord(
+                id,
+                startedAtMs,
+                PLAIN,
+                "10.0.2." + id.substring(1),
+                80,
+                "a",
+                2,
+                false,
+                Set.of(),
+                Map.of());
+    }
+
+    static Route route(RequestKind kind, int attempts) {
+        return new Route(
+                "r-" + kind,
+                "h",
+                "/x/",
+                kind,
+                Duration.ofSeconds(10),
+                Duration.ofMillis(200),
+                1,
+                List.of(new ServiceShare(kind.isStream() ? ENGINES : PLAIN, 1)),
+                attempts,
+                Duration.ofSeconds(2));
+    }
+
+    FakeTransport open(RequestKind kind, int attempts) {
+        return open(kind, attempts, Option.none());
+    }
+
+    FakeTransport open(RequestKind kind, int attempts, Option<AdapterRef> adapter) {
+        Route route = route(kind, attempts);
+        FakeTransport transport = new FakeTransport();
+        ForwardRequest request =
+                new ForwardRequest(
+                        "q" + sequence++,
+                        route,
+                        route.serviceAt(0),
+                        scheduler.time().nanoTime(),
+                        Duration.ofSeconds(8),
+                        adapter,
+                        kind.isStream() ? 500 : 0,
+                        kind.isStream() ? 200 : 0,
+                        new byte[] {(byte) (sequence >> 8), (byte) sequence});
+        forwarder.open(request, transport);
+        return transport;
+    }
+
+    static AdapterRef adapter(int number) {
+        return new AdapterRef("m", "a" + number);
+    }
+
+    Forwarder forwarder() {
+        return forwarder;
+    }
+
+    FakeEngines engines() {
+        return engines;
+    }
+
+    VirtualScheduler scheduler() {
+        return scheduler;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RetrySharesTest.java
@@ -0,0 +1,47 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.testng.annotations.Test;
+
+/** The retry budget of a service, split over the instances. */
+public class RetrySharesTest {
+
+    private static final int INSTANCES = 9;
+    private static final double RATIO = 0.2;
+    private static final double SLACK = 58;
+
+    /** Guards against a sum over all instances that exceeds the bound in some window. */
+    @Test
+    public void sumStaysUnderTheBound() {
+        int requests = 0;
+        int retries = 0;
+        for (int i = 0; i < INSTANCES; i++) {
+            VirtualScheduler scheduler = new VirtualScheduler();
+            ForwardSettings settings =
+                    new ForwardSettings(
+                            "i" + i,
+                            "a",
+                            RATIO,
+                            SLACK,
+                            Duration.ofSeconds(10),
+                            Duration.ofSeconds(2),
+                            Duration.ofSeconds(3));
+            RetryShares shares = new RetryShares(settings, scheduler.time());
+            shares.onTick(INSTANCES);
+            for (int tenth = 0; tenth < 100; tenth++) {
+                shares.onRequest("s");
+                requests++;
+                while (shares.tryTake("s")) {
+                    retries++;
+                }
+                scheduler.advance(Duration.ofMillis(100));
+                shares.onTick(INSTANCES);
+            }
+        }
+        assertTrue(retries <= RATIO * requests + SLACK, retries + " of " + requests);
+        // A budget that is never spent would pass the check above.
+        assertTrue(retries >= 0.5 * (RATIO * requests + SLACK), retries + " of " + requests);
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
@@ -0,0 +1,58 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotSame;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Records of upstreams that lapse, return, restart and drain. */
+public class UpstreamTableTest {
+
+    private final VirtualScheduler scheduler = new VirtualScheduler();
+    private final UpstreamTable table = new UpstreamTable(scheduler.time(), Duration.ofSeconds(2));
+
+    /** Guards against new work for an upstream that is gone. */
+    @Test
+    public void recordThatGoesIsDroppedAtOnce() {
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        assertEquals(table.remove("p1").size(), 1);
+        assertTrue(table.serving(ForwardRig.PLAIN).isEmpty());
+    }
+
+    /** Guards against an outage of the store that empties the list of live upstreams. */
+    @Test
+    public void recordThatLapsedDuringAnOutageMayComeBack() {
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.onStoreReturned();
+        table.remove("p1");
+        assertEquals(table.serving(ForwardRig.PLAIN).size(), 1);
+        scheduler.advance(Duration.ofSeconds(1));
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(3));
+        assertTrue(table.onTick().isEmpty());
+    }
+
+    @Test
+    public void recordThatDoesNotComeBackIsDropped() {
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.onStoreReturned();
+        table.remove("p1");
+        scheduler.advance(Duration.ofMillis(2100));
+        assertEquals(table.onTick().size(), 1);
+    }
+
+    /** Guards against what was known of an earlier run under the same identifier. */
+    @Test
+    public void restartUnderTheSameIdentifierIsANewUpstream() {
+        table.put(ForwardRig.plain("p1", 1));
+        UpstreamState first = table.get("p1");
+        assertEquals(table.put(ForwardRig.plain("p1", 2)), List.of(first));
+        assertNotSame(table.get("p1"), first);
+    }
+}
