Count the claims of an instance that is heard, whatever the membership says

Cause: after a partition the side that saw the other as dead cleared its claims at every tick and claimed again with a higher number, and both sides took turns until the probes had recovered. Ruled out: clocks (one virtual clock).

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -36,6 +36,12 @@
     /** Time from a claim to its first order: several intervals between load shares. */
     private static final Duration ANNOUNCE = Duration.ofMillis(200);
 
+    /**
+     * Time for which the claims of an instance count after it was heard, whatever the membership
+     * says: after a partition its probes take longer to recover than its messages.
+     */
+    private static final Duration HEARD = Duration.ofMillis(2500);
+
     /** Bits below the milliseconds of a fencing number, which tell instances apart. */
     private static final int INSTANCE_BITS = 12;
 
@@ -43,6 +49,7 @@
     private final ForwardSettings settings;
     private final TimeSource time;
     private final long startedAt;
+    private final Map<String, Long> heardAt = new HashMap<>();
     private final Map<String, Own> own = new HashMap<>();
     private final Map<String, Claim> others = new HashMap<>();
     private final Map<String, Long> highestFencing = new HashMap<>();
@@ -61,6 +68,7 @@
     /** Takes over the claims of another instance; they replace its earlier ones. */
     void onPeerClaims(String peer, Map<String, Long> fencingByUpstream) {
         others.values().removeIf(c -> c.instance().equals(peer));
+        heardAt.put(peer, time.nanoTime());
         fencingByUpstream.forEach(
                 (upstream, fencing) -> {
                     highestFencing.merge(upstream, fencing, Math::max);
@@ -84,7 +92,10 @@
     boolean onTick(Set<String> upstreams) {
         Set<String> live = new HashSet<>();
         membership.live().forEach(i -> live.add(i.id()));
-        others.values().removeIf(c -> !live.contains(c.instance()));
+        long oldest = time.nanoTime() - HEARD.toNanos();
+        heardAt.values().removeIf(at -> at - oldest < 0);
+        others.values()
+                .removeIf(c -> !live.contains(c.instance()) && !heardAt.containsKey(c.instance()));
         boolean changed = own.keySet().retainAll(upstreams);
         others.keySet().retainAll(upstreams);
         unclaimedSince.keySet().retainAll(upstreams);
