--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -35,6 +35,7 @@
     private final TimeSource time;
     private final BiConsumer<String, AdapterRef> useListener;
     private final Map<String, OrderedUpstream> sentPlaces = new HashMap<>();
+    private Set<InstanceRef> told = Set.of();
     private LoadShare last = LoadShare.getDefaultInstance();
     private long repeatedAt;
     private long nextAt;
@@ -60,12 +61,15 @@
     /** Sends the share if it is due. */
     void onTick(boolean atOnce, Effects out) {
         long now = time.nanoTime();
-        if (!atOnce && now - nextAt < 0) {
+        // An instance that has just started must learn the claims before it makes its own.
+        boolean joined = !told.containsAll(membership.live());
+        if (!atOnce && !joined && now - nextAt < 0) {
             return;
         }
+        told = Set.copyOf(membership.live());
         int live = membership.live().size();
         nextAt = now + PER_INSTANCE.toNanos() * live;
-        boolean repeat = now - repeatedAt >= REPEAT.toNanos();
+        boolean repeat = joined || now - repeatedAt >= REPEAT.toNanos();
         LoadShare share = build(repeat);
         if (!atOnce && !repeat && share.equals(last)) {
             return;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -27,8 +27,11 @@
 
     private static final Logger LOG = Logger.getLogger(OrderClaims.class);
 
-    /** Time after a start in which instances find each other before anybody claims. */
-    private static final Duration SETTLE = Duration.ofMillis(1500);
+    /**
+     * Time after a start in which an instance finds the others and learns their claims: it greets
+     * the seeds every 400 ms, and whoever sees it answers with its claims.
+     */
+    private static final Duration SETTLE = Duration.ofMillis(800);
 
     /** How long an upstream must be without a claim before one is made. */
     private static final Duration UNCLAIMED = Duration.ofMillis(150);
