Split the forwarder: adapter requests and crash recognition have classes of their own

A wait for an adapter also counted as known to the instance that gives the orders when only this instance waited for it, so a lost wish was never taken elsewhere; only what that instance tells counts now.

--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashWatch.java
@@ -0,0 +1,63 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzehill.core.crash.CrashRegistry;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
+
+/**
+ * Recognises requests that crash the upstreams which run them: those whose connection broke off
+ * shortly before the upstream turned out to be down.
+ */
+final class CrashWatch {
+
+    /** Time between a break and the sign that the upstream is down. */
+    private static final Duration WINDOW = Duration.ofSeconds(2);
+
+    private final CrashRegistry registry;
+    private final TimeSource time;
+    private final Effects out;
+    private final Map<String, List<Break>> breaks = new HashMap<>();
+
+    private record Break(byte[] fingerprint, long atNanos) {}
+
+    CrashWatch(CrashRegistry registry, TimeSource time, Effects out) {
+        this.registry = registry;
+        this.time = time;
+        this.out = out;
+    }
+
+    /** Returns whether upstreams went down several times while they ran the request. */
+    boolean refuses(ForwardRequest request) {
+        return registry.refuses(request.fingerprint());
+    }
+
+    /** Notes that the connection of a request broke off. */
+    void onBroken(String upstream, ForwardRequest request) {
+        breaks.computeIfAbsent(upstream, id -> new ArrayList<>())
+                .add(new Break(request.fingerprint(), time.nanoTime()));
+    }
+
+    /** Notes that a request ran to its end. */
+    void onCompleted(ForwardRequest request) {
+        registry.completed(request.fingerprint(), out);
+    }
+
+    /** Notes that an upstream is down, and marks the requests that it ran. */
+    void onDown(String upstream) {
+        List<Break> broken = breaks.remove(upstream);
+        if (broken == null) {
+            return;
+        }
+        long oldest = time.nanoTime() - WINDOW.toNanos();
+        List<byte[]> running = new ArrayList<>();
+        broken.stream()
+                .filter(b -> b.atNanos() - oldest >= 0)
+                .forEach(b -> running.add(b.fingerprint()));
+        registry.crashed(running, out);
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,12 +13,9 @@
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.membership.Peer;
 import org.bronzehill.core.model.RendezvousHash;
-import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.time.TimeSource;
-import org.bronzehill.protocol.generated.AdapterState;
-import org.bronzehill.protocol.generated.AdapterWanted;
 import org.bronzehill.protocol.generated.Envelope;
 import org.jboss.logging.Logger;
 
@@ -43,9 +39,6 @@
     /** Time without an event after which a resumable stream goes on elsewhere. */
     private static final Duration EVENT_PATIENCE = Duration.ofMillis(1200);
 
-    /** Breaks of connections that count as one crash if the upstream then cannot be reached. */
-    private static final Duration CRASH_WINDOW = Duration.ofSeconds(2);
-
     /** Part of a caller's remaining time that it may be asked to wait before it comes back. */
     private static final double MAX_RETURN = 0.3;
 
@@ -64,6 +57,8 @@
     private final UpstreamChooser chooser;
     private final RetryShares retries;
     private final AdapterWaits waits;
+    private final AdapterRequests adapters;
+    private final CrashWatch crashWatch;
     private final OrderOffice office;
     private final LoadShares shares;
     private final Map<String, WaitingCalls> queues = new HashMap<>();
@@ -71,14 +66,10 @@
     private final Map<AdapterRef, Integer> versions = new HashMap<>();
     private final PromptPace promptPace = new PromptPace();
     private final Set<ForwardCall> open = new HashSet<>();
-    private final Map<String, List<Break>> breaks = new HashMap<>();
-    private final Map<AdapterWaits.Key, Set<String>> waitingPeers = new HashMap<>();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private long sequence;
     private boolean draining;
 
-    private record Break(byte[] fingerprint, long atNanos) {}
-
     private Forwarder(ForwardSettings settings, ForwardPorts ports, RandomGenerator random) {
         this.settings = settings;
         this.time = ports.time();
@@ -92,6 +83,8 @@
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryShares(settings, time);
         this.waits = new AdapterWaits(time, EXPECTED_LOAD);
+        this.adapters = new AdapterRequests(settings.instance(), upstreams, waits, out);
+        this.crashWatch = new CrashWatch(crashes, time, out);
         this.office =
                 new OrderOffice(
                         membership,
@@ -100,8 +93,9 @@
                         time,
                         scheduler,
                         EXPECTED_LOAD,
-                        new DeskListener());
-        this.shares = new LoadShares(membership, upstreams, office, time, this::onPeerUse);
+                        adapters);
+        adapters.connect(office, this::tickOrders, this::onMisaddressed);
+        this.shares = new LoadShares(membership, upstreams, office, time, adapters::onPeerUse);
     }
 
     /** Creates a forwarder without configuration or upstreams. */
@@ -159,8 +153,8 @@
 
     private void onUpstreamEnded(UpstreamState ended) {
         office.drop(ended);
-        countCrash(ended.id());
-        waits.failedAt(ended.id()).forEach(ForwardCall::onAdapterFailed);
+        crashWatch.onDown(ended.id());
+        adapters.onUpstreamEnded(ended);
     }
 
     /** Notes the newest version of an adapter. */
@@ -341,13 +335,13 @@
 
     void onUnreachable(ForwardCall call) {
         call.upstream().health().onUnreachable();
-        countCrash(call.upstream().id());
+        crashWatch.onDown(call.upstream().id());
     }
 
     void onCompleted(ForwardCall call, int status) {
         queue(call.request().service()).rate().onEnded();
         if (status < 500) {
-            crashes.completed(call.request().fingerprint(), out);
+            crashWatch.onCompleted(call.request());
         }
         listener.completed(
                 call.request(), status, Duration.ofNanos(now() - call.request().arrivedNanos()));
@@ -361,134 +355,33 @@
         open.remove(call);
     }
 
-    // Requests that crash the upstreams which run them.
-
     boolean crashesUpstreams(ForwardRequest request) {
-        return crashes.refuses(request.fingerprint());
+        return crashWatch.refuses(request);
     }
 
     void onBrokenOff(ForwardCall call) {
-        breaks.computeIfAbsent(call.upstream().id(), id -> new ArrayList<>())
-                .add(new Break(call.request().fingerprint(), now()));
-    }
-
-    /** Marks the requests that broke off at an upstream shortly before it went down. */
-    private void countCrash(String upstream) {
-        List<Break> broken = breaks.remove(upstream);
-        if (broken == null) {
-            return;
-        }
-        long oldest = now() - CRASH_WINDOW.toNanos();
-        List<byte[]> running = new ArrayList<>();
-        broken.stream()
-                .filter(b -> b.atNanos() - oldest >= 0)
-                .forEach(b -> running.add(b.fingerprint()));
-        crashes.crashed(running, out);
-    }
-
-    // Adapters.
-
-    void wantAdapter(ForwardCall call) {
-        AdapterRef adapter = call.request().adapter().get();
-        int version = requiredVersion(call.request()).getOrElse(0);
-        if (waits.add(call, adapter, version)) {
-            ask(call.upstream().id(), adapter, version);
-        }
-    }
-
-    private void ask(String upstream, AdapterRef adapter, int version) {
-        Option<AdapterDesk> desk = office.desk(upstream);
-        if (desk.isDefined()) {
-            waits.underWay(upstream, adapter);
-            desk.get().want(adapter, version);
-            tickOrders();
-            return;
-        }
-        Option<String> holder = office.claims().holder(upstream);
-        if (holder.isEmpty() || holder.contains(settings.instance())) {
-            return;
-        }
-        AdapterWanted wanted =
-                AdapterWanted.newBuilder()
-                        .setUpstream(upstream)
-                        .setAdapter(adapter.key())
-                        .setVersion(version)
-                        .build();
-        Envelope.Builder envelope = Envelope.newBuilder().setAdapterWanted(wanted);
-        out.add(new Effect.SendPeer(holder.get(), envelope, false));
+        crashWatch.onBroken(call.upstream().id(), call.request());
     }
 
     /** Stops using an upstream whose address has passed to another one; its record will go. */
     void onMisaddressed(UpstreamState upstream) {
         if (upstream.setMisaddressed()) {
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
-            countCrash(upstream.id());
-            waits.failedAt(upstream.id()).forEach(ForwardCall::onAdapterFailed);
+            crashWatch.onDown(upstream.id());
+            adapters.onUpstreamEnded(upstream);
         }
     }
 
-    /** Notes that a call gave up its wait for an adapter. */
-    void onAdapterLate(ForwardCall call) {
-        waits.late(call.upstream().id(), call.request().adapter().get());
-    }
-
-    void onAdapterMissing(ForwardCall call) {
-        AdapterRef adapter = call.request().adapter().getOrElse(new AdapterRef("", ""));
-        call.upstream().setAbsent(adapter);
-        office.desk(call.upstream().id()).forEach(d -> d.onMissing(adapter));
-    }
-
-    private void onPeerUse(String upstream, AdapterRef adapter) {
-        office.desk(upstream).forEach(d -> d.onUse(adapter));
-    }
-
-    private void onResident(UpstreamState upstream, AdapterRef adapter, int version) {
-        upstream.setResident(adapter, version);
-        waits.arrived(upstream.id(), adapter, version).forEach(ForwardCall::onAdapterReady);
+    void wantAdapter(ForwardCall call) {
+        adapters.await(call, requiredVersion(call.request()).getOrElse(0));
     }
 
-    /** Passes on what the desks learn to the calls and peers that wait for it. */
-    private final class DeskListener implements AdapterDesk.Listener {
-
-        @Override
-        public void resident(UpstreamState upstream, AdapterRef adapter, int version) {
-            onResident(upstream, adapter, version);
-            tellWaiting(upstream, adapter, version, true);
-        }
-
-        @Override
-        public void failed(UpstreamState upstream, AdapterRef adapter) {
-            waits.failed(upstream.id(), adapter).forEach(ForwardCall::onAdapterFailed);
-            tellWaiting(upstream, adapter, 0, false);
-        }
-
-        @Override
-        public void misaddressed(UpstreamState upstream) {
-            onMisaddressed(upstream);
-        }
-
-        @Override
-        public void fenced(UpstreamState upstream) {
-            office.claims().onFenced(upstream.id());
-        }
+    void onAdapterLate(ForwardCall call) {
+        adapters.onLate(call);
     }
 
-    private void tellWaiting(
-            UpstreamState upstream, AdapterRef adapter, int version, boolean resident) {
-        Set<String> peers = waitingPeers.remove(new AdapterWaits.Key(upstream.id(), adapter));
-        if (peers == null) {
-            return;
-        }
-        AdapterState state =
-                AdapterState.newBuilder()
-                        .setUpstream(upstream.id())
-                        .setAdapter(adapter.key())
-                        .setVersion(version)
-                        .setResident(resident)
-                        .build();
-        for (String peer : peers) {
-            out.add(new Effect.SendPeer(peer, Envelope.newBuilder().setAdapterState(state), false));
-        }
+    void onAdapterMissing(ForwardCall call) {
+        adapters.onMissing(call);
     }
 
     // Peers and time.
@@ -499,10 +392,10 @@
         switch (envelope.getBodyCase()) {
             case LOAD_SHARE -> {
                 shares.onShare(from, envelope.getLoadShare());
-                releaseArrived();
+                adapters.onShare();
             }
-            case ADAPTER_WANTED -> onWanted(from, envelope.getAdapterWanted());
-            case ADAPTER_STATE -> onState(envelope.getAdapterState());
+            case ADAPTER_WANTED -> adapters.onWanted(from, envelope.getAdapterWanted());
+            case ADAPTER_STATE -> adapters.onState(envelope.getAdapterState());
             case PING -> {
                 membership.onMessage(envelope, out);
                 if (envelope.getPing().getSequence() == GREETING) {
@@ -514,56 +407,13 @@
         }
     }
 
-    private void onWanted(String from, AdapterWanted wanted) {
-        Option<AdapterDesk> desk = office.desk(wanted.getUpstream());
-        Option<AdapterRef> adapter = AdapterRef.parse(wanted.getAdapter());
-        if (desk.isDefined() && adapter.isDefined()) {
-            AdapterWaits.Key key = new AdapterWaits.Key(wanted.getUpstream(), adapter.get());
-            waitingPeers.computeIfAbsent(key, k -> new HashSet<>()).add(from);
-            desk.get().want(adapter.get(), wanted.getVersion());
-            tickOrders();
-        }
-    }
-
-    private void onState(AdapterState state) {
-        UpstreamState u = upstreams.get(state.getUpstream());
-        Option<AdapterRef> adapter = AdapterRef.parse(state.getAdapter());
-        if (u == null || adapter.isEmpty()) {
-            return;
-        }
-        if (state.getResident()) {
-            onResident(u, adapter.get(), state.getVersion());
-        } else {
-            waits.failed(u.id(), adapter.get()).forEach(ForwardCall::onAdapterFailed);
-        }
-    }
-
-    /** Sends the calls whose adapter has arrived according to a share. */
-    private void releaseArrived() {
-        for (AdapterWaits.Key key : waits.keys()) {
-            UpstreamState u = upstreams.get(key.upstream());
-            if (u != null) {
-                if (u.isLoading(key.adapter())) {
-                    waits.underWay(key.upstream(), key.adapter());
-                }
-                u.residentVersion(key.adapter())
-                        .forEach(
-                                v ->
-                                        waits.arrived(key.upstream(), key.adapter(), v)
-                                                .forEach(ForwardCall::onAdapterReady));
-            }
-        }
-    }
-
     /** Does what is due; called several times in each tenth of a second. */
     public void onTick() {
         membership.onTick(out);
         crashes.onTick(out);
         retries.onTick(membership.live().size());
         upstreams.onTick().forEach(this::onUpstreamEnded);
-        waits.overdue().forEach(ForwardCall::onAdapterFailed);
-        waits.calls().forEach(ForwardCall::giveUpIfLate);
-        waits.toRepeat().forEach((k, w) -> ask(k.upstream(), k.adapter(), w.version()));
+        adapters.onTick();
         boolean claimsChanged = tickOrders();
         shares.onTick(claimsChanged, out);
         for (WaitingCalls queue : queues.values()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -200,6 +200,13 @@
         return loading.containsKey(adapter) || awaited.containsKey(adapter);
     }
 
+    /**
+     * Returns whether the instance that gives the orders says that the adapter is being fetched.
+     */
+    boolean isFetching(AdapterRef adapter) {
+        return loading.containsKey(adapter);
+    }
+
     /** Notes that a request waits for an adapter here. */
     void beginAwait(AdapterRef adapter) {
         awaited.merge(adapter, 1, Integer::sum);
