--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashWatch.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashWatch.java
@@ -38,8 +38,10 @@
 
     /** Notes that the connection of a request broke off. */
     void onBroken(String upstream, ForwardRequest request) {
-        breaks.computeIfAbsent(upstream, id -> new ArrayList<>())
-                .add(new Break(request.fingerprint(), time.nanoTime()));
+        List<Break> broken = breaks.computeIfAbsent(upstream, id -> new ArrayList<>());
+        long oldest = time.nanoTime() - WINDOW.toNanos();
+        broken.removeIf(b -> b.atNanos() - oldest < 0);
+        broken.add(new Break(request.fingerprint(), time.nanoTime()));
     }
 
     /** Notes that a request ran to its end. */
