--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -84,6 +84,7 @@
     private double shortestLoadMs;
     private Option<EngineSpec> engine = Option.none();
     private final long openedAt;
+    private AdapterRef draining;
     private boolean orderOpen;
     private long quietUntil;
 
@@ -186,6 +187,7 @@
                 .removeIf(
                         e ->
                                 isSettled(e.getValue(), now)
+                                        && e.getValue().phase != Phase.UNLOADING
                                         && !status.adapters().containsKey(e.getKey())
                                         && !status.coming().containsKey(e.getKey()));
         publish();
@@ -197,7 +199,7 @@
             if (phase == Phase.LOADING || !recentlyRemoved(adapter, now)) {
                 places.put(adapter, new Place(version, phase, now - REPORT_LAG.toNanos()));
             }
-        } else if (isSettled(place, now)) {
+        } else if (isSettled(place, now) && place.phase != Phase.UNLOADING) {
             place.version = version;
             place.phase = phase;
         }
@@ -265,6 +267,9 @@
             return;
         }
         wanted.remove(adapter);
+        if (adapter.equals(draining)) {
+            draining = null;
+        }
         long now = time.nanoTime();
         Place place = new Place(next.getValue().version, Phase.LOADING, now);
         place.repeated = heldBefore.containsKey(adapter);
@@ -314,8 +319,22 @@
         return Math.max(0, Math.min(engine.adapterPlaces(), byMemory));
     }
 
+    /**
+     * Unloads the adapter that was used least recently. One that turns out to be in use keeps its
+     * place, and the engine busy, until its requests have ended; nothing else is unloaded
+     * meanwhile.
+     */
     private void evictOne() {
         long now = time.nanoTime();
+        if (draining != null && places.containsKey(draining)) {
+            orderUnload(draining, places.get(draining));
+            return;
+        }
+        if (now - openedAt < TAKEOVER.toNanos()) {
+            // The other instances may not have told yet which adapters they use here.
+            pause();
+            return;
+        }
         AdapterRef victim = null;
         long oldest = now - MIN_STAY.toNanos();
         for (Map.Entry<AdapterRef, Place> e : places.entrySet()) {
@@ -400,10 +419,19 @@
             case ALREADY -> {
                 places.remove(adapter);
                 removedAt.put(adapter, now);
+                draining = null;
             }
             case FENCED -> listener.fenced(upstream);
-            // Requests still use it, or nothing is known: the next report tells what is held.
-            default -> pause();
+            case BUSY -> {
+                if (!adapter.equals(draining)) {
+                    places.get(adapter).phase = Phase.HELD;
+                }
+                pause();
+            }
+            default -> {
+                draining = adapter;
+                pause();
+            }
         }
         orderNext();
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -222,4 +222,32 @@
         }
         assertTrue(engines.mostPlaces() <= 12, "places " + engines.mostPlaces());
     }
+
+    /**
+     * Guards against a place that counts as free while requests of another instance, unknown here,
+     * still use the adapter that was to be unloaded; reports no longer list it.
+     */
+    @Test
+    public void adapterThatIsUnloadedLaterKeepsItsPlace() {
+        ForwardRig rig = new ForwardRig(1, 2, LOAD, 8);
+        for (int i = 1; i < 3; i++) {
+            FakeTransport t = ask(rig, i);
+            rig.scheduler().advance(Duration.ofMillis(1000));
+            finish(t);
+        }
+        rig.engines().use(ForwardRig.adapter(1));
+        rig.engines().use(ForwardRig.adapter(2));
+        rig.scheduler().advance(Duration.ofMillis(1000));
+        for (int i = 3; i < 9; i++) {
+            ask(rig, i);
+            rig.scheduler().advance(Duration.ofMillis(1000));
+        }
+        assertTrue(rig.engines().mostPlaces() <= 2, "places " + rig.engines().mostPlaces());
+        // The calls above have been refused by then and wish for nothing more.
+        rig.scheduler().advance(Duration.ofSeconds(3));
+        rig.engines().endUse("e1", ForwardRig.adapter(1));
+        FakeTransport served = ask(rig, 20);
+        rig.scheduler().advance(Duration.ofMillis(900));
+        assertEquals(served.attempts().size(), 1);
+    }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +28,8 @@
     private final Map<String, Map<AdapterRef, Double>> loading = new HashMap<>();
     private final List<String> fetched = new ArrayList<>();
     private final List<Order> orders = new ArrayList<>();
+    private final Set<AdapterRef> inUse = new HashSet<>();
+    private AdapterRef unloading;
     private int mostLoading;
     private OrderReply forced;
 
@@ -97,8 +100,7 @@
     private OrderReply carryOut(String engine, Order order) {
         AdapterRef target = order.target();
         if (order.operation() == Order.Operation.UNLOAD) {
-            held(engine).remove(target);
-            return OrderReply.ALREADY;
+            return unload(engine, target);
         }
         if (held(engine).containsKey(target)) {
             return OrderReply.ALREADY;
@@ -110,22 +112,42 @@
         return OrderReply.ACCEPTED;
     }
 
+    private OrderReply unload(String engine, AdapterRef target) {
+        if (unloading != null && held(engine).containsKey(unloading)) {
+            return OrderReply.BUSY;
+        }
+        if (inUse.contains(target) && held(engine).containsKey(target)) {
+            unloading = target;
+            return OrderReply.ACCEPTED;
+        }
+        held(engine).remove(target);
+        return OrderReply.ALREADY;
+    }
+
+    /** Notes that requests use an adapter, so that it is unloaded only when they have ended. */
+    void use(AdapterRef adapter) {
+        inUse.add(adapter);
+    }
+
+    /** Ends the requests that use an adapter. */
+    void endUse(String engine, AdapterRef adapter) {
+        inUse.remove(adapter);
+        if (adapter.equals(unloading)) {
+            held(engine).remove(adapter);
+            unloading = null;
+        }
+    }
+
     @Override
     public void report(UpstreamRecord upstream, Consumer<Option<EngineStatus>> reply) {
         scheduler.after(
                 ROUND_TRIP,
                 () -> {
+                    Map<AdapterRef, Integer> listed = new HashMap<>(held(upstream.id()));
+                    listed.remove(unloading);
                     Map<AdapterRef, Integer> coming = new HashMap<>();
                     loading(upstream.id()).keySet().forEach(a -> coming.put(a, 1));
-                    reply.accept(
-                            Option.of(
-                                    new EngineStatus(
-                                            0,
-                                            0,
-                                            0,
-                                            Set.of("m"),
-                                            Map.copyOf(held(upstream.id())),
-                                            coming)));
+                    reply.accept(Option.of(new EngineStatus(0, 0, 0, Set.of("m"), listed, coming)));
                 });
     }
 }
