Keep one copy of two constants of adapter loads; remove what nothing calls

The takeover time and the number of parallel loads stood twice and had to stay equal; whether an engine has a report was found by building a list of all of them for each engine in each load share. Behaviour is unchanged. Removed: three members without a caller.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -22,7 +22,7 @@
     private static final Logger LOG = Logger.getLogger(AdapterDesk.class);
 
     /** Adapters that an engine fetches at once. */
-    private static final int PARALLEL_LOADS = 4;
+    static final int PARALLEL_LOADS = 4;
 
     /** Time between questions whether a load that should be over has ended. */
     private static final Duration RECHECK = Duration.ofMillis(12);
@@ -59,7 +59,7 @@
      * Time after taking over an engine in which orders of the instance before may not show in
      * reports: the lag of a report and the interval between two.
      */
-    private static final Duration TAKEOVER = Duration.ofMillis(1500);
+    static final Duration TAKEOVER = Duration.ofMillis(1500);
 
     /** A report may be so old; what changed since is not taken from it. */
     private static final Duration REPORT_LAG = Duration.ofMillis(1000);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -124,7 +124,7 @@
         OrderedUpstream.Builder b =
                 OrderedUpstream.newBuilder().setUpstream(id).setFencing(fencing);
         UpstreamState u = upstreams.get(id);
-        if (u == null || !office.reported().contains(u)) {
+        if (u == null || !office.hasReport(u)) {
             return b.build();
         }
         OrderedUpstream claim = b.setStartedAtMs(u.upstream().startedAtMs()).build();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
@@ -2,11 +2,9 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
@@ -25,9 +23,6 @@
     /** Interval between reports of an engine that holds no weights yet, or was just taken over. */
     private static final Duration EMPTY_REPORT_INTERVAL = Duration.ofMillis(300);
 
-    /** Time after taking over an engine in which it is watched closely. */
-    private static final Duration TAKEOVER = Duration.ofMillis(1500);
-
     /** Interval between looks at an engine that nobody gives orders to. */
     private static final Duration LOOK_INTERVAL = Duration.ofMillis(1500);
 
@@ -155,7 +150,8 @@
                     h.reportOpen = false;
                     boolean soon =
                             h.upstream.models().isEmpty()
-                                    || time.nanoTime() - h.openedAt < TAKEOVER.toNanos();
+                                    || time.nanoTime() - h.openedAt
+                                            < AdapterDesk.TAKEOVER.toNanos();
                     Duration interval = soon ? EMPTY_REPORT_INTERVAL : REPORT_INTERVAL;
                     h.nextReportAt = time.nanoTime() + interval.toNanos();
                     status.forEach(
@@ -214,11 +210,10 @@
         return Option.of(held.get(upstream)).map(h -> h.desk);
     }
 
-    /** Returns the engines that this instance gives orders to and has a report of. */
-    List<UpstreamState> reported() {
-        List<UpstreamState> found = new ArrayList<>();
-        held.values().stream().filter(h -> h.reported).forEach(h -> found.add(h.upstream));
-        return found;
+    /** Returns whether this instance gives orders to the engine and has read a report of it. */
+    boolean hasReport(UpstreamState upstream) {
+        Held h = held.get(upstream.id());
+        return h != null && h.upstream == upstream && h.reported;
     }
 
     /** Ends the work for an engine that is gone or has restarted. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RoutingConfiguration.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RoutingConfiguration.java
@@ -74,11 +74,6 @@
         return Option.of(services.get(name));
     }
 
-    /** Returns all services. */
-    public Collection<ServiceSpec> services() {
-        return services.values();
-    }
-
     private static String hostKey(String host) {
         int colon = host.indexOf(':');
         return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -39,9 +39,6 @@
     /** Largest random part; below the cost of a data centre's distance. */
     private static final double JITTER_MS = 6;
 
-    /** Adapters that an engine fetches at once; later ones wait. */
-    private static final int PARALLEL_LOADS = 4;
-
     private final String dataCentre;
     private final RandomGenerator random;
 
@@ -118,7 +115,7 @@
             return load / 2;
         }
         // The average wait already holds the usual number of others; more of them wait in turn.
-        return load * (1 + (double) u.loadingCount() / (2 * PARALLEL_LOADS));
+        return load * (1 + (double) u.loadingCount() / (2 * AdapterDesk.PARALLEL_LOADS));
     }
 
     private static double priceOfLoad(Demand demand, UpstreamState u) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitingCalls.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitingCalls.java
@@ -62,10 +62,6 @@
         calls.remove(call);
     }
 
-    int size() {
-        return calls.size();
-    }
-
     /** Returns the calls in the order in which they are to be sent. */
     List<ForwardCall> inOrder() {
         return new ArrayList<>(calls);
