Send requests elsewhere that wait for adapters at an engine that is down

Cause: an engine that has crashed looks empty to the choice, and only the instance that gives it orders sees that no connection opens; it went on repeating the order.

Change: an order that finds no connection ends all waits at the engine, here and at the instances that asked, and no request is placed there to wait for a load for half a second. Resident adapters are left to each instance's own evidence.

Test: requestsDoNotWaitAtAnEngineThatIsDown failed before.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -86,6 +86,7 @@
     private final long openedAt;
     private AdapterRef draining;
     private boolean orderOpen;
+    private boolean down;
     private long quietUntil;
 
     /** Receives what becomes of the orders. */
@@ -99,6 +100,9 @@
         /** Another upstream has the engine's address. */
         void misaddressed(UpstreamState upstream);
 
+        /** No connection to the engine can be opened. */
+        void unreachable(UpstreamState upstream);
+
         /** The engine has seen a higher fencing number. */
         void fenced(UpstreamState upstream);
     }
@@ -158,7 +162,9 @@
     /** Notes that requests wait for an adapter. */
     void want(AdapterRef adapter, int version) {
         Place place = places.get(adapter);
-        if (place != null && place.phase == Phase.HELD && place.version >= version) {
+        if (down) {
+            listener.unreachable(upstream);
+        } else if (place != null && place.phase == Phase.HELD && place.version >= version) {
             place.usedAt = time.nanoTime();
             listener.resident(upstream, adapter, place.version);
         } else if (place == null || place.phase != Phase.LOADING || place.version < version) {
@@ -180,6 +186,7 @@
     /** Takes over a report, except for what changed more recently than the report may be old. */
     void onReport(EngineStatus status) {
         long now = time.nanoTime();
+        down = false;
         upstream.setModels(status.models());
         status.adapters().forEach((a, v) -> merge(a, v, Phase.HELD, now));
         status.coming().forEach((a, v) -> merge(a, v, Phase.LOADING, now));
@@ -360,8 +367,14 @@
         transport.order(upstream.upstream(), order, r -> onLoadReply(adapter, place, order, r));
     }
 
+    /** Returns whether the last order found no way to the engine. */
+    boolean isDown() {
+        return down;
+    }
+
     private void onLoadReply(AdapterRef adapter, Place place, Order order, OrderReply reply) {
         orderOpen = false;
+        down = false;
         log(order, reply);
         long now = time.nanoTime();
         switch (reply) {
@@ -378,6 +391,7 @@
             }
             case ACCEPTED -> publish();
             case BUSY, UNKNOWN -> pause();
+            case UNREACHABLE -> onUnreachable();
             case FENCED -> listener.fenced(upstream);
             case MISADDRESSED -> listener.misaddressed(upstream);
             default -> {
@@ -408,6 +422,7 @@
                 order,
                 reply -> {
                     orderOpen = false;
+                    down = false;
                     log(order, reply);
                     onUnloadReply(adapter, reply);
                 });
@@ -422,6 +437,10 @@
                 draining = null;
             }
             case FENCED -> listener.fenced(upstream);
+            case UNREACHABLE -> {
+                places.get(adapter).phase = Phase.HELD;
+                onUnreachable();
+            }
             case BUSY -> {
                 if (!adapter.equals(draining)) {
                     places.get(adapter).phase = Phase.HELD;
@@ -436,6 +455,15 @@
         orderNext();
     }
 
+    /** Gives up the wishes, so that the requests behind them go elsewhere. */
+    private void onUnreachable() {
+        down = true;
+        wanted.clear();
+        publish();
+        listener.unreachable(upstream);
+        pause();
+    }
+
     private void pause() {
         quietUntil = time.nanoTime() + RETRY.toNanos();
         scheduler.after(RETRY, this::orderNext);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRequests.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.bronzehill.core.node.Effect;
@@ -125,6 +126,38 @@
         misaddressed.misaddressed(upstream);
     }
 
+    @Override
+    public void unreachable(UpstreamState upstream) {
+        upstream.health().onUnreachable();
+        endWaits(upstream);
+        for (AdapterWaits.Key key : List.copyOf(waitingPeers.keySet())) {
+            if (key.upstream().equals(upstream.id())) {
+                AdapterState.Builder state =
+                        AdapterState.newBuilder()
+                                .setUpstream(key.upstream())
+                                .setAdapter(key.adapter().key())
+                                .setUnreachable(true);
+                waitingPeers
+                        .remove(key)
+                        .forEach(p -> send(p, Envelope.newBuilder().setAdapterState(state)));
+            }
+        }
+    }
+
+    /**
+     * Sends the calls that wait at an upstream elsewhere. No load is awaited there for a while:
+     * only the instance that gives the orders sees whether it can be reached for them.
+     */
+    private void endWaits(UpstreamState upstream) {
+        upstream.pauseLoads();
+        waits.failedAt(upstream.id()).forEach(ForwardCall::onAdapterFailed);
+    }
+
+    /** Notes that a call found no way to an upstream; others that wait there would find none. */
+    void onUnreachable(UpstreamState upstream) {
+        endWaits(upstream);
+    }
+
     @Override
     public void fenced(UpstreamState upstream) {
         office.claims().onFenced(upstream.id());
@@ -176,6 +209,8 @@
         }
         if (state.getResident()) {
             onResident(u, adapter.get(), state.getVersion());
+        } else if (state.getUnreachable()) {
+            endWaits(u);
         } else {
             waits.failed(u.id(), adapter.get()).forEach(ForwardCall::onAdapterFailed);
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -334,8 +334,10 @@
     }
 
     void onUnreachable(ForwardCall call) {
-        call.upstream().health().onUnreachable();
-        crashWatch.onDown(call.upstream().id());
+        UpstreamState upstream = call.upstream();
+        upstream.health().onUnreachable();
+        crashWatch.onDown(upstream.id());
+        adapters.onUnreachable(upstream);
     }
 
     void onCompleted(ForwardCall call, int status) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
@@ -149,7 +149,8 @@
                 status -> {
                     h.reportOpen = false;
                     boolean soon =
-                            h.upstream.models().isEmpty()
+                            h.desk.isDown()
+                                    || h.upstream.models().isEmpty()
                                     || time.nanoTime() - h.openedAt
                                             < AdapterDesk.TAKEOVER.toNanos();
                     Duration interval = soon ? EMPTY_REPORT_INTERVAL : REPORT_INTERVAL;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderReply.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderReply.java
@@ -14,6 +14,8 @@
     REJECTED,
     /** Another upstream has the address now. */
     MISADDRESSED,
+    /** No connection was opened, so the engine has not seen the order. */
+    UNREACHABLE,
     /** No answer came, so the order may have been accepted. */
     UNKNOWN
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -72,6 +72,9 @@
                 continue;
             }
             Choice c = rate(demand, u);
+            if (!c.adapterReady() && u.areLoadsPaused()) {
+                continue;
+            }
             if (best == null || c.costMs() < best.costMs()) {
                 best = c;
             }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -15,6 +15,12 @@
     /** Age at which a peer's counts no longer count; several times the interval between shares. */
     private static final Duration SHARE_LIFETIME = Duration.ofSeconds(3);
 
+    /**
+     * Time without new waits for adapters after orders found no way to the upstream: about two
+     * reports of an engine that is watched closely.
+     */
+    private static final Duration LOAD_PAUSE = Duration.ofMillis(500);
+
     private final TimeSource time;
     private final OutcomeHealth health;
     private final Map<String, PeerLoad> peers = new HashMap<>();
@@ -27,6 +33,7 @@
     private final Map<AdapterRef, Integer> awaited = new HashMap<>();
     private int awaiting;
     private boolean misaddressed;
+    private long loadsFrom;
     private int requests;
     private long tokens;
     private long unreadTokens;
@@ -40,6 +47,7 @@
         this.time = time;
         this.nameHash = RendezvousHash.nameHash(upstream.id());
         this.health = new OutcomeHealth(time);
+        this.loadsFrom = time.nanoTime();
         models.addAll(upstream.models());
         resident.putAll(upstream.adapters());
     }
@@ -207,6 +215,15 @@
         return loading.containsKey(adapter);
     }
 
+    /** Lets no request wait for an adapter here for a while. */
+    void pauseLoads() {
+        loadsFrom = time.nanoTime() + LOAD_PAUSE.toNanos();
+    }
+
+    boolean areLoadsPaused() {
+        return time.nanoTime() - loadsFrom < 0;
+    }
+
     /** Notes that a request waits for an adapter here. */
     void beginAwait(AdapterRef adapter) {
         awaited.merge(adapter, 1, Integer::sum);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -119,6 +119,29 @@
         assertTrue(last.retryAfter().get().toMillis() >= 500, last.retryAfter().toString());
     }
 
+    /**
+     * Replays the crash of an engine at high load: requests for rare adapters see it as the
+     * emptiest one. Guards against requests that wait there until they are too late.
+     */
+    @Test
+    public void requestsDoNotWaitAtAnEngineThatIsDown() {
+        ForwardRig rig = new ForwardRig(2, 20, LOAD, 8);
+        rig.engines().crash("e1");
+        List<FakeTransport> calls = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            calls.add(ask(rig, i));
+            rig.scheduler().advance(Duration.ofMillis(100));
+            if (i >= 3) {
+                finish(calls.get(i - 3));
+            }
+        }
+        rig.scheduler().advance(Duration.ofMillis(700));
+        for (FakeTransport t : calls) {
+            assertEquals(t.attempts().size(), 1);
+            assertEquals(t.attempts().get(0).upstream().id(), "e2");
+        }
+    }
+
     /** Guards against orders under a claim that another instance has taken over. */
     @Test
     public void fencedInstanceStopsOrdering() {
@@ -197,6 +220,9 @@
                     @Override
                     public void misaddressed(UpstreamState u) {}
 
+                    @Override
+                    public void unreachable(UpstreamState u) {}
+
                     @Override
                     public void fenced(UpstreamState u) {}
                 };
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -29,6 +29,7 @@
     private final List<String> fetched = new ArrayList<>();
     private final List<Order> orders = new ArrayList<>();
     private final Set<AdapterRef> inUse = new HashSet<>();
+    private final Set<String> down = new HashSet<>();
     private AdapterRef unloading;
     private int mostLoading;
     private OrderReply forced;
@@ -97,7 +98,17 @@
                 });
     }
 
+    /** Lets an engine crash: no connection to it opens any more. */
+    void crash(String engine) {
+        down.add(engine);
+        held(engine).clear();
+        loading(engine).clear();
+    }
+
     private OrderReply carryOut(String engine, Order order) {
+        if (down.contains(engine)) {
+            return OrderReply.UNREACHABLE;
+        }
         AdapterRef target = order.target();
         if (order.operation() == Order.Operation.UNLOAD) {
             return unload(engine, target);
@@ -143,6 +154,10 @@
         scheduler.after(
                 ROUND_TRIP,
                 () -> {
+                    if (down.contains(upstream.id())) {
+                        reply.accept(Option.none());
+                        return;
+                    }
                     Map<AdapterRef, Integer> listed = new HashMap<>(held(upstream.id()));
                     listed.remove(unloading);
                     Map<AdapterRef, Integer> coming = new HashMap<>();
