Send shares of load at a rate that the control budget carries; know fleets of more than 128 instances

An instance that joined made everybody send to everybody. Where no list is published, membership kept 128 other instances: at the planned size two thirds of the fleet were unknown.

Change: 8 ms for each live instance (125 a second received, about 20 kB/s); only instances that have joined get an extra share; a share states how long it counts, so that it outlasts the interval in a large fleet; membership keeps 1024.

Ruled out: copies of busy adapters in each data centre (one load costs as much as eight streams between data centres) and the compression of adapter names (shares are 130 bytes on average).

Tests: LoadSharesTest; the bound of the rate failed at 199 instances because of the 128.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -21,14 +21,18 @@
 final class LoadShares {
 
     /**
-     * Interval between shares per live instance: an instance receives at most 250 of them a second,
-     * however large the fleet is.
+     * Interval between shares per live instance: an instance receives at most 125 of them a second,
+     * however large the fleet is, which at some 150 bytes each is the 20 kB/s that control may
+     * cost.
      */
-    private static final Duration PER_INSTANCE = Duration.ofMillis(4);
+    private static final Duration PER_INSTANCE = Duration.ofMillis(8);
 
-    /** Interval at which an unchanged share is repeated; well below the lifetime of a share. */
+    /** Shortest interval at which an unchanged share is repeated. */
     private static final Duration REPEAT = Duration.ofMillis(1000);
 
+    /** Lifetime of a share in intervals between repetitions: two of them may be lost. */
+    private static final double LIFETIME = 2.5;
+
     private final Membership membership;
     private final UpstreamTable upstreams;
     private final OrderOffice office;
@@ -58,28 +62,37 @@
         this.repeatedAt = nextAt;
     }
 
-    /** Sends the share if it is due. */
+    /** Sends the share to all if it is due, and at once to instances that have just joined. */
     void onTick(boolean atOnce, Effects out) {
         long now = time.nanoTime();
-        // An instance that has just started must learn the claims before it makes its own.
-        boolean joined = !told.containsAll(membership.live());
-        if (!atOnce && !joined && now - nextAt < 0) {
-            return;
-        }
-        told = Set.copyOf(membership.live());
-        int live = membership.live().size();
-        nextAt = now + PER_INSTANCE.toNanos() * live;
-        boolean repeat = joined || now - repeatedAt >= REPEAT.toNanos();
-        LoadShare share = build(repeat);
-        if (!atOnce && !repeat && share.equals(last)) {
-            return;
+        Set<InstanceRef> live = new HashSet<>(membership.live());
+        Duration interval = PER_INSTANCE.multipliedBy(live.size());
+        Duration repeatAfter = interval.compareTo(REPEAT) > 0 ? interval : REPEAT;
+        Duration lifetime = Duration.ofNanos((long) (repeatAfter.toNanos() * LIFETIME));
+        if (atOnce || now - nextAt >= 0) {
+            nextAt = now + interval.toNanos();
+            boolean repeat = now - repeatedAt >= repeatAfter.toNanos();
+            LoadShare share = build(repeat, true, lifetime);
+            if (atOnce || repeat || !share.equals(last)) {
+                repeatedAt = repeat ? now : repeatedAt;
+                // Without the adapters that were named just now, which are not named again.
+                last = build(false, true, lifetime);
+                Set<InstanceRef> known = new HashSet<>(told);
+                known.retainAll(live);
+                send(share, known, out);
+            }
         }
-        if (repeat) {
-            repeatedAt = now;
+        // They must learn the claims before they make their own.
+        Set<InstanceRef> joined = new HashSet<>(live);
+        joined.removeAll(told);
+        if (!joined.isEmpty()) {
+            send(build(true, false, lifetime), joined, out);
         }
-        // Without the adapters that were named just now, which are not named again.
-        last = build(false);
-        for (InstanceRef peer : membership.live()) {
+        told = live;
+    }
+
+    private void send(LoadShare share, Set<InstanceRef> peers, Effects out) {
+        for (InstanceRef peer : peers) {
             if (!peer.id().equals(membership.self().id())) {
                 Envelope.Builder envelope =
                         Envelope.newBuilder().setLoadShare(withUses(share, peer.id()));
@@ -90,9 +103,10 @@
 
     /**
      * @param all whether to name the adapters of engines where nothing has changed
+     * @param remember whether all instances will know what is named
      */
-    private LoadShare build(boolean all) {
-        LoadShare.Builder share = LoadShare.newBuilder();
+    private LoadShare build(boolean all, boolean remember, Duration lifetime) {
+        LoadShare.Builder share = LoadShare.newBuilder().setValidMs((int) lifetime.toMillis());
         for (UpstreamState u : upstreams.all()) {
             if (u.ownRequests() > 0) {
                 UpstreamLoad.Builder load =
@@ -104,7 +118,9 @@
                 share.addLoads(load);
             }
         }
-        office.claims().own().forEach((id, fencing) -> share.addOrdered(ordered(id, fencing, all)));
+        office.claims()
+                .own()
+                .forEach((id, fencing) -> share.addOrdered(ordered(id, fencing, all, remember)));
         return share.build();
     }
 
@@ -120,7 +136,7 @@
         return b.build();
     }
 
-    private OrderedUpstream ordered(String id, long fencing, boolean all) {
+    private OrderedUpstream ordered(String id, long fencing, boolean all, boolean remember) {
         OrderedUpstream.Builder b =
                 OrderedUpstream.newBuilder().setUpstream(id).setFencing(fencing);
         UpstreamState u = upstreams.get(id);
@@ -132,7 +148,8 @@
         u.adapters(false).forEach((a, v) -> b.addPlaces(place(a, v, false)));
         u.adapters(true).forEach((a, v) -> b.addPlaces(place(a, v, true)));
         OrderedUpstream full = b.setComplete(true).build();
-        return full.equals(sentPlaces.put(id, full)) && !all ? claim : full;
+        OrderedUpstream known = remember ? sentPlaces.put(id, full) : sentPlaces.get(id);
+        return full.equals(known) && !all ? claim : full;
     }
 
     private static AdapterPlace place(AdapterRef adapter, int version, boolean loading) {
@@ -145,6 +162,7 @@
 
     /** Takes over the share of another instance. */
     void onShare(String peer, LoadShare share) {
+        long validUntil = time.nanoTime() + Duration.ofMillis(share.getValidMs()).toNanos();
         Set<String> named = new HashSet<>();
         for (UpstreamLoad load : share.getLoadsList()) {
             UpstreamState u = upstreams.get(load.getUpstream());
@@ -161,7 +179,7 @@
                             load.getTokens(),
                             load.getUnreadTokens(),
                             adapters,
-                            time.nanoTime()));
+                            validUntil));
             adapters.forEach(a -> useListener.accept(u.id(), a));
         }
         upstreams.all().stream()
@@ -171,7 +189,7 @@
         for (OrderedUpstream ordered : share.getOrderedList()) {
             claims.put(ordered.getUpstream(), ordered.getFencing());
         }
-        office.claims().onPeerClaims(peer, claims);
+        office.claims().onPeerClaims(peer, claims, validUntil);
         share.getOrderedList().forEach(o -> takeOver(peer, o));
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -40,12 +40,6 @@
     /** Time from a claim to its first order: several intervals between load shares. */
     private static final Duration ANNOUNCE = Duration.ofMillis(200);
 
-    /**
-     * Time for which the claims of an instance count after it was heard, whatever the membership
-     * says: after a partition its probes take longer to recover than its messages.
-     */
-    private static final Duration HEARD = Duration.ofMillis(2500);
-
     /** Bits below the milliseconds of a fencing number, which tell instances apart. */
     private static final int INSTANCE_BITS = 12;
 
@@ -53,7 +47,7 @@
     private final ForwardSettings settings;
     private final TimeSource time;
     private final long startedAt;
-    private final Map<String, Long> heardAt = new HashMap<>();
+    private final Map<String, Long> heardUntil = new HashMap<>();
     private final Map<String, Own> own = new HashMap<>();
     private final Map<String, Claim> others = new HashMap<>();
     private final Map<String, Long> highestFencing = new HashMap<>();
@@ -69,10 +63,15 @@
         this.startedAt = time.nanoTime();
     }
 
-    /** Takes over the claims of another instance; they replace its earlier ones. */
-    void onPeerClaims(String peer, Map<String, Long> fencingByUpstream) {
+    /**
+     * Takes over the claims of another instance; they replace its earlier ones.
+     *
+     * @param validUntil monotonic time until which they count whatever the membership says: after a
+     *     partition the probes of an instance take longer to recover than its messages
+     */
+    void onPeerClaims(String peer, Map<String, Long> fencingByUpstream, long validUntil) {
         others.values().removeIf(c -> c.instance().equals(peer));
-        heardAt.put(peer, time.nanoTime());
+        heardUntil.put(peer, validUntil);
         fencingByUpstream.forEach(
                 (upstream, fencing) -> {
                     highestFencing.merge(upstream, fencing, Math::max);
@@ -96,15 +95,15 @@
     boolean onTick(Set<String> upstreams) {
         Set<String> live = new HashSet<>();
         membership.live().forEach(i -> live.add(i.id()));
-        long oldest = time.nanoTime() - HEARD.toNanos();
-        heardAt.values().removeIf(at -> at - oldest < 0);
+        long now = time.nanoTime();
+        heardUntil.values().removeIf(until -> until - now < 0);
         others.values()
-                .removeIf(c -> !live.contains(c.instance()) && !heardAt.containsKey(c.instance()));
+                .removeIf(
+                        c -> !live.contains(c.instance()) && !heardUntil.containsKey(c.instance()));
         boolean changed = own.keySet().retainAll(upstreams);
         others.keySet().retainAll(upstreams);
         unclaimedSince.keySet().retainAll(upstreams);
         highestFencing.keySet().retainAll(upstreams);
-        long now = time.nanoTime();
         if (now - startedAt < SETTLE.toNanos() || membership.leaving()) {
             return changed;
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -12,9 +12,6 @@
 /** What this instance knows of one upstream: its record, load, adapters and outcomes. */
 final class UpstreamState {
 
-    /** Age at which a peer's counts no longer count; several times the interval between shares. */
-    private static final Duration SHARE_LIFETIME = Duration.ofSeconds(3);
-
     /**
      * Time without new waits for adapters after orders found no way to the upstream: about two
      * reports of an engine that is watched closely.
@@ -40,7 +37,11 @@
 
     /** What another instance has sent to the upstream. */
     record PeerLoad(
-            int requests, long tokens, long unreadTokens, Set<AdapterRef> adapters, long atNanos) {}
+            int requests,
+            long tokens,
+            long unreadTokens,
+            Set<AdapterRef> adapters,
+            long validUntil) {}
 
     UpstreamState(UpstreamRecord upstream, TimeSource time) {
         this.upstream = upstream;
@@ -148,8 +149,8 @@
     }
 
     private void expirePeers() {
-        long oldest = time.nanoTime() - SHARE_LIFETIME.toNanos();
-        peers.values().removeIf(p -> p.atNanos() - oldest < 0);
+        long now = time.nanoTime();
+        peers.values().removeIf(p -> p.validUntil() - now < 0);
     }
 
     /** Notes that another upstream has the address; returns whether that is new. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
@@ -20,8 +20,11 @@
 /** Rows of all instances, and the rules by which a newer statement replaces an older one. */
 final class MemberTable {
 
-    /** Instances that the list does not name yet; the bound keeps the table finite. */
-    private static final int MAX_UNLISTED = 128;
+    /**
+     * Instances that the list does not name; the bound keeps the table finite. Where no list is
+     * published these are all: more than twice the fleet of 380 instances that is planned for.
+     */
+    private static final int MAX_UNLISTED = 1024;
 
     private static final int MAX_UPDATES = 8;
     private static final long SUSPICION_NANOS = 2_000_000_000L;
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -11,6 +11,11 @@
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.protocol.generated.Ack;
+import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.MemberUpdate;
+import org.bronzehill.protocol.generated.PeerStatus;
+import org.bronzehill.protocol.generated.Ping;
 
 /** One instance on virtual time, with two plain upstreams and some engines. */
 final class ForwardRig {
@@ -27,6 +32,7 @@
     private final EngineSpec spec;
     private Duration target = Duration.ofMillis(200);
     private int sequence;
+    private int joined;
 
     ForwardRig(int engineCount, int places, Duration loadTime, int atFullSpeed) {
         spec = new EngineSpec(8, 100_000, 1000, places, 4, List.of(new ModelSpec("m", 500, 1)));
@@ -164,6 +170,41 @@
         return new AdapterRef("m", "a" + number);
     }
 
+    /** Makes another instance known, which answers nothing. */
+    void join(String id) {
+        MemberUpdate update =
+                MemberUpdate.newBuilder()
+                        .setId(id)
+                        .setIncarnation(1)
+                        .setHost("10.0.0.2")
+                        .setPort(7001 + joined++)
+                        .setStatus(PeerStatus.PEER_STATUS_ALIVE)
+                        .build();
+        forwarder.onMessage(
+                Envelope.newBuilder()
+                        .setFrom(id)
+                        .setFromIncarnation(1)
+                        .setPing(Ping.newBuilder().setSequence(1).addUpdates(update))
+                        .build());
+    }
+
+    /** Lets the instance that a probe goes to answer it. */
+    void answerProbe(Effect effect) {
+        if (effect instanceof Effect.SendPeer s && s.envelope().hasPing()) {
+            long probe = s.envelope().getPing().getSequence();
+            forwarder.onMessage(
+                    Envelope.newBuilder()
+                            .setFrom(s.instance())
+                            .setFromIncarnation(1)
+                            .setAck(Ack.newBuilder().setSequence(probe))
+                            .build());
+        }
+    }
+
+    List<Effect> effects() {
+        return effects;
+    }
+
     Forwarder forwarder() {
         return forwarder;
     }
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadSharesTest.java
@@ -0,0 +1,67 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.bronzehill.core.node.Effect;
+import org.testng.annotations.Test;
+
+/** Shares of load that one instance sends in fleets of several sizes, on virtual time. */
+public class LoadSharesTest {
+
+    /** Shares that an instance may receive in a second, from the bound of 20 kB/s for control. */
+    private static final int MOST_PER_SECOND = 125;
+
+    private static final Duration STEP = Duration.ofMillis(25);
+
+    /** Returns the times in ms at which shares went to one peer, and adds their validity. */
+    private static List<Long> play(int peers, Duration time, List<Long> validMs) {
+        ForwardRig rig = new ForwardRig(2, 4, Duration.ofMillis(250), 8);
+        for (int i = 0; i < peers; i++) {
+            rig.join("peer" + i);
+        }
+        List<Long> sentAt = new ArrayList<>();
+        int seen = rig.effects().size();
+        for (long at = 0; at < time.toMillis(); at += STEP.toMillis()) {
+            rig.open(RequestKind.IDEMPOTENT, 1);
+            rig.scheduler().advance(STEP);
+            for (; seen < rig.effects().size(); seen++) {
+                rig.answerProbe(rig.effects().get(seen));
+                if (rig.effects().get(seen) instanceof Effect.SendPeer s
+                        && s.instance().equals("peer0")
+                        && s.envelope().hasLoadShare()) {
+                    sentAt.add(at);
+                    validMs.add((long) s.envelope().getLoadShare().getValidMs());
+                }
+            }
+        }
+        return sentAt;
+    }
+
+    /** Guards against control messages that grow with the square of the fleet's size. */
+    @Test
+    public void receivedSharesAreBoundedAtAnyFleetSize() {
+        Duration time = Duration.ofSeconds(10);
+        for (int peers : new int[] {7, 59, 199}) {
+            int shares = play(peers, time, new ArrayList<>()).size();
+            double perSecond = (double) shares * peers / time.toSeconds();
+            // The first share, to a peer that has just joined, is not part of the rate.
+            double first = (double) peers / time.toSeconds();
+            assertTrue(perSecond <= MOST_PER_SECOND + first, peers + " peers: " + perSecond);
+            assertTrue(shares >= 4, peers + " peers: " + shares + " shares");
+        }
+    }
+
+    /** Guards against counts that expire between two shares of a large fleet. */
+    @Test
+    public void shareIsValidUntilTwoMoreAreDue() {
+        List<Long> valid = new ArrayList<>();
+        List<Long> sentAt = play(199, Duration.ofSeconds(10), valid);
+        for (int i = 1; i < sentAt.size(); i++) {
+            long gap = sentAt.get(i) - sentAt.get(i - 1);
+            assertTrue(valid.get(i - 1) >= 2 * gap, gap + " ms against " + valid.get(i - 1));
+        }
+    }
+}
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsTest.java
@@ -26,6 +26,9 @@
     private static final Set<String> ENGINES = Set.of("e1", "e2", "e3", "e4");
     private static final Duration STEP = Duration.ofMillis(25);
 
+    /** Lifetime of a share in a fleet of this size. */
+    private static final Duration SHARE_LIFETIME = Duration.ofMillis(2500);
+
     private final VirtualScheduler scheduler = new VirtualScheduler();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
 
@@ -124,7 +127,10 @@
             }
             for (Node to : nodes.values()) {
                 if (n != to && n.up && to.up && n.side == to.side) {
-                    to.claims.onPeerClaims(n.ref.id(), n.claims.own());
+                    to.claims.onPeerClaims(
+                            n.ref.id(),
+                            n.claims.own(),
+                            scheduler.time().nanoTime() + SHARE_LIFETIME.toNanos());
                 }
             }
         }
