Name upstreams in shares by a hash of four bytes

Change: an entry names its upstream by the low half of the hash that ranks upstreams, about 14 bytes for 26.

Test: countsReachTheUpstreamThatTheyAreOf.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -111,7 +111,7 @@
             if (u.ownRequests() > 0) {
                 UpstreamLoad.Builder load =
                         UpstreamLoad.newBuilder()
-                                .setUpstream(u.id())
+                                .setUpstreamHash(u.shortHash())
                                 .setRequests(u.ownRequests())
                                 .setTokens(u.ownTokens())
                                 .setUnreadTokens(u.ownUnreadTokens());
@@ -128,7 +128,7 @@
     private LoadShare withUses(LoadShare share, String peer) {
         LoadShare.Builder b = share.toBuilder();
         for (UpstreamLoad.Builder load : b.getLoadsBuilderList()) {
-            UpstreamState u = upstreams.get(load.getUpstream());
+            UpstreamState u = upstreams.get(load.getUpstreamHash());
             if (office.claims().holder(u.id()).contains(peer)) {
                 u.ownAdapters().forEach(a -> load.addAdapters(a.key()));
             }
@@ -165,7 +165,7 @@
         long validUntil = time.nanoTime() + Duration.ofMillis(share.getValidMs()).toNanos();
         Set<String> named = new HashSet<>();
         for (UpstreamLoad load : share.getLoadsList()) {
-            UpstreamState u = upstreams.get(load.getUpstream());
+            UpstreamState u = upstreams.get(load.getUpstreamHash());
             if (u == null) {
                 continue;
             }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -62,6 +62,11 @@
         return nameHash;
     }
 
+    /** Returns the part of the hash that names the upstream in shares. */
+    int shortHash() {
+        return (int) nameHash;
+    }
+
     String id() {
         return upstream.id();
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -20,6 +20,7 @@
     private final TimeSource time;
     private final Duration returnTime;
     private final Map<String, UpstreamState> states = new LinkedHashMap<>();
+    private final Map<Integer, UpstreamState> byHash = new HashMap<>();
     private final Map<String, Long> missing = new HashMap<>();
     private long connectedAt;
 
@@ -71,7 +72,9 @@
         LOG.infof(
                 "event=upstream-listed upstream=%s service=%s address=%s:%d started-ms=%d",
                 r.id(), r.service(), r.host(), r.port(), r.startedAtMs());
-        states.put(r.id(), new UpstreamState(r, time));
+        UpstreamState listed = new UpstreamState(r, time);
+        states.put(r.id(), listed);
+        byHash.put(listed.shortHash(), listed);
         return state == null ? List.of() : List.of(state);
     }
 
@@ -109,6 +112,9 @@
     private List<UpstreamState> drop(String id) {
         missing.remove(id);
         UpstreamState state = states.remove(id);
+        if (state != null) {
+            byHash.remove(state.shortHash(), state);
+        }
         LOG.infof("event=upstream-gone upstream=%s", id);
         return state == null ? List.of() : List.of(state);
     }
@@ -118,6 +124,11 @@
         return states.get(id);
     }
 
+    /** Returns the state of the upstream with that short hash; null if none is listed. */
+    UpstreamState get(int shortHash) {
+        return byHash.get(shortHash);
+    }
+
     Collection<UpstreamState> all() {
         return states.values();
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadSharesTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadSharesTest.java
@@ -1,11 +1,14 @@
 package org.bronzehill.core.forward;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.bronzehill.core.node.Effect;
+import org.bronzehill.protocol.generated.UpstreamLoad;
 import org.testng.annotations.Test;
 
 /** Shares of load that one instance sends in fleets of several sizes, on virtual time. */
@@ -54,6 +57,28 @@
         }
     }
 
+    /** Guards against counts that are taken for those of another upstream. */
+    @Test
+    public void countsReachTheUpstreamThatTheyAreOf() {
+        ForwardRig rig = new ForwardRig(2, 4, Duration.ofMillis(250), 8);
+        rig.join("peer0");
+        FakeTransport sent = rig.open(RequestKind.IDEMPOTENT, 1);
+        rig.scheduler().advance(Duration.ofSeconds(1));
+        List<UpstreamLoad> loads = new ArrayList<>();
+        for (Effect e : rig.effects()) {
+            if (e instanceof Effect.SendPeer s && s.envelope().hasLoadShare()) {
+                loads = s.envelope().getLoadShare().getLoadsList();
+            }
+        }
+        UpstreamTable table = new UpstreamTable(rig.scheduler().time(), Duration.ZERO);
+        table.put(ForwardRig.plain("p1", 100));
+        table.put(ForwardRig.plain("p2", 100));
+        assertEquals(loads.size(), 1);
+        assertEquals(table.get(loads.get(0).getUpstreamHash()).id(), sent.last().upstream().id());
+        table.remove(sent.last().upstream().id());
+        assertNull(table.get(loads.get(0).getUpstreamHash()));
+    }
+
     /** Guards against counts that expire between two shares of a large fleet. */
     @Test
     public void shareIsValidUntilTwoMoreAreDue() {
