Spread prompts that arrive in clusters while an engine reads others

Cause: an engine reads prompts between the tokens of its running streams.

Change: with more than 2,048 unread prompt tokens at the engine a request is held at the instance, at most until four tenths of its target have passed since it arrived; held requests use their place in the batch already, so nothing else is placed there meanwhile.

Ruled out: full batches (the pauses are as long at 40 as at 60 requests), the way to the caller (passed on within 2 ms), prefix affinity (a quarter of the prompts' tokens at the very most).

Tests: promptsAreSpreadWhileAnEngineReadsOthers, heldRequestWhoseCallerLeavesIsNotSent.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -33,6 +33,7 @@
         PLACING,
         WAITING,
         LOADING,
+        HELD,
         SENT,
         ENDED
     }
@@ -195,7 +196,23 @@
         }
     }
 
+    /** Sends the request, or a little later if prompts are in its way. */
     private void send() {
+        if (!answerBegun && PromptGate.holds(request, upstream, forwarder.now())) {
+            state = State.HELD;
+            forwarder.after(PromptGate.CHECK, this::onHoldTimer);
+        } else {
+            sendNow();
+        }
+    }
+
+    private void onHoldTimer() {
+        if (state == State.HELD) {
+            send();
+        }
+    }
+
+    private void sendNow() {
         long now = forwarder.now();
         long left = request.endsNanos() - now;
         if (left <= 0) {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardCallTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardCallTest.java
@@ -7,6 +7,8 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.result.RunState;
 import org.testng.annotations.Test;
@@ -170,4 +172,43 @@
         FakeTransport t = rig.open(RequestKind.STREAM, 1, Option.of(new AdapterRef("m", "")));
         assertEquals(t.attempts().size(), 1);
     }
+
+    /**
+     * Replays a cluster of prompts at one engine. Guards against a row of prompts that makes
+     * running streams pause, and against requests that are held until their target is in danger.
+     */
+    @Test
+    public void promptsAreSpreadWhileAnEngineReadsOthers() {
+        ForwardRig rig = new ForwardRig(1, 4, Duration.ofMillis(250), 8);
+        List<FakeTransport> calls = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            calls.add(
+                    rig.open(RequestKind.RESUMABLE_STREAM, 2, Option.of(new AdapterRef("m", ""))));
+        }
+        // Prompts of 500 tokens: four are what an engine reads in two steps.
+        assertEquals(sent(calls), 4);
+        calls.get(0).call().onProgress();
+        rig.scheduler().advance(Duration.ofMillis(10));
+        assertEquals(sent(calls), 5);
+        // Under half of the target of 200 ms.
+        rig.scheduler().advance(Duration.ofMillis(90));
+        assertEquals(sent(calls), 6);
+    }
+
+    private static long sent(List<FakeTransport> calls) {
+        return calls.stream().filter(c -> !c.attempts().isEmpty()).count();
+    }
+
+    /** Guards against a request that runs although its caller left while it was held. */
+    @Test
+    public void heldRequestWhoseCallerLeavesIsNotSent() {
+        ForwardRig rig = new ForwardRig(1, 4, Duration.ofMillis(250), 8);
+        FakeTransport last = null;
+        for (int i = 0; i < 5; i++) {
+            last = rig.open(RequestKind.RESUMABLE_STREAM, 2, Option.of(new AdapterRef("m", "")));
+        }
+        last.call().onCallerLeft();
+        rig.scheduler().advance(Duration.ofSeconds(1));
+        assertTrue(last.attempts().isEmpty());
+    }
 }
