--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -27,22 +27,6 @@
     /** Time between questions whether a load that should be over has ended. */
     private static final Duration RECHECK = Duration.ofMillis(12);
 
-    /** The first question comes a little before the usual end of a load. */
-    private static final double FIRST_CHECK = 0.94;
-
-    /** Part of the load time for an adapter that the engine held before and still has at hand. */
-    private static final double REPEATED_LOAD = 0.15;
-
-    /**
-     * Load time, as a multiple of the shortest seen, above which fewer adapters are fetched at
-     * once: the store is then shared by more loads than it serves at full speed, and finishing some
-     * before others begin brings each of them earlier.
-     */
-    private static final double CONGESTED = 1.35;
-
-    /** Weight of one load in the average load time. */
-    private static final double WEIGHT = 0.2;
-
     /** Adapters held before that are remembered, the least recent of which are forgotten. */
     private static final int MAX_REMEMBERED = 256;
 
@@ -77,8 +61,7 @@
                     return size() > MAX_REMEMBERED;
                 }
             };
-    private double loadMs;
-    private double shortestLoadMs;
+    private final AdapterLoadTime loadTime;
     private Option<EngineSpec> engine = Option.none();
     private final long openedAt;
     private AdapterRef draining;
@@ -146,8 +129,7 @@
         this.fencing = fencing;
         this.listener = listener;
         this.wanted = new AdapterWishes(time);
-        this.loadMs = expectedLoad.toMillis();
-        this.shortestLoadMs = loadMs;
+        this.loadTime = new AdapterLoadTime(expectedLoad, PARALLEL_LOADS);
         this.quietUntil = time.nanoTime();
         this.openedAt = quietUntil;
     }
@@ -246,8 +228,8 @@
     }
 
     private void loadNext(EngineSpec engine) {
-        Option<AdapterRef> next = wanted.next(Duration.ofNanos((long) (loadMs * 1e6)));
-        if (next.isEmpty() || countLoading() >= parallelLoads()) {
+        Option<AdapterRef> next = wanted.next(loadTime.expected(false));
+        if (next.isEmpty() || countLoading() >= loadTime.parallelLoads()) {
             return;
         }
         AdapterRef adapter = next.get();
@@ -271,14 +253,10 @@
         Place place = new Place(version, Phase.LOADING, now);
         place.repeated = heldBefore.containsKey(adapter);
         places.put(adapter, place);
-        checkAfter(place, Duration.ofNanos((long) (expectedMs(place) * FIRST_CHECK * 1e6)));
+        checkAfter(place, loadTime.firstCheck(place.repeated));
         orderLoad(adapter, place);
     }
 
-    private double expectedMs(Place place) {
-        return place.repeated ? loadMs * REPEATED_LOAD : loadMs;
-    }
-
     private void checkAfter(Place place, Duration delay) {
         place.checkAt = time.nanoTime() + delay.toNanos();
         scheduler.after(delay, this::orderNext);
@@ -292,13 +270,6 @@
         return time.nanoTime() - openedAt < TAKEOVER.toNanos() ? 2 * PARALLEL_LOADS : 0;
     }
 
-    private int parallelLoads() {
-        double congestion = loadMs / Math.max(1, shortestLoadMs);
-        return congestion <= CONGESTED
-                ? PARALLEL_LOADS
-                : Math.max(1, (int) Math.floor(PARALLEL_LOADS * CONGESTED / congestion));
-    }
-
     private int countLoading() {
         return (int) places.values().stream().filter(p -> p.phase == Phase.LOADING).count();
     }
@@ -370,7 +341,8 @@
         switch (reply) {
             case ALREADY -> {
                 if (place.phase == Phase.LOADING) {
-                    learn(place, (now - place.changedAt) / 1e6);
+                    Duration took = Duration.ofNanos(now - place.changedAt);
+                    loadTime.onEnded(took, place.repeated);
                 }
                 heldBefore.put(adapter, true);
                 place.phase = Phase.HELD;
@@ -393,14 +365,6 @@
         orderNext();
     }
 
-    /** A load that ends while its own order is on the way was at hand already and tells nothing. */
-    private void learn(Place place, double tookMs) {
-        if (!place.repeated && tookMs > loadMs * REPEATED_LOAD) {
-            shortestLoadMs = Math.min(shortestLoadMs, tookMs);
-            loadMs = loadMs * (1 - WEIGHT) + Math.min(tookMs, 2 * loadMs) * WEIGHT;
-        }
-    }
-
     private void orderUnload(AdapterRef adapter, Place place) {
         place.phase = Phase.UNLOADING;
         place.changedAt = time.nanoTime();
