--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -199,7 +199,10 @@
     /** Sends the request, or a little later if prompts are in its way. */
     private void send() {
         if (!answerBegun && PromptGate.holds(request, upstream, forwarder.now())) {
-            state = State.HELD;
+            if (state != State.HELD) {
+                state = State.HELD;
+                log("hold");
+            }
             forwarder.after(PromptGate.CHECK, this::onHoldTimer);
         } else {
             sendNow();
