--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineStatus.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineStatus.java
@@ -13,8 +13,6 @@
  */
 public record EngineStatus(
         long startedAtMs,
-        int running,
-        int queued,
         Set<String> models,
         Map<AdapterRef, Integer> adapters,
         Map<AdapterRef, Integer> coming) {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -258,8 +258,7 @@
                         state, engines, scheduler.time(), scheduler, () -> 7L, LOAD, listener);
         // The report is older than the four orders of the instance before.
         desk.onReport(
-                new EngineStatus(
-                        1, 0, 0, java.util.Set.of("m"), java.util.Map.of(), java.util.Map.of()));
+                new EngineStatus(1, java.util.Set.of("m"), java.util.Map.of(), java.util.Map.of()));
         for (int i = 0; i < 4; i++) {
             Order order = new Order(Order.Operation.LOAD, ForwardRig.adapter(50 + i), 0, 6);
             engines.order(engine, order, r -> {});
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -162,7 +162,7 @@
                     listed.remove(unloading);
                     Map<AdapterRef, Integer> coming = new HashMap<>();
                     loading(upstream.id()).keySet().forEach(a -> coming.put(a, 1));
-                    reply.accept(Option.of(new EngineStatus(0, 0, 0, Set.of("m"), listed, coming)));
+                    reply.accept(Option.of(new EngineStatus(0, Set.of("m"), listed, coming)));
                 });
     }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -38,15 +38,7 @@
         spec = new EngineSpec(8, 100_000, 1000, places, 4, List.of(new ModelSpec("m", 500, 1)));
         engines = new FakeEngines(scheduler, loadTime, atFullSpeed);
         InstanceRef self = new InstanceRef("i1", 1, "10.0.0.1", 7000, "a", "r");
-        ForwardSettings settings =
-                new ForwardSettings(
-                        "i1",
-                        "a",
-                        0.2,
-                        50,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(2),
-                        Duration.ofSeconds(3));
+        ForwardSettings settings = TestSettings.of("i1");
         ForwardListener listener =
                 new ForwardListener() {
                     @Override
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsTest.java
@@ -44,15 +44,7 @@
         private Node(String id) {
             ref = new InstanceRef(id, scheduler.time().millis(), id, 7000, "a", "r");
             membership = Membership.create(ref, scheduler.time(), new Random(id.hashCode()));
-            ForwardSettings settings =
-                    new ForwardSettings(
-                            id,
-                            "a",
-                            0.2,
-                            50,
-                            Duration.ofSeconds(10),
-                            Duration.ofSeconds(2),
-                            Duration.ofSeconds(3));
+            ForwardSettings settings = TestSettings.of(id);
             claims = new OrderClaims(membership, settings, scheduler.time());
         }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RetrySharesTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RetrySharesTest.java
@@ -19,15 +19,7 @@
         int retries = 0;
         for (int i = 0; i < INSTANCES; i++) {
             VirtualScheduler scheduler = new VirtualScheduler();
-            ForwardSettings settings =
-                    new ForwardSettings(
-                            "i" + i,
-                            "a",
-                            RATIO,
-                            SLACK,
-                            Duration.ofSeconds(10),
-                            Duration.ofSeconds(2),
-                            Duration.ofSeconds(3));
+            ForwardSettings settings = TestSettings.of("i" + i, RATIO, SLACK);
             RetryShares shares = new RetryShares(settings, scheduler.time());
             shares.onTick(INSTANCES);
             for (int tenth = 0; tenth < 100; tenth++) {
