Send requests for an evicted adapter back to the engine that held it

Only the engine that is first in the adapter's rendezvous order had an advantage, and at high load adapters are seldom loaded there.

Change: every instance remembers from the shares which adapters an engine has held (256 of them) and rates a load there as what it costs.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadTime.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadTime.java
@@ -12,7 +12,7 @@
     private static final double FIRST_CHECK = 0.94;
 
     /** Part of the load time for an adapter that the engine held before and still has at hand. */
-    private static final double REPEATED_LOAD = 0.15;
+    static final double REPEATED_LOAD = 0.15;
 
     /**
      * Load time, as a multiple of the shortest seen, above which fewer adapters are fetched at
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -13,6 +13,9 @@
  * is left for an idle one as soon as the wait there exceeds the time of a load, which spreads
  * copies of busy adapters. A random part breaks ties, so that instances with the same view of the
  * load do not all send to the same upstream.
+ *
+ * <p>Answers a working set larger than the engines' places: an adapter that was evicted goes back
+ * to the engine that held it, which loads it in a fraction of the time and without the store.
  */
 final class UpstreamChooser {
 
@@ -117,6 +120,9 @@
         if (u.isLoading(adapter)) {
             return load / 2;
         }
+        if (u.hasHeld(adapter)) {
+            return load * AdapterLoadTime.REPEATED_LOAD;
+        }
         // The average wait already holds the usual number of others; more of them wait in turn.
         return load * (1 + (double) u.loadingCount() / (2 * AdapterDesk.PARALLEL_LOADS));
     }
@@ -125,6 +131,9 @@
         if (u.isLoading(demand.request().adapter().get())) {
             return 0;
         }
+        if (u.hasHeld(demand.request().adapter().get())) {
+            return LOAD_MS * AdapterLoadTime.REPEATED_LOAD;
+        }
         return LOAD_MS - (u.id().equals(demand.home()) ? HOME_MS : 0);
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import org.bronzehill.core.model.RendezvousHash;
@@ -18,12 +19,22 @@
      */
     private static final Duration LOAD_PAUSE = Duration.ofMillis(500);
 
+    /** Adapters held before that are remembered: several times the places of an engine. */
+    private static final int MAX_REMEMBERED = 256;
+
     private final TimeSource time;
     private final OutcomeHealth health;
     private final Map<String, PeerLoad> peers = new HashMap<>();
     private final Map<AdapterRef, Integer> users = new HashMap<>();
     private final Map<AdapterRef, Integer> resident = new HashMap<>();
     private final Map<AdapterRef, Integer> loading = new HashMap<>();
+    private final Map<AdapterRef, Boolean> heldBefore =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<AdapterRef, Boolean> eldest) {
+                    return size() > MAX_REMEMBERED;
+                }
+            };
     private final Set<String> models = new HashSet<>();
     private UpstreamRecord upstream;
     private final long nameHash;
@@ -186,12 +197,14 @@
     void setAdapters(Map<AdapterRef, Integer> held, Map<AdapterRef, Integer> coming) {
         resident.clear();
         resident.putAll(held);
+        held.keySet().forEach(a -> heldBefore.put(a, true));
         loading.clear();
         loading.putAll(coming);
     }
 
     void setResident(AdapterRef adapter, int version) {
         resident.put(adapter, version);
+        heldBefore.put(adapter, true);
         loading.remove(adapter);
     }
 
@@ -200,6 +213,14 @@
         loading.remove(adapter);
     }
 
+    /**
+     * Returns whether the upstream held the adapter recently; it is then likely to have it at hand
+     * and to load it without the store.
+     */
+    boolean hasHeld(AdapterRef adapter) {
+        return heldBefore.containsKey(adapter);
+    }
+
     /** Returns the version of the adapter that the upstream holds. */
     Option<Integer> residentVersion(AdapterRef adapter) {
         return Option.of(resident.get(adapter));
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -169,6 +169,31 @@
         assertTrue(onTime >= 36, onTime + " of 80 on time: " + waits);
     }
 
+    /**
+     * Replays a working set larger than the places of all engines. Guards against an evicted
+     * adapter that is fetched from the store for another engine than the one that has it at hand.
+     */
+    @Test
+    public void evictedAdapterGoesBackToTheEngineThatHeldIt() {
+        ForwardRig rig = new ForwardRig(4, 6, LOAD, 8);
+        List<FakeTransport> open = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            // Busy engines take what would go elsewhere when they are idle.
+            open.add(rig.open(RequestKind.STREAM, 1, Option.of(ForwardRig.adapter(i))));
+            rig.scheduler().advance(Duration.ofMillis(300));
+        }
+        open.forEach(AdapterLoadsTest::finish);
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 36; i++) {
+                FakeTransport t = ask(rig, i);
+                rig.scheduler().advance(Duration.ofMillis(700));
+                finish(t);
+            }
+        }
+        long fromStore = rig.engines().fetched().stream().distinct().count();
+        assertEquals(fromStore, 36, "loads from the store: " + fromStore);
+    }
+
     /** Guards against orders under a claim that another instance has taken over. */
     @Test
     public void fencedInstanceStopsOrdering() {
