Place a request again whose upstream began to leave while it waited

Cause: found by reading the change: a request that waits for an adapter (up to 1.8 s), or is held, was sent when its turn came even if its engine had meanwhile said that it leaves; with 0.9 s until an instance knows that, it could reach the engine 2.7 s after it said so, against 2 s allowed.

Change: the upstream is asked for once more just before the request is sent.

Test: requestIsNotSentToAnEngineThatBeganToLeaveMeanwhile.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -198,7 +198,12 @@
 
     /** Sends the request, or a little later if prompts are in its way. */
     private void send() {
-        if (!answerBegun && PromptGate.holds(request, upstream, forwarder.now())) {
+        if (!upstream.takesNewWork()) {
+            // It began to leave while the request waited for its adapter or its turn.
+            log("upstream-leaving");
+            release();
+            place();
+        } else if (!answerBegun && PromptGate.holds(request, upstream, forwarder.now())) {
             if (state != State.HELD) {
                 state = State.HELD;
                 log("hold");
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -180,6 +180,11 @@
         return misaddressed;
     }
 
+    /** Returns whether requests may still be sent there. */
+    boolean takesNewWork() {
+        return !misaddressed && !upstream.draining();
+    }
+
     boolean holdsModel(String model) {
         return models.contains(model);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -137,9 +137,7 @@
     List<UpstreamState> serving(String service) {
         List<UpstreamState> found = new ArrayList<>();
         for (UpstreamState s : states.values()) {
-            if (s.upstream().service().equals(service)
-                    && !s.upstream().draining()
-                    && !s.isMisaddressed()) {
+            if (s.upstream().service().equals(service) && s.takesNewWork()) {
                 found.add(s);
             }
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
@@ -194,6 +195,19 @@
         assertEquals(fromStore, 36, "loads from the store: " + fromStore);
     }
 
+    /** Guards against a request that is sent long after its engine said that it leaves. */
+    @Test
+    public void requestIsNotSentToAnEngineThatBeganToLeaveMeanwhile() {
+        ForwardRig rig = new ForwardRig(2, 4, LOAD, 8);
+        FakeTransport t = ask(rig, 1);
+        rig.scheduler().advance(Duration.ofMillis(100));
+        String chosen = t.call().upstream().id();
+        rig.forwarder().onUpstream(ForwardRig.engine(chosen, true));
+        rig.scheduler().advance(Duration.ofMillis(900));
+        assertEquals(t.attempts().size(), 1);
+        assertNotEquals(t.attempts().get(0).upstream().id(), chosen);
+    }
+
     /** Guards against orders under a claim that another instance has taken over. */
     @Test
     public void fencedInstanceStopsOrdering() {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -83,22 +83,25 @@
         records.add(plain("p1", 100));
         records.add(plain("p2", 100));
         for (int i = 1; i <= engineCount; i++) {
-            records.add(
-                    new UpstreamRecord(
-                            "e" + i,
-                            100,
-                            ENGINES,
-                            "10.0.1." + i,
-                            80,
-                            "a",
-                            8,
-                            false,
-                            Set.of("m"),
-                            Map.of()));
+            records.add(engine("e" + i, false));
         }
         return records;
     }
 
+    static UpstreamRecord engine(String id, boolean draining) {
+        return new UpstreamRecord(
+                id,
+                100,
+                ENGINES,
+                "10.0.1." + id.substring(1),
+                80,
+                "a",
+                8,
+                draining,
+                Set.of("m"),
+                Map.of());
+    }
+
     static UpstreamRecord plain(String id, long startedAtMs) {
         return new UpstreamRecord(
                 id,
