Say each thing of the forwarding once, and leave the wish path light

Found in a read-through of the whole change; no decision is meant to change. - The list of adapters that an engine held stood in AdapterDesk and in UpstreamState: RecentAdapters serves both.

Assertions of tests are unchanged.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterDesk.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.bronzehill.core.time.TimeSource;
@@ -27,9 +26,6 @@
     /** Time between questions whether a load that should be over has ended. */
     private static final Duration RECHECK = Duration.ofMillis(12);
 
-    /** Adapters held before that are remembered, the least recent of which are forgotten. */
-    private static final int MAX_REMEMBERED = 256;
-
     /** Pause after the engine was busy or gave no answer. */
     private static final Duration RETRY = Duration.ofMillis(60);
 
@@ -54,13 +50,7 @@
     private final Map<AdapterRef, Place> places = new HashMap<>();
     private final Map<AdapterRef, Long> removedAt = new HashMap<>();
     private final AdapterWishes wanted;
-    private final Map<AdapterRef, Boolean> heldBefore =
-            new LinkedHashMap<>() {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<AdapterRef, Boolean> eldest) {
-                    return size() > MAX_REMEMBERED;
-                }
-            };
+    private final RecentAdapters heldBefore = new RecentAdapters();
     private final AdapterLoadTime loadTime;
     private Option<EngineSpec> engine = Option.none();
     private final long openedAt;
@@ -134,7 +124,7 @@
         this.openedAt = quietUntil;
     }
 
-    /** Notes that requests wait for an adapter. */
+    /** Notes that requests wait for an adapter, and orders it if an order can be given now. */
     void want(AdapterRef adapter, int version, AdapterWishes.Waiting waiting) {
         Place place = places.get(adapter);
         if (down) {
@@ -145,6 +135,7 @@
         } else if (place == null || place.phase != Phase.LOADING || place.version < version) {
             wanted.add(adapter, version, waiting);
             publish();
+            orderNext();
         }
     }
 
@@ -251,7 +242,7 @@
         }
         long now = time.nanoTime();
         Place place = new Place(version, Phase.LOADING, now);
-        place.repeated = heldBefore.containsKey(adapter);
+        place.repeated = heldBefore.contains(adapter);
         places.put(adapter, place);
         checkAfter(place, loadTime.firstCheck(place.repeated));
         orderLoad(adapter, place);
@@ -344,7 +335,7 @@
                     Duration took = Duration.ofNanos(now - place.changedAt);
                     loadTime.onEnded(took, place.repeated);
                 }
-                heldBefore.put(adapter, true);
+                heldBefore.add(adapter);
                 place.phase = Phase.HELD;
                 place.changedAt = now;
                 place.usedAt = now;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRequests.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.AdapterState;
 import org.bronzehill.protocol.generated.AdapterWanted;
 import org.bronzehill.protocol.generated.Envelope;
@@ -23,9 +25,9 @@
     private final UpstreamTable upstreams;
     private final AdapterWaits waits;
     private final Effects out;
+    private final TimeSource time;
     private final Map<AdapterWaits.Key, Set<String>> waitingPeers = new HashMap<>();
     private OrderOffice office;
-    private Runnable orderNow = () -> {};
     private MisaddressedListener misaddressed = u -> {};
 
     /** Receives upstreams whose address has passed to another one. */
@@ -33,21 +35,22 @@
         void misaddressed(UpstreamState upstream);
     }
 
-    AdapterRequests(String self, UpstreamTable upstreams, AdapterWaits waits, Effects out) {
+    AdapterRequests(
+            String self,
+            UpstreamTable upstreams,
+            AdapterWaits waits,
+            Effects out,
+            TimeSource time) {
         this.self = self;
         this.upstreams = upstreams;
         this.waits = waits;
         this.out = out;
+        this.time = time;
     }
 
-    /**
-     * Connects the desks, which report to this object.
-     *
-     * @param orders gives the orders that are due
-     */
-    void connect(OrderOffice desks, Runnable orders, MisaddressedListener listener) {
+    /** Connects the desks, which report to this object. */
+    void connect(OrderOffice desks, MisaddressedListener listener) {
         office = desks;
-        orderNow = orders;
         misaddressed = listener;
     }
 
@@ -64,20 +67,20 @@
         if (desk.isDefined()) {
             waits.underWay(upstream, adapter);
             desk.get().want(adapter, wait.version(), waiting);
-            orderNow.run();
             return;
         }
         Option<String> holder = office.claims().holder(upstream);
         if (holder.isEmpty() || holder.contains(self)) {
             return;
         }
+        Duration slack = Duration.ofNanos(waiting.targetByNanos() - time.nanoTime());
         AdapterWanted wanted =
                 AdapterWanted.newBuilder()
                         .setUpstream(upstream)
                         .setAdapter(adapter.key())
                         .setVersion(wait.version())
                         .setCalls(waiting.calls())
-                        .setSlackMs((int) waits.millisUntil(waiting.targetByNanos()))
+                        .setSlackMs((int) slack.toMillis())
                         .build();
         send(holder.get(), Envelope.newBuilder().setAdapterWanted(wanted));
     }
@@ -114,13 +117,15 @@
     @Override
     public void resident(UpstreamState upstream, AdapterRef adapter, int version) {
         onResident(upstream, adapter, version);
-        tellWaiting(upstream, adapter, version, true);
+        tellWaiting(
+                new AdapterWaits.Key(upstream.id(), adapter),
+                AdapterState.newBuilder().setVersion(version).setResident(true));
     }
 
     @Override
     public void failed(UpstreamState upstream, AdapterRef adapter) {
         waits.failed(upstream.id(), adapter).forEach(ForwardCall::onAdapterFailed);
-        tellWaiting(upstream, adapter, 0, false);
+        tellWaiting(new AdapterWaits.Key(upstream.id(), adapter), AdapterState.newBuilder());
     }
 
     @Override
@@ -134,32 +139,21 @@
         endWaits(upstream);
         for (AdapterWaits.Key key : List.copyOf(waitingPeers.keySet())) {
             if (key.upstream().equals(upstream.id())) {
-                AdapterState.Builder state =
-                        AdapterState.newBuilder()
-                                .setUpstream(key.upstream())
-                                .setAdapter(key.adapter().key())
-                                .setUnreachable(true);
-                waitingPeers
-                        .remove(key)
-                        .forEach(p -> send(p, Envelope.newBuilder().setAdapterState(state)));
+                tellWaiting(key, AdapterState.newBuilder().setUnreachable(true));
             }
         }
     }
 
     /**
-     * Sends the calls that wait at an upstream elsewhere. No load is awaited there for a while:
-     * only the instance that gives the orders sees whether it can be reached for them.
+     * Sends the calls that wait at an upstream elsewhere, since no connection to it opens. No load
+     * is awaited there for a while: only the instance that gives the orders sees whether it can be
+     * reached for them.
      */
-    private void endWaits(UpstreamState upstream) {
+    void endWaits(UpstreamState upstream) {
         upstream.pauseLoads();
         waits.failedAt(upstream.id()).forEach(ForwardCall::onAdapterFailed);
     }
 
-    /** Notes that a call found no way to an upstream; others that wait there would find none. */
-    void onUnreachable(UpstreamState upstream) {
-        endWaits(upstream);
-    }
-
     @Override
     public void fenced(UpstreamState upstream) {
         office.claims().onFenced(upstream.id());
@@ -170,20 +164,12 @@
         waits.arrived(upstream.id(), adapter, version).forEach(ForwardCall::onAdapterReady);
     }
 
-    private void tellWaiting(
-            UpstreamState upstream, AdapterRef adapter, int version, boolean resident) {
-        Set<String> peers = waitingPeers.remove(new AdapterWaits.Key(upstream.id(), adapter));
-        if (peers == null) {
-            return;
+    private void tellWaiting(AdapterWaits.Key key, AdapterState.Builder state) {
+        Set<String> peers = waitingPeers.remove(key);
+        if (peers != null) {
+            state.setUpstream(key.upstream()).setAdapter(key.adapter().key());
+            peers.forEach(p -> send(p, Envelope.newBuilder().setAdapterState(state)));
         }
-        AdapterState state =
-                AdapterState.newBuilder()
-                        .setUpstream(upstream.id())
-                        .setAdapter(adapter.key())
-                        .setVersion(version)
-                        .setResident(resident)
-                        .build();
-        peers.forEach(p -> send(p, Envelope.newBuilder().setAdapterState(state)));
     }
 
     private void send(String peer, Envelope.Builder envelope) {
@@ -197,11 +183,10 @@
         if (desk.isDefined() && adapter.isDefined()) {
             AdapterWaits.Key key = new AdapterWaits.Key(wanted.getUpstream(), adapter.get());
             waitingPeers.computeIfAbsent(key, k -> new HashSet<>()).add(from);
+            long targetBy = time.nanoTime() + Duration.ofMillis(wanted.getSlackMs()).toNanos();
             AdapterWishes.Waiting waiting =
-                    new AdapterWishes.Waiting(
-                            from, wanted.getCalls(), waits.nanosIn(wanted.getSlackMs()));
+                    new AdapterWishes.Waiting(from, wanted.getCalls(), targetBy);
             desk.get().want(adapter.get(), wanted.getVersion(), waiting);
-            orderNow.run();
         }
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -130,18 +130,6 @@
         return calls;
     }
 
-    /**
-     * Returns the milliseconds until a moment of the own monotonic clock; negative if it is over.
-     */
-    long millisUntil(long nanos) {
-        return Duration.ofNanos(nanos - time.nanoTime()).toMillis();
-    }
-
-    /** Returns the moment of the own monotonic clock that is so many milliseconds away. */
-    long nanosIn(long millis) {
-        return time.nanoTime() + Duration.ofMillis(millis).toNanos();
-    }
-
     /** Notes that the load is known to the instance that gives the orders. */
     void underWay(String upstream, AdapterRef adapter) {
         Wait wait = waits.get(new Key(upstream, adapter));
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -111,11 +111,14 @@
         place();
     }
 
-    /** Looks for an upstream; waits, or refuses the call, if none has room. */
-    void place() {
+    private void place() {
+        place(forwarder.choose(this));
+    }
+
+    /** Takes the upstream that was chosen; waits, or refuses the call, if none has room. */
+    void place(Option<UpstreamChooser.Choice> choice) {
         forwarder.leaveQueue(this);
         state = State.PLACING;
-        Option<UpstreamChooser.Choice> choice = forwarder.choose(this);
         if (choice.isEmpty()) {
             await();
         } else if (choice.get().adapterReady()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -83,7 +83,7 @@
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryShares(settings, time);
         this.waits = new AdapterWaits(time, EXPECTED_LOAD);
-        this.adapters = new AdapterRequests(settings.instance(), upstreams, waits, out);
+        this.adapters = new AdapterRequests(settings.instance(), upstreams, waits, out, time);
         this.crashWatch = new CrashWatch(crashes, time, out);
         this.office =
                 new OrderOffice(
@@ -94,7 +94,7 @@
                         scheduler,
                         EXPECTED_LOAD,
                         adapters);
-        adapters.connect(office, this::tickOrders, this::onMisaddressed);
+        adapters.connect(office, this::onMisaddressed);
         this.shares = new LoadShares(membership, upstreams, office, time, adapters::onPeerUse);
     }
 
@@ -286,10 +286,11 @@
     /** Sends waiting calls of a service for which there is room now. */
     void onRoom(String service) {
         for (ForwardCall call : queue(service).inOrder()) {
-            if (choose(call).isEmpty()) {
+            Option<UpstreamChooser.Choice> choice = choose(call);
+            if (choice.isEmpty()) {
                 return;
             }
-            call.place();
+            call.place(choice);
         }
     }
 
@@ -337,7 +338,7 @@
         UpstreamState upstream = call.upstream();
         upstream.health().onUnreachable();
         crashWatch.onDown(upstream.id());
-        adapters.onUnreachable(upstream);
+        adapters.endWaits(upstream);
     }
 
     void onCompleted(ForwardCall call, int status) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -1,8 +1,10 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -39,7 +41,7 @@
     private final TimeSource time;
     private final BiConsumer<String, AdapterRef> useListener;
     private final Map<String, OrderedUpstream> sentPlaces = new HashMap<>();
-    private Set<InstanceRef> told = Set.of();
+    private List<InstanceRef> told = List.of();
     private LoadShare last = LoadShare.getDefaultInstance();
     private long repeatedAt;
     private long nextAt;
@@ -65,7 +67,8 @@
     /** Sends the share to all if it is due, and at once to instances that have just joined. */
     void onTick(boolean atOnce, Effects out) {
         long now = time.nanoTime();
-        Set<InstanceRef> live = new HashSet<>(membership.live());
+        List<InstanceRef> live = membership.live();
+        Set<InstanceRef> joined = joined(live);
         Duration interval = PER_INSTANCE.multipliedBy(live.size());
         Duration repeatAfter = interval.compareTo(REPEAT) > 0 ? interval : REPEAT;
         Duration lifetime = Duration.ofNanos((long) (repeatAfter.toNanos() * LIFETIME));
@@ -75,23 +78,35 @@
             LoadShare share = build(repeat, true, lifetime);
             if (atOnce || repeat || !share.equals(last)) {
                 repeatedAt = repeat ? now : repeatedAt;
-                // Without the adapters that were named just now, which are not named again.
-                last = build(false, true, lifetime);
-                Set<InstanceRef> known = new HashSet<>(told);
-                known.retainAll(live);
-                send(share, known, out);
+                last = withoutPlaces(share);
+                send(share, live.stream().filter(i -> !joined.contains(i)).toList(), out);
             }
         }
-        // They must learn the claims before they make their own.
-        Set<InstanceRef> joined = new HashSet<>(live);
-        joined.removeAll(told);
         if (!joined.isEmpty()) {
+            // They must learn the claims before they make their own.
             send(build(true, false, lifetime), joined, out);
         }
         told = live;
     }
 
-    private void send(LoadShare share, Set<InstanceRef> peers, Effects out) {
+    /** Returns the instances that have got no share yet. */
+    private Set<InstanceRef> joined(List<InstanceRef> live) {
+        if (live.equals(told)) {
+            return Set.of();
+        }
+        Set<InstanceRef> joined = new HashSet<>(live);
+        told.forEach(joined::remove);
+        return joined;
+    }
+
+    /** Returns the share as it is due next if nothing changes: places are not named again. */
+    private static LoadShare withoutPlaces(LoadShare share) {
+        LoadShare.Builder b = share.toBuilder();
+        b.getOrderedBuilderList().forEach(o -> o.clearPlaces().clearModels().clearComplete());
+        return b.build();
+    }
+
+    private void send(LoadShare share, Collection<InstanceRef> peers, Effects out) {
         for (InstanceRef peer : peers) {
             if (!peer.id().equals(membership.self().id())) {
                 Envelope.Builder envelope =
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import org.bronzehill.core.model.RendezvousHash;
@@ -19,22 +18,13 @@
      */
     private static final Duration LOAD_PAUSE = Duration.ofMillis(500);
 
-    /** Adapters held before that are remembered: several times the places of an engine. */
-    private static final int MAX_REMEMBERED = 256;
-
     private final TimeSource time;
     private final OutcomeHealth health;
     private final Map<String, PeerLoad> peers = new HashMap<>();
     private final Map<AdapterRef, Integer> users = new HashMap<>();
     private final Map<AdapterRef, Integer> resident = new HashMap<>();
     private final Map<AdapterRef, Integer> loading = new HashMap<>();
-    private final Map<AdapterRef, Boolean> heldBefore =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<AdapterRef, Boolean> eldest) {
-                    return size() > MAX_REMEMBERED;
-                }
-            };
+    private final RecentAdapters heldBefore = new RecentAdapters();
     private final Set<String> models = new HashSet<>();
     private UpstreamRecord upstream;
     private final long nameHash;
@@ -202,14 +192,14 @@
     void setAdapters(Map<AdapterRef, Integer> held, Map<AdapterRef, Integer> coming) {
         resident.clear();
         resident.putAll(held);
-        held.keySet().forEach(a -> heldBefore.put(a, true));
+        held.keySet().forEach(heldBefore::add);
         loading.clear();
         loading.putAll(coming);
     }
 
     void setResident(AdapterRef adapter, int version) {
         resident.put(adapter, version);
-        heldBefore.put(adapter, true);
+        heldBefore.add(adapter);
         loading.remove(adapter);
     }
 
@@ -223,7 +213,7 @@
      * and to load it without the store.
      */
     boolean hasHeld(AdapterRef adapter) {
-        return heldBefore.containsKey(adapter);
+        return heldBefore.contains(adapter);
     }
 
     /** Returns the version of the adapter that the upstream holds. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.bronzehill.core.result.ResultCode;
 import org.testng.annotations.Test;
 
@@ -262,18 +264,7 @@
     public void takeoverLeavesRoomForLoadsThatNoReportShows() {
         VirtualScheduler scheduler = new VirtualScheduler();
         FakeEngines engines = new FakeEngines(scheduler, LOAD, 32);
-        UpstreamRecord engine =
-                new UpstreamRecord(
-                        "e1",
-                        1,
-                        "pool",
-                        "10.0.0.1",
-                        80,
-                        "a",
-                        8,
-                        false,
-                        java.util.Set.of("m"),
-                        java.util.Map.of());
+        UpstreamRecord engine = ForwardRig.engine("e1", false);
         UpstreamState state = new UpstreamState(engine, scheduler.time());
         AdapterDesk.Listener listener =
                 new AdapterDesk.Listener() {
@@ -296,8 +287,7 @@
                 new AdapterDesk(
                         state, engines, scheduler.time(), scheduler, () -> 7L, LOAD, listener);
         // The report is older than the four orders of the instance before.
-        desk.onReport(
-                new EngineStatus(1, java.util.Set.of("m"), java.util.Map.of(), java.util.Map.of()));
+        desk.onReport(new EngineStatus(1, Set.of("m"), Map.of(), Map.of()));
         for (int i = 0; i < 4; i++) {
             Order order = new Order(Order.Operation.LOAD, ForwardRig.adapter(50 + i), 0, 6);
             engines.order(engine, order, r -> {});
