Start a large fleet without reading every engine's report at every instance

At a start, every instance read the report of every engine, because nobody claims them yet: 95 x 59 reports, each on a new connection. Every greeting of every other instance was answered with the whole membership table in messages of 8 rows (95 x 94 x 12 datagrams within 2 s), although a few seeds suffice. Change: an unclaimed engine is looked at only while calls are open. A seed introduces others only to an instance whose hash of the table differs. The tick that drives membership, claims and shares runs every 100 ms; calls that wait have a tick of their own, which runs only while there are any. The upstreams that take orders are collected when a record changes, not in each tick.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRequests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRequests.java
@@ -92,6 +92,11 @@
         waits.toRepeat().forEach((k, w) -> ask(k.upstream(), k.adapter(), w));
     }
 
+    /** Returns whether calls wait for adapters. */
+    boolean isWaiting() {
+        return !waits.isEmpty();
+    }
+
     /** Notes that a call gave up its wait. */
     void onLate(ForwardCall call) {
         waits.late(call.upstream().id(), call.request().adapter().get());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -149,6 +149,10 @@
         return calls;
     }
 
+    boolean isEmpty() {
+        return waits.isEmpty();
+    }
+
     /** Returns the calls that wait. */
     List<ForwardCall> calls() {
         List<ForwardCall> calls = new ArrayList<>();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -24,9 +24,6 @@
 
     private static final Logger LOG = Logger.getLogger(Forwarder.class);
 
-    /** Sequence number of pings by which instances that have just started make themselves known. */
-    private static final long GREETING = 0;
-
     /** Adapter load time assumed until one was measured. */
     private static final Duration EXPECTED_LOAD = Duration.ofMillis(300);
 
@@ -45,6 +42,12 @@
     /** Shortest wait asked of a caller that is refused. */
     private static final Duration MIN_RETURN = Duration.ofMillis(50);
 
+    /**
+     * Interval of looks at calls that wait: a fifth of the shortest targets, which are about 120
+     * ms.
+     */
+    private static final Duration CALL_TICK = Duration.ofMillis(25);
+
     private final ForwardSettings settings;
     private final TimeSource time;
     private final Scheduler scheduler;
@@ -67,8 +70,10 @@
     private final PromptPace promptPace = new PromptPace();
     private final Set<ForwardCall> open = new HashSet<>();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
+    private Map<UpstreamState, EngineSpec> engines = Map.of();
     private long sequence;
     private boolean draining;
+    private boolean callTickArmed;
 
     private Forwarder(ForwardSettings settings, ForwardPorts ports, RandomGenerator random) {
         this.settings = settings;
@@ -119,6 +124,7 @@
                 "event=configuration version=%d previous=%d",
                 read.version(), configuration.version());
         configuration = read;
+        engines = engines();
     }
 
     /** Returns the configuration in force. */
@@ -133,17 +139,20 @@
     /** Takes over the complete list of upstreams. */
     public void onUpstreams(Collection<UpstreamRecord> records) {
         upstreams.replaceAll(records).forEach(this::onUpstreamEnded);
+        engines = engines();
     }
 
     /** Takes over the record of one upstream. */
     public void onUpstream(UpstreamRecord read) {
         upstreams.put(read).forEach(this::onUpstreamEnded);
+        engines = engines();
         onRoom(read.service());
     }
 
     /** Notes that the record of an upstream is gone. */
     public void onUpstreamRemoved(String id) {
         upstreams.remove(id).forEach(this::onUpstreamEnded);
+        engines = engines();
     }
 
     /** Notes that the store answers again after an outage. */
@@ -277,6 +286,7 @@
 
     void enterQueue(ForwardCall call) {
         queue(call.request().service()).add(call);
+        armCallTick();
     }
 
     void leaveQueue(ForwardCall call) {
@@ -372,11 +382,13 @@
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
             crashWatch.onDown(upstream.id());
             adapters.onUpstreamEnded(upstream);
+            engines = engines();
         }
     }
 
     void wantAdapter(ForwardCall call) {
         adapters.await(call, requiredVersion(call.request()).getOrElse(0));
+        armCallTick();
     }
 
     void onAdapterLate(ForwardCall call) {
@@ -399,26 +411,38 @@
             }
             case ADAPTER_WANTED -> adapters.onWanted(from, envelope.getAdapterWanted());
             case ADAPTER_STATE -> adapters.onState(envelope.getAdapterState());
-            case PING -> {
-                membership.onMessage(envelope, out);
-                if (envelope.getPing().getSequence() == GREETING) {
-                    membership.introduce(from, out);
-                }
-            }
             case CRASH_MARKS -> crashes.onMessage(envelope, out);
             default -> membership.onMessage(envelope, out);
         }
     }
 
-    /** Does what is due; called several times in each tenth of a second. */
+    /** Does what is due; called about ten times a second. */
     public void onTick() {
         membership.onTick(out);
         crashes.onTick(out);
         retries.onTick(membership.live().size());
-        upstreams.onTick().forEach(this::onUpstreamEnded);
-        adapters.onTick();
-        boolean claimsChanged = tickOrders();
+        List<UpstreamState> ended = upstreams.onTick();
+        if (!ended.isEmpty()) {
+            ended.forEach(this::onUpstreamEnded);
+            engines = engines();
+        }
+        boolean claimsChanged = office.onTick(engines, !open.isEmpty());
         shares.onTick(claimsChanged, out);
+        queues.keySet().forEach(this::onRoom);
+    }
+
+    /** Looks at the calls that wait for as long as there are any. */
+    private void armCallTick() {
+        if (!callTickArmed) {
+            callTickArmed = true;
+            scheduler.after(CALL_TICK, this::onCallTick);
+        }
+    }
+
+    private void onCallTick() {
+        callTickArmed = false;
+        adapters.onTick();
+        boolean waiting = adapters.isWaiting();
         for (WaitingCalls queue : queues.values()) {
             for (ForwardCall call : queue.inOrder()) {
                 if (queue.isHopeless(call)) {
@@ -426,19 +450,26 @@
                 }
             }
         }
-        queues.keySet().forEach(this::onRoom);
+        for (String service : List.copyOf(queues.keySet())) {
+            onRoom(service);
+            waiting |= !queue(service).isEmpty();
+        }
+        if (waiting) {
+            armCallTick();
+        }
     }
 
-    private boolean tickOrders() {
-        Map<UpstreamState, EngineSpec> engines = new HashMap<>();
+    /** Returns the upstreams that take orders. */
+    private Map<UpstreamState, EngineSpec> engines() {
+        Map<UpstreamState, EngineSpec> found = new HashMap<>();
         for (UpstreamState u : upstreams.all()) {
             configuration
                     .service(u.upstream().service())
                     .flatMap(ServiceSpec::engine)
                     .filter(e -> !u.isMisaddressed())
-                    .forEach(e -> engines.put(u, e));
+                    .forEach(e -> found.put(u, e));
         }
-        return office.onTick(engines);
+        return found;
     }
 
     /** Notes that the process did not run for some time: others may act in its place by now. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
@@ -76,8 +76,13 @@
         return claims;
     }
 
-    /** Gives the orders that are due; returns whether the own claims have changed. */
-    boolean onTick(Map<UpstreamState, EngineSpec> engines) {
+    /**
+     * Gives the orders that are due.
+     *
+     * @param needed whether requests need to know what engines hold that nobody gives orders to
+     * @return whether the own claims have changed
+     */
+    boolean onTick(Map<UpstreamState, EngineSpec> engines, boolean needed) {
         Set<String> ids = new HashSet<>();
         engines.keySet().forEach(u -> ids.add(u.id()));
         boolean changed = claims.onTick(ids);
@@ -85,7 +90,7 @@
                 .removeIf(h -> !claims.holds(h.upstream.id()) || !engines.containsKey(h.upstream));
         engines.forEach(
                 (u, spec) -> {
-                    if (claims.holder(u.id()).isEmpty()) {
+                    if (needed && claims.holder(u.id()).isEmpty()) {
                         lookAt(u);
                     }
                     if (claims.holds(u.id())) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitingCalls.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitingCalls.java
@@ -54,6 +54,10 @@
         return time.nanoTime() + expectedWait(call).toNanos() - call.lastSendNanos() > 0;
     }
 
+    boolean isEmpty() {
+        return calls.isEmpty();
+    }
+
     void add(ForwardCall call) {
         calls.add(call);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
@@ -11,6 +11,7 @@
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.model.ListedInstance;
 import org.bronzehill.core.model.ListedState;
+import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.node.Signal;
@@ -27,6 +28,10 @@
     private static final int MAX_UNLISTED = 1024;
 
     private static final int MAX_UPDATES = 8;
+
+    /** Updates in a message to an instance that has just started; they fit into one packet. */
+    private static final int MAX_INTRODUCED = 16;
+
     private static final long SUSPICION_NANOS = 2_000_000_000L;
 
     /** Together with the 3 s until a silent instance is DEAD, it is removed after 10 s. */
@@ -250,7 +255,7 @@
         List<MemberUpdate> part = new ArrayList<>();
         for (Row row : rows.values()) {
             part.add(row.toUpdate());
-            if (part.size() == MAX_UPDATES) {
+            if (part.size() == MAX_INTRODUCED) {
                 parts.add(part);
                 part = new ArrayList<>();
             }
@@ -261,6 +266,16 @@
         return parts;
     }
 
+    /** Returns a hash of the live instances, this one included; never 0. */
+    long hash() {
+        long hash = 1;
+        for (InstanceRef i : live()) {
+            hash = 31 * hash + RendezvousHash.nameHash(i.id());
+            hash = 31 * hash + i.incarnation();
+        }
+        return hash == 0 ? 1 : hash;
+    }
+
     List<InstanceRef> live() {
         if (live == null) {
             Map<String, InstanceRef> found = new TreeMap<>();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/Membership.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/Membership.java
@@ -88,6 +88,10 @@
             case PING -> {
                 merge(envelope.getPing().getUpdatesList(), out);
                 prober.onPing(from, envelope.getPing(), out);
+                long known = envelope.getPing().getTableHash();
+                if (known != 0 && known != table.hash()) {
+                    introduce(from, out);
+                }
             }
             case ACK -> {
                 merge(envelope.getAck().getUpdatesList(), out);
@@ -109,8 +113,13 @@
         updates.forEach(u -> table.merge(u, out));
     }
 
-    /** Tells an instance that has just started about all others, a few in each message. */
-    public void introduce(String instance, Effects out) {
+    /** Returns a hash of the live instances that are known, which is never 0. */
+    public long tableHash() {
+        return table.hash();
+    }
+
+    /** Tells an instance that knows others than this one about all of them. */
+    private void introduce(String instance, Effects out) {
         for (List<MemberUpdate> part : table.allUpdates()) {
             Envelope.Builder body =
                     Envelope.newBuilder().setAck(Ack.newBuilder().addAllUpdates(part));
