--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRef.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterRef.java
@@ -9,6 +9,21 @@
  */
 public record AdapterRef(String model, String adapter) {
 
+    // The generated methods are linked at run time, which every start would pay for.
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || (other instanceof AdapterRef a
+                        && adapter.equals(a.adapter)
+                        && model.equals(a.model));
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * model.hashCode() + adapter.hashCode();
+    }
+
     /** Returns whether this is the base model without an adapter. */
     public boolean isBase() {
         return adapter.isEmpty();
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterUseShares.java
@@ -0,0 +1,114 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.AdapterUses;
+import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.UpstreamLoad;
+
+/**
+ * Tells the instances that give orders to engines which adapters this one uses there, so that none
+ * in use is evicted.
+ */
+final class AdapterUseShares {
+
+    /** Interval at which unchanged uses are repeated. */
+    private static final Duration REPEAT = Duration.ofMillis(1000);
+
+    /** Time for which uses count: two repetitions may be lost. */
+    private static final Duration LIFETIME = REPEAT.multipliedBy(5).dividedBy(2);
+
+    private final UpstreamTable upstreams;
+    private final OrderClaims claims;
+    private final TimeSource time;
+    private final BiConsumer<String, AdapterRef> listener;
+    private final Map<String, AdapterUses> sent = new HashMap<>();
+    private long repeatedAt;
+
+    /**
+     * @param listener receives the upstream and adapter of requests of other instances
+     */
+    AdapterUseShares(
+            UpstreamTable upstreams,
+            OrderClaims claims,
+            TimeSource time,
+            BiConsumer<String, AdapterRef> listener) {
+        this.upstreams = upstreams;
+        this.claims = claims;
+        this.time = time;
+        this.listener = listener;
+        this.repeatedAt = time.nanoTime();
+    }
+
+    /** Sends what has changed, and from time to time everything. */
+    void onTick(Effects out) {
+        long now = time.nanoTime();
+        boolean repeat = now - repeatedAt >= REPEAT.toNanos();
+        repeatedAt = repeat ? now : repeatedAt;
+        Map<String, AdapterUses> present = byHolder();
+        Set<String> receivers = new HashSet<>(present.keySet());
+        receivers.addAll(sent.keySet());
+        for (String r : receivers) {
+            AdapterUses uses = present.getOrDefault(r, AdapterUses.getDefaultInstance());
+            if (repeat || !uses.equals(sent.get(r))) {
+                Envelope.Builder envelope = Envelope.newBuilder().setAdapterUses(uses);
+                out.add(new Effect.SendPeer(r, envelope, false));
+            }
+        }
+        sent.clear();
+        sent.putAll(present);
+    }
+
+    private Map<String, AdapterUses> byHolder() {
+        Map<String, AdapterUses.Builder> found = new HashMap<>();
+        for (UpstreamState u : upstreams.all()) {
+            if (u.ownAdapters().isEmpty()) {
+                continue;
+            }
+            UpstreamLoad.Builder load = UpstreamLoad.newBuilder().setUpstreamHash(u.shortHash());
+            u.ownAdapters().forEach(a -> load.addAdapters(a.key()));
+            claims.claimOfOther(u.id())
+                    .forEach(
+                            c ->
+                                    found.computeIfAbsent(
+                                                    c.instance(), i -> AdapterUses.newBuilder())
+                                            .addLoads(load));
+        }
+        Map<String, AdapterUses> built = new HashMap<>();
+        found.forEach((i, b) -> built.put(i, b.setValidMs((int) LIFETIME.toMillis()).build()));
+        return built;
+    }
+
+    /** Takes over the uses of another instance; they replace its earlier ones. */
+    void onMessage(String from, AdapterUses uses) {
+        long validUntil = time.nanoTime() + Duration.ofMillis(uses.getValidMs()).toNanos();
+        Set<UpstreamState> named = new HashSet<>();
+        for (UpstreamLoad load : uses.getLoadsList()) {
+            UpstreamState u = upstreams.get(load.getUpstreamHash());
+            if (u != null) {
+                named.add(u);
+                onUses(from, u, load, validUntil);
+            }
+        }
+        for (UpstreamState u : upstreams.all()) {
+            if (!named.contains(u)) {
+                u.onPeerUses(from, Set.of(), validUntil);
+            }
+        }
+    }
+
+    /** Takes over which adapters another instance uses at one upstream. */
+    void onUses(String from, UpstreamState u, UpstreamLoad load, long validUntil) {
+        Set<AdapterRef> adapters = new HashSet<>();
+        load.getAdaptersList().forEach(k -> AdapterRef.parse(k).forEach(adapters::add));
+        u.onPeerUses(from, adapters, validUntil);
+        adapters.forEach(a -> listener.accept(u.id(), a));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Collectors.java
@@ -0,0 +1,112 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.model.RendezvousHash;
+import org.bronzehill.core.time.TimeSource;
+
+/**
+ * Decides which instance of a data centre collects the loads of the others there: the first live
+ * one in the rendezvous order of the data centre. An instance that gets no digest from it turns to
+ * the next one for a while, so a collector that is gone is replaced before the membership notices.
+ */
+final class Collectors {
+
+    /**
+     * Time without a digest after which a collector is passed over; two repetitions of a digest and
+     * the longest interval between two at a data centre of a hundred instances.
+     */
+    private static final Duration SILENCE = LoadDigests.REPEAT.multipliedBy(2).plusMillis(800);
+
+    /** Time for which a silent collector is passed over: until the membership knows. */
+    private static final Duration PASSED_OVER = Duration.ofSeconds(3);
+
+    private final Membership membership;
+    private final TimeSource time;
+    private final Map<String, Long> passedOverUntil = new HashMap<>();
+    private final Map<String, List<InstanceRef>> ranked = new HashMap<>();
+    private List<InstanceRef> rankedOf = List.of();
+    private String current = "";
+    private long heardAt;
+
+    Collectors(Membership membership, TimeSource time) {
+        this.membership = membership;
+        this.time = time;
+    }
+
+    /** Returns the instance that collects for this one; empty if that is this one itself. */
+    Option<String> mine() {
+        long now = time.nanoTime();
+        if (!current.isEmpty() && now - heardAt > SILENCE.toNanos()) {
+            passedOverUntil.put(current, now + PASSED_OVER.toNanos());
+        }
+        passedOverUntil.values().removeIf(until -> now - until >= 0);
+        String self = membership.self().id();
+        String first = self;
+        for (InstanceRef i : inOrder(membership.self().dataCentre())) {
+            if (i.id().equals(self) || !passedOverUntil.containsKey(i.id())) {
+                first = i.id();
+                break;
+            }
+        }
+        if (!first.equals(current)) {
+            current = first;
+            heardAt = now;
+        }
+        if (first.equals(self)) {
+            heardAt = now;
+            return Option.none();
+        }
+        return Option.of(first);
+    }
+
+    /** Notes a digest for this instance. */
+    void onDigest(String from) {
+        if (from.equals(current)) {
+            heardAt = time.nanoTime();
+        }
+    }
+
+    /** Returns the first instance of each data centre, without this one. */
+    Set<String> firsts() {
+        refresh();
+        Set<String> firsts = new HashSet<>();
+        for (List<InstanceRef> members : ranked.values()) {
+            if (!members.get(0).id().equals(membership.self().id())) {
+                firsts.add(members.get(0).id());
+            }
+        }
+        return firsts;
+    }
+
+    /** Returns how many live instances this one's data centre has. */
+    int neighbours() {
+        return Math.max(1, inOrder(membership.self().dataCentre()).size());
+    }
+
+    private List<InstanceRef> inOrder(String dataCentre) {
+        refresh();
+        return ranked.getOrDefault(dataCentre, List.of());
+    }
+
+    private void refresh() {
+        List<InstanceRef> live = membership.live();
+        if (live == rankedOf) {
+            return;
+        }
+        rankedOf = live;
+        ranked.clear();
+        Map<String, Set<InstanceRef>> byDataCentre = new HashMap<>();
+        live.forEach(
+                i -> byDataCentre.computeIfAbsent(i.dataCentre(), d -> new HashSet<>()).add(i));
+        byDataCentre.forEach(
+                (d, members) -> ranked.put(d, RendezvousHash.rank(d, members, InstanceRef::id)));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EnginePlaces.java
@@ -0,0 +1,51 @@
+package org.bronzehill.core.forward;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.bronzehill.protocol.generated.AdapterPlace;
+import org.bronzehill.protocol.generated.OrderedUpstream;
+
+/** What an engine holds, as messages between instances state it. */
+final class EnginePlaces {
+
+    private EnginePlaces() {}
+
+    /** Returns a claim without what the engine holds. */
+    static OrderedUpstream claim(String upstream, long fencing) {
+        return OrderedUpstream.newBuilder().setUpstream(upstream).setFencing(fencing).build();
+    }
+
+    /** Returns a claim and all that the engine holds. */
+    static OrderedUpstream complete(UpstreamState u, long fencing) {
+        OrderedUpstream.Builder b = claim(u.id(), fencing).toBuilder();
+        b.setStartedAtMs(u.upstream().startedAtMs()).addAllModels(u.models()).setComplete(true);
+        u.adapters(false).forEach((a, v) -> b.addPlaces(place(a, v, false)));
+        u.adapters(true).forEach((a, v) -> b.addPlaces(place(a, v, true)));
+        return b.build();
+    }
+
+    private static AdapterPlace place(AdapterRef adapter, int version, boolean loading) {
+        return AdapterPlace.newBuilder()
+                .setAdapter(adapter.key())
+                .setVersion(version)
+                .setLoading(loading)
+                .build();
+    }
+
+    /** Takes over what the engine holds, if the message states that of its present run. */
+    static boolean takeOver(UpstreamState u, OrderedUpstream ordered) {
+        if (!ordered.getComplete() || u.upstream().startedAtMs() != ordered.getStartedAtMs()) {
+            return false;
+        }
+        Map<AdapterRef, Integer> held = new HashMap<>();
+        Map<AdapterRef, Integer> coming = new HashMap<>();
+        for (AdapterPlace p : ordered.getPlacesList()) {
+            AdapterRef.parse(p.getAdapter())
+                    .forEach(a -> (p.getLoading() ? coming : held).put(a, p.getVersion()));
+        }
+        u.setModels(Set.copyOf(ordered.getModelsList()));
+        u.setAdapters(held, coming);
+        return true;
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -180,6 +180,16 @@
         return upstreams.all().size();
     }
 
+    /** Returns the requests of all instances that are known to be at an upstream. */
+    int requestsAt(String upstream) {
+        return upstreams.get(upstream).totalRequests();
+    }
+
+    /** Returns whether this instance may give orders to an upstream now. */
+    boolean givesOrdersTo(String upstream) {
+        return office.claims().fencing(upstream).isDefined();
+    }
+
     // Calls.
 
     /** Opens a call, which is placed at once. */
@@ -406,9 +416,14 @@
         String from = envelope.getFrom();
         switch (envelope.getBodyCase()) {
             case LOAD_SHARE -> {
-                shares.onShare(from, envelope.getLoadShare());
+                shares.onShare(from, envelope.getLoadShare(), out);
+                adapters.onShare();
+            }
+            case LOAD_DIGEST -> {
+                shares.onDigest(from, envelope.getLoadDigest());
                 adapters.onShare();
             }
+            case ADAPTER_USES -> shares.onUses(from, envelope.getAdapterUses());
             case ADAPTER_WANTED -> adapters.onWanted(from, envelope.getAdapterWanted());
             case ADAPTER_STATE -> adapters.onState(envelope.getAdapterState());
             case CRASH_MARKS -> crashes.onMessage(envelope, out);
@@ -426,8 +441,8 @@
             ended.forEach(this::onUpstreamEnded);
             engines = engines();
         }
-        boolean claimsChanged = office.onTick(engines, !open.isEmpty());
-        shares.onTick(claimsChanged, out);
+        office.onTick(engines, !open.isEmpty());
+        shares.onTick(out);
         queues.keySet().forEach(this::onRoom);
     }
 
@@ -483,7 +498,7 @@
         if (!draining) {
             draining = true;
             office.claims().dropAll("stop");
-            shares.onTick(true, out);
+            shares.onTick(out);
             membership.leave(out);
         }
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -1,7 +1,6 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,21 +12,31 @@
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.time.TimeSource;
-import org.bronzehill.protocol.generated.AdapterPlace;
+import org.bronzehill.protocol.generated.AdapterUses;
 import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.LoadDigest;
 import org.bronzehill.protocol.generated.LoadShare;
 import org.bronzehill.protocol.generated.OrderedUpstream;
 import org.bronzehill.protocol.generated.UpstreamLoad;
 
-/** Tells the other instances what this one sends where, and takes over what they tell. */
+/**
+ * Tells the other instances what this one sends where, and takes over what they tell. In a small
+ * fleet every instance tells all others; in a large one it tells the collector of its data centre.
+ */
 final class LoadShares {
 
     /**
-     * Interval between shares per live instance: an instance receives at most 125 of them a second,
-     * however large the fleet is, which at some 150 bytes each is the 20 kB/s that control may
+     * Interval between messages per receiver or sender of them: an instance receives and sends at
+     * most 125 of a kind in a second, which at some 150 bytes each is the 20 kB/s that control may
      * cost.
      */
-    private static final Duration PER_INSTANCE = Duration.ofMillis(8);
+    static final Duration PER_INSTANCE = Duration.ofMillis(8);
+
+    /**
+     * Largest fleet in which everybody tells everybody; a share every 200 ms at this size is as old
+     * as one that goes through two collectors.
+     */
+    private static final int DIRECT_FLEET = 24;
 
     /** Shortest interval at which an unchanged share is repeated. */
     private static final Duration REPEAT = Duration.ofMillis(1000);
@@ -39,10 +48,14 @@
     private final UpstreamTable upstreams;
     private final OrderOffice office;
     private final TimeSource time;
-    private final BiConsumer<String, AdapterRef> useListener;
-    private final Map<String, OrderedUpstream> sentPlaces = new HashMap<>();
+    private final Collectors collectors;
+    private final LoadDigests digests;
+    private final AdapterUseShares uses;
+    private final Map<String, Integer> sentPlaces = new HashMap<>();
     private List<InstanceRef> told = List.of();
     private LoadShare last = LoadShare.getDefaultInstance();
+    private String collector = "";
+    private long toldVersion;
     private long repeatedAt;
     private long nextAt;
 
@@ -59,37 +72,83 @@
         this.upstreams = upstreams;
         this.office = office;
         this.time = time;
-        this.useListener = useListener;
+        this.uses = new AdapterUseShares(upstreams, office.claims(), time, useListener);
+        this.collectors = new Collectors(membership, time);
+        this.digests = new LoadDigests(membership, upstreams, office.claims(), collectors, time);
         this.nextAt = time.nanoTime();
         this.repeatedAt = nextAt;
+        this.toldVersion = office.claims().version();
     }
 
-    /** Sends the share to all if it is due, and at once to instances that have just joined. */
-    void onTick(boolean atOnce, Effects out) {
-        long now = time.nanoTime();
+    /** Sends what is due, and changed claims at once. */
+    void onTick(Effects out) {
         List<InstanceRef> live = membership.live();
         Set<InstanceRef> joined = joined(live);
+        noteOwnPlaces();
+        if (live.size() <= DIRECT_FLEET) {
+            tellAll(live, joined, out);
+        } else {
+            tellCollector(live, joined, out);
+            uses.onTick(out);
+            digests.onTick(out);
+        }
+        told = live;
+        toldVersion = office.claims().version();
+    }
+
+    private void tellAll(List<InstanceRef> live, Set<InstanceRef> joined, Effects out) {
+        long now = time.nanoTime();
         Duration interval = PER_INSTANCE.multipliedBy(live.size());
-        Duration repeatAfter = interval.compareTo(REPEAT) > 0 ? interval : REPEAT;
-        Duration lifetime = Duration.ofNanos((long) (repeatAfter.toNanos() * LIFETIME));
-        if (atOnce || now - nextAt >= 0) {
+        boolean claimsChanged = office.claims().version() != toldVersion;
+        if (claimsChanged || now - nextAt >= 0) {
             nextAt = now + interval.toNanos();
-            boolean repeat = now - repeatedAt >= repeatAfter.toNanos();
-            LoadShare share = build(repeat, true, lifetime);
-            if (atOnce || repeat || !share.equals(last)) {
+            boolean repeat = now - repeatedAt >= REPEAT.toNanos();
+            LoadShare share = build(repeat, true);
+            if (claimsChanged || repeat || !share.equals(last)) {
                 repeatedAt = repeat ? now : repeatedAt;
                 last = withoutPlaces(share);
-                send(share, live.stream().filter(i -> !joined.contains(i)).toList(), out);
+                live.stream()
+                        .filter(i -> !joined.contains(i))
+                        .forEach(i -> sendShare(i.id(), withUses(share, i.id()), out));
             }
         }
         if (!joined.isEmpty()) {
             // They must learn the claims before they make their own.
-            send(build(true, false, lifetime), joined, out);
+            LoadShare share = build(true, false);
+            joined.forEach(i -> sendShare(i.id(), withUses(share, i.id()), out));
         }
-        told = live;
     }
 
-    /** Returns the instances that have got no share yet. */
+    private void tellCollector(List<InstanceRef> live, Set<InstanceRef> joined, Effects out) {
+        long now = time.nanoTime();
+        boolean claimsChanged = office.claims().version() != toldVersion;
+        if (claimsChanged) {
+            // Another instance could claim the same upstream while the news is on its way.
+            LoadShare share = claimsOnly();
+            live.forEach(i -> sendShare(i.id(), share, out));
+        } else if (!joined.isEmpty() && !office.claims().own().isEmpty()) {
+            LoadShare share = claimsOnly();
+            joined.forEach(i -> sendShare(i.id(), share, out));
+        }
+        String mine = digests.isCollector() ? "" : collectors.mine().getOrElse("");
+        boolean another = !mine.equals(collector);
+        if (another) {
+            upstreams.all().forEach(u -> u.dropPeer(collector));
+            collector = mine;
+        }
+        if (!mine.isEmpty() && (another || claimsChanged || now - nextAt >= 0)) {
+            nextAt = now + PER_INSTANCE.multipliedBy(collectors.neighbours()).toNanos();
+            boolean repeat = another || now - repeatedAt >= REPEAT.toNanos();
+            LoadShare share = build(repeat, true);
+            if (repeat || !share.equals(last)) {
+                repeatedAt = repeat ? now : repeatedAt;
+                last = withoutPlaces(share);
+                sendShare(mine, share, out);
+            }
+        }
+    }
+
+    /** Returns the instances that were not live at the last tick. */
     private Set<InstanceRef> joined(List<InstanceRef> live) {
         if (live.equals(told)) {
             return Set.of();
@@ -102,26 +161,56 @@
     /** Returns the share as it is due next if nothing changes: places are not named again. */
     private static LoadShare withoutPlaces(LoadShare share) {
         LoadShare.Builder b = share.toBuilder();
-        b.getOrderedBuilderList().forEach(o -> o.clearPlaces().clearModels().clearComplete());
+        b.getOrderedBuilderList()
+                .forEach(o -> o.clearPlaces().clearModels().clearComplete().clearStartedAtMs());
         return b.build();
     }
 
-    private void send(LoadShare share, Collection<InstanceRef> peers, Effects out) {
-        for (InstanceRef peer : peers) {
-            if (!peer.id().equals(membership.self().id())) {
-                Envelope.Builder envelope =
-                        Envelope.newBuilder().setLoadShare(withUses(share, peer.id()));
-                out.add(new Effect.SendPeer(peer.id(), envelope, false));
-            }
+    private void sendShare(String peer, LoadShare share, Effects out) {
+        if (!peer.equals(membership.self().id())) {
+            Envelope.Builder envelope = Envelope.newBuilder().setLoadShare(share);
+            out.add(new Effect.SendPeer(peer, envelope, false));
         }
     }
 
+    /** Lets the collector's part of this instance know what its own engines hold. */
+    private void noteOwnPlaces() {
+        office.claims()
+                .own()
+                .forEach(
+                        (id, fencing) -> {
+                            UpstreamState u = upstreams.get(id);
+                            if (u != null && office.hasReport(u)) {
+                                digests.onPlaces(id, fencing);
+                            }
+                        });
+    }
+
+    private LoadShare.Builder empty() {
+        return LoadShare.newBuilder()
+                .setValidMs((int) lifetime().toMillis())
+                .setClaimsVersion(office.claims().version());
+    }
+
+    private Duration lifetime() {
+        Duration interval = PER_INSTANCE.multipliedBy(membership.live().size());
+        Duration repeat = interval.compareTo(REPEAT) > 0 ? interval : REPEAT;
+        return Duration.ofNanos((long) (repeat.toNanos() * LIFETIME));
+    }
+
+    /** Returns a share with the present claims and what their engines hold. */
+    private LoadShare claimsOnly() {
+        LoadShare.Builder share = empty().setClaimsOnly(true);
+        addClaims(share, true, false);
+        return share.build();
+    }
+
     /**
      * @param all whether to name the adapters of engines where nothing has changed
-     * @param remember whether all instances will know what is named
+     * @param remember whether all receivers of shares will know what is named
      */
-    private LoadShare build(boolean all, boolean remember, Duration lifetime) {
-        LoadShare.Builder share = LoadShare.newBuilder().setValidMs((int) lifetime.toMillis());
+    private LoadShare build(boolean all, boolean remember) {
+        LoadShare.Builder share = empty();
         for (UpstreamState u : upstreams.all()) {
             if (u.ownRequests() > 0) {
                 UpstreamLoad.Builder load =
@@ -133,10 +222,24 @@
                 share.addLoads(load);
             }
         }
+        addClaims(share, all, remember);
+        return share.build();
+    }
+
+    private void addClaims(LoadShare.Builder share, boolean all, boolean remember) {
         office.claims()
                 .own()
                 .forEach((id, fencing) -> share.addOrdered(ordered(id, fencing, all, remember)));
-        return share.build();
+    }
+
+    private OrderedUpstream ordered(String id, long fencing, boolean all, boolean remember) {
+        UpstreamState u = upstreams.get(id);
+        if (u == null || !office.hasReport(u)) {
+            return EnginePlaces.claim(id, fencing);
+        }
+        Integer known = remember ? sentPlaces.put(id, u.placesVersion()) : sentPlaces.get(id);
+        boolean changed = known == null || known != u.placesVersion();
+        return changed || all ? EnginePlaces.complete(u, fencing) : EnginePlaces.claim(id, fencing);
     }
 
     /** Adds which adapters are in use at the engines that the peer gives orders to. */
@@ -151,78 +254,59 @@
         return b.build();
     }
 
-    private OrderedUpstream ordered(String id, long fencing, boolean all, boolean remember) {
-        OrderedUpstream.Builder b =
-                OrderedUpstream.newBuilder().setUpstream(id).setFencing(fencing);
-        UpstreamState u = upstreams.get(id);
-        if (u == null || !office.hasReport(u)) {
-            return b.build();
+    /** Takes over the share of another instance. */
+    void onShare(String peer, LoadShare share, Effects out) {
+        long validUntil = time.nanoTime() + Duration.ofMillis(share.getValidMs()).toNanos();
+        if (!share.getClaimsOnly()) {
+            takeOverLoads(peer, share.getLoadsList(), validUntil);
+        }
+        Map<String, Long> claims = new HashMap<>();
+        for (OrderedUpstream ordered : share.getOrderedList()) {
+            claims.put(ordered.getUpstream(), ordered.getFencing());
+        }
+        office.claims().onPeerClaims(peer, share.getClaimsVersion(), claims, validUntil);
+        share.getOrderedList().forEach(o -> takeOverPlaces(peer, o));
+        if (!share.getClaimsOnly()) {
+            digests.onReport(peer, validUntil, out);
         }
-        OrderedUpstream claim = b.setStartedAtMs(u.upstream().startedAtMs()).build();
-        b.addAllModels(u.models());
-        u.adapters(false).forEach((a, v) -> b.addPlaces(place(a, v, false)));
-        u.adapters(true).forEach((a, v) -> b.addPlaces(place(a, v, true)));
-        OrderedUpstream full = b.setComplete(true).build();
-        OrderedUpstream known = remember ? sentPlaces.put(id, full) : sentPlaces.get(id);
-        return full.equals(known) && !all ? claim : full;
-    }
-
-    private static AdapterPlace place(AdapterRef adapter, int version, boolean loading) {
-        return AdapterPlace.newBuilder()
-                .setAdapter(adapter.key())
-                .setVersion(version)
-                .setLoading(loading)
-                .build();
     }
 
-    /** Takes over the share of another instance. */
-    void onShare(String peer, LoadShare share) {
-        long validUntil = time.nanoTime() + Duration.ofMillis(share.getValidMs()).toNanos();
+    private void takeOverLoads(String peer, List<UpstreamLoad> loads, long validUntil) {
         Set<String> named = new HashSet<>();
-        for (UpstreamLoad load : share.getLoadsList()) {
+        for (UpstreamLoad load : loads) {
             UpstreamState u = upstreams.get(load.getUpstreamHash());
-            if (u == null) {
-                continue;
+            if (u != null) {
+                named.add(u.id());
+                u.onPeerLoad(peer, UpstreamState.PeerLoad.of(load, validUntil));
+                if (load.getAdaptersCount() > 0) {
+                    uses.onUses(peer, u, load, validUntil);
+                }
+            }
+        }
+        for (UpstreamState u : upstreams.all()) {
+            if (!named.contains(u.id())) {
+                u.dropPeer(peer);
+                u.onPeerUses(peer, Set.of(), validUntil);
             }
-            named.add(u.id());
-            Set<AdapterRef> adapters = new HashSet<>();
-            load.getAdaptersList().forEach(k -> AdapterRef.parse(k).forEach(adapters::add));
-            u.onPeerLoad(
-                    peer,
-                    new UpstreamState.PeerLoad(
-                            load.getRequests(),
-                            load.getTokens(),
-                            load.getUnreadTokens(),
-                            adapters,
-                            validUntil));
-            adapters.forEach(a -> useListener.accept(u.id(), a));
-        }
-        upstreams.all().stream()
-                .filter(u -> !named.contains(u.id()))
-                .forEach(u -> u.dropPeer(peer));
-        Map<String, Long> claims = new HashMap<>();
-        for (OrderedUpstream ordered : share.getOrderedList()) {
-            claims.put(ordered.getUpstream(), ordered.getFencing());
         }
-        office.claims().onPeerClaims(peer, claims, validUntil);
-        share.getOrderedList().forEach(o -> takeOver(peer, o));
     }
 
-    private void takeOver(String peer, OrderedUpstream ordered) {
+    private void takeOverPlaces(String peer, OrderedUpstream ordered) {
         UpstreamState u = upstreams.get(ordered.getUpstream());
-        if (u == null
-                || !ordered.getComplete()
-                || u.upstream().startedAtMs() != ordered.getStartedAtMs()
-                || !office.claims().holder(u.id()).contains(peer)) {
-            return;
-        }
-        Map<AdapterRef, Integer> held = new HashMap<>();
-        Map<AdapterRef, Integer> coming = new HashMap<>();
-        for (AdapterPlace p : ordered.getPlacesList()) {
-            AdapterRef.parse(p.getAdapter())
-                    .forEach(a -> (p.getLoading() ? coming : held).put(a, p.getVersion()));
-        }
-        u.setModels(Set.copyOf(ordered.getModelsList()));
-        u.setAdapters(held, coming);
+        if (u != null
+                && office.claims().holder(u.id()).contains(peer)
+                && EnginePlaces.takeOver(u, ordered)) {
+            digests.onPlaces(u.id(), ordered.getFencing());
+        }
+    }
+
+    /** Takes over the digest of a collector. */
+    void onDigest(String from, LoadDigest digest) {
+        digests.onDigest(from, digest);
+    }
+
+    /** Takes over which adapters another instance uses. */
+    void onUses(String from, AdapterUses message) {
+        uses.onMessage(from, message);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,12 @@
      */
     private static final Duration SETTLE = Duration.ofMillis(1000);
 
+    /**
+     * The same while no other instance is known: a fleet that starts together on small machines
+     * takes a second or two until the seeds answer.
+     */
+    private static final Duration SETTLE_ALONE = Duration.ofMillis(2500);
+
     /** How long an upstream must be without a claim before one is made. */
     private static final Duration UNCLAIMED = Duration.ofMillis(150);
 
@@ -46,13 +53,16 @@
     private final Membership membership;
     private final ForwardSettings settings;
     private final TimeSource time;
-    private final long startedAt;
+    private long settlingSince;
+    private boolean ticked;
     private final Map<String, Long> heardUntil = new HashMap<>();
     private final Map<String, Own> own = new HashMap<>();
     private final Map<String, Claim> others = new HashMap<>();
+    private final Map<String, Long> versions = new HashMap<>();
     private final Map<String, Long> highestFencing = new HashMap<>();
     private final Map<String, Long> unclaimedSince = new HashMap<>();
     private final Map<String, Long> notBefore = new HashMap<>();
+    private long version;
 
     private record Own(long fencing, long ordersFrom) {}
 
@@ -60,18 +70,25 @@
         this.membership = membership;
         this.settings = settings;
         this.time = time;
-        this.startedAt = time.nanoTime();
+        this.version = membership.self().incarnation();
     }
 
     /**
-     * Takes over the claims of another instance; they replace its earlier ones.
+     * Takes over the claims of another instance; they replace its earlier ones, unless they are
+     * older than those.
      *
+     * @param claimsVersion grows with each change of the instance's claims
      * @param validUntil monotonic time until which they count whatever the membership says: after a
      *     partition the probes of an instance take longer to recover than its messages
      */
-    void onPeerClaims(String peer, Map<String, Long> fencingByUpstream, long validUntil) {
+    void onPeerClaims(
+            String peer, long claimsVersion, Map<String, Long> fencingByUpstream, long validUntil) {
+        if (claimsVersion < versions.getOrDefault(peer, 0L)) {
+            return;
+        }
+        versions.put(peer, claimsVersion);
         others.values().removeIf(c -> c.instance().equals(peer));
-        heardUntil.put(peer, validUntil);
+        heardUntil.merge(peer, validUntil, (a, b) -> a - b > 0 ? a : b);
         fencingByUpstream.forEach(
                 (upstream, fencing) -> {
                     highestFencing.merge(upstream, fencing, Math::max);
@@ -90,9 +107,8 @@
      * Claims what nobody else claims.
      *
      * @param upstreams identifiers of the engines that are listed
-     * @return whether the own claims have changed
      */
-    boolean onTick(Set<String> upstreams) {
+    void onTick(Set<String> upstreams) {
         Set<String> live = new HashSet<>();
         membership.live().forEach(i -> live.add(i.id()));
         long now = time.nanoTime();
@@ -100,42 +116,49 @@
         others.values()
                 .removeIf(
                         c -> !live.contains(c.instance()) && !heardUntil.containsKey(c.instance()));
-        boolean changed = own.keySet().retainAll(upstreams);
+        versions.keySet().removeIf(i -> !live.contains(i) && !heardUntil.containsKey(i));
+        if (own.keySet().retainAll(upstreams)) {
+            version++;
+        }
         others.keySet().retainAll(upstreams);
         unclaimedSince.keySet().retainAll(upstreams);
         highestFencing.keySet().retainAll(upstreams);
-        if (now - startedAt < SETTLE.toNanos() || membership.leaving()) {
-            return changed;
+        if (!ticked) {
+            ticked = true;
+            settlingSince = now;
+        }
+        Duration settle = live.size() > 1 ? SETTLE : SETTLE_ALONE;
+        if (now - settlingSince < settle.toNanos() || membership.leaving()) {
+            return;
         }
         for (String u : upstreams) {
             if (own.containsKey(u) || others.containsKey(u)) {
                 unclaimedSince.remove(u);
             } else {
                 unclaimedSince.putIfAbsent(u, now);
-                changed |= tryClaim(u, now);
+                tryClaim(u, now);
             }
         }
-        return changed;
     }
 
-    private boolean tryClaim(String upstream, long now) {
+    private void tryClaim(String upstream, long now) {
         if (now - unclaimedSince.get(upstream) < UNCLAIMED.toNanos()
                 || now - notBefore.getOrDefault(upstream, now) < 0) {
-            return false;
+            return;
         }
         List<InstanceRef> ranked =
                 RendezvousHash.rank(upstream, membership.live(), InstanceRef::id);
         if (ranked.isEmpty() || !ranked.get(0).id().equals(settings.instance())) {
-            return false;
+            return;
         }
         long fencing = nextFencing(upstream);
         highestFencing.put(upstream, fencing);
         own.put(upstream, new Own(fencing, now + ANNOUNCE.toNanos()));
         unclaimedSince.remove(upstream);
+        version++;
         LOG.infof(
                 "event=claim upstream=%s fencing=%d live-instances=%d",
                 upstream, fencing, ranked.size());
-        return true;
     }
 
     private long nextFencing(String upstream) {
@@ -171,6 +194,7 @@
 
     private void drop(String upstream, String reason) {
         if (own.remove(upstream) != null) {
+            version++;
             LOG.infof("event=claim-ended upstream=%s reason=%s", upstream, reason);
         }
     }
@@ -182,6 +206,46 @@
         return claims;
     }
 
+    /** Returns a number that grows with each change of the own claims, also over restarts. */
+    long version() {
+        return version;
+    }
+
+    /** Claims of another instance that count at present. */
+    record Heard(
+            String instance, long version, Map<String, Long> fencingByUpstream, Duration left) {}
+
+    /** Returns the claims of the other instances that were heard of recently. */
+    Collection<Heard> heard() {
+        long now = time.nanoTime();
+        Map<String, Heard> found = new HashMap<>();
+        heardUntil.forEach(
+                (i, until) -> {
+                    if (until - now > 0) {
+                        found.put(
+                                i,
+                                new Heard(
+                                        i,
+                                        versions.getOrDefault(i, 0L),
+                                        new HashMap<>(),
+                                        Duration.ofNanos(until - now)));
+                    }
+                });
+        others.forEach(
+                (u, c) -> {
+                    Heard h = found.get(c.instance());
+                    if (h != null) {
+                        h.fencingByUpstream().put(u, c.fencing());
+                    }
+                });
+        return found.values();
+    }
+
+    /** Returns the claim of another instance on the upstream. */
+    Option<Claim> claimOfOther(String upstream) {
+        return Option.of(others.get(upstream));
+    }
+
     /** Returns whether this instance claims the upstream. */
     boolean holds(String upstream) {
         return own.containsKey(upstream);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderOffice.java
@@ -80,12 +80,11 @@
      * Gives the orders that are due.
      *
      * @param needed whether requests need to know what engines hold that nobody gives orders to
-     * @return whether the own claims have changed
      */
-    boolean onTick(Map<UpstreamState, EngineSpec> engines, boolean needed) {
+    void onTick(Map<UpstreamState, EngineSpec> engines, boolean needed) {
         Set<String> ids = new HashSet<>();
         engines.keySet().forEach(u -> ids.add(u.id()));
-        boolean changed = claims.onTick(ids);
+        claims.onTick(ids);
         held.values()
                 .removeIf(h -> !claims.holds(h.upstream.id()) || !engines.containsKey(h.upstream));
         engines.forEach(
@@ -97,7 +96,6 @@
                         serve(held.computeIfAbsent(u.id(), id -> open(u)), spec, engines);
                     }
                 });
-        return changed;
     }
 
     /** Reads the report of an engine of which no instance tells what it holds, as after a start. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.UpstreamLoad;
 
 /** What this instance knows of one upstream: its record, load, adapters and outcomes. */
 final class UpstreamState {
@@ -21,6 +22,7 @@
     private final TimeSource time;
     private final OutcomeHealth health;
     private final Map<String, PeerLoad> peers = new HashMap<>();
+    private final Map<String, PeerUses> uses = new HashMap<>();
     private final Map<AdapterRef, Integer> users = new HashMap<>();
     private final Map<AdapterRef, Integer> resident = new HashMap<>();
     private final Map<AdapterRef, Integer> loading = new HashMap<>();
@@ -28,6 +30,7 @@
     private final Set<String> models = new HashSet<>();
     private UpstreamRecord upstream;
     private final long nameHash;
+    private int placesVersion;
     private final Map<AdapterRef, Integer> awaited = new HashMap<>();
     private int awaiting;
     private boolean misaddressed;
@@ -36,13 +39,18 @@
     private long tokens;
     private long unreadTokens;
 
-    /** What another instance has sent to the upstream. */
-    record PeerLoad(
-            int requests,
-            long tokens,
-            long unreadTokens,
-            Set<AdapterRef> adapters,
-            long validUntil) {}
+    /** What another instance has sent to the upstream, or what a collector knows of others. */
+    record PeerLoad(int requests, long tokens, long unreadTokens, long validUntil) {
+
+        private static final PeerLoad NONE = new PeerLoad(0, 0, 0, 0);
+
+        static PeerLoad of(UpstreamLoad load, long validUntil) {
+            return new PeerLoad(
+                    load.getRequests(), load.getTokens(), load.getUnreadTokens(), validUntil);
+        }
+    }
+
+    private record PeerUses(Set<AdapterRef> adapters, long validUntil) {}
 
     UpstreamState(UpstreamRecord upstream, TimeSource time) {
         this.upstream = upstream;
@@ -137,6 +145,20 @@
         peers.remove(peer);
     }
 
+    /** Returns what another instance has told; nothing if it has not. */
+    PeerLoad peerLoad(String peer) {
+        return peers.getOrDefault(peer, PeerLoad.NONE);
+    }
+
+    /** Notes which adapters requests of another instance use. */
+    void onPeerUses(String peer, Set<AdapterRef> adapters, long validUntil) {
+        if (adapters.isEmpty()) {
+            uses.remove(peer);
+        } else {
+            uses.put(peer, new PeerUses(adapters, validUntil));
+        }
+    }
+
     /** Returns the requests of all instances that are at the upstream or on their way to it. */
     int totalRequests() {
         expirePeers();
@@ -151,12 +173,17 @@
     /** Returns whether a request of any instance uses the adapter. */
     boolean isUsed(AdapterRef adapter) {
         return users.containsKey(adapter)
-                || peers.values().stream().anyMatch(p -> p.adapters().contains(adapter));
+                || uses.values().stream()
+                        .anyMatch(
+                                p ->
+                                        p.validUntil() - time.nanoTime() >= 0
+                                                && p.adapters().contains(adapter));
     }
 
     private void expirePeers() {
         long now = time.nanoTime();
         peers.values().removeIf(p -> p.validUntil() - now < 0);
+        uses.values().removeIf(p -> p.validUntil() - now < 0);
     }
 
     /** Notes that another upstream has the address; returns whether that is new. */
@@ -179,7 +206,13 @@
         return models.contains(model);
     }
 
+    /** Returns a number that grows whenever what the upstream holds or fetches changes. */
+    int placesVersion() {
+        return placesVersion;
+    }
+
     void setModels(Set<String> held) {
+        placesVersion += models.equals(held) ? 0 : 1;
         models.clear();
         models.addAll(held);
     }
@@ -190,6 +223,7 @@
 
     /** Takes over what the instance that gives orders to the upstream says of its adapters. */
     void setAdapters(Map<AdapterRef, Integer> held, Map<AdapterRef, Integer> coming) {
+        placesVersion += resident.equals(held) && loading.equals(coming) ? 0 : 1;
         resident.clear();
         resident.putAll(held);
         held.keySet().forEach(heldBefore::add);
@@ -198,12 +232,14 @@
     }
 
     void setResident(AdapterRef adapter, int version) {
+        placesVersion++;
         resident.put(adapter, version);
         heldBefore.add(adapter);
         loading.remove(adapter);
     }
 
     void setAbsent(AdapterRef adapter) {
+        placesVersion++;
         resident.remove(adapter);
         loading.remove(adapter);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/model/InstanceRef.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/model/InstanceRef.java
@@ -14,6 +14,25 @@
 public record InstanceRef(
         String id, long incarnation, String host, int port, String dataCentre, String region) {
 
+    // The generated methods are linked at run time, which every start would pay for.
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || (other instanceof InstanceRef i
+                        && incarnation == i.incarnation
+                        && port == i.port
+                        && id.equals(i.id)
+                        && host.equals(i.host)
+                        && dataCentre.equals(i.dataCentre)
+                        && region.equals(i.region));
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * id.hashCode() + Long.hashCode(incarnation);
+    }
+
     /** Returns a copy with another incarnation. */
     public InstanceRef withIncarnation(long newIncarnation) {
         return new InstanceRef(id, newIncarnation, host, port, dataCentre, region);
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -0,0 +1,285 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.MemberUpdate;
+import org.bronzehill.protocol.generated.PeerStatus;
+import org.bronzehill.protocol.generated.Ping;
+
+/** A fleet of instances on virtual time that send each other messages and share some engines. */
+final class FleetRig {
+
+    static final Duration TICK = Duration.ofMillis(100);
+
+    private static final Duration DELAY = Duration.ofMillis(1);
+
+    /** Longer than any test lasts. */
+    private static final Duration CALL_LIMIT = Duration.ofMinutes(5);
+
+    private final VirtualScheduler scheduler = new VirtualScheduler();
+    private final Random random = new Random(5);
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final List<String> engineIds = new ArrayList<>();
+    private final FakeEngines engines;
+    private final EngineSpec spec;
+    private int sequence;
+    private double loss;
+
+    /** One instance. */
+    final class Node {
+        final InstanceRef ref;
+        final Membership membership;
+        final Forwarder forwarder;
+        final Map<String, Integer> received = new HashMap<>();
+        int reports;
+        int side;
+        boolean up = true;
+
+        private Node(String id, String dataCentre, int port) {
+            ref = new InstanceRef(id, scheduler.time().millis(), id, port, dataCentre, "r");
+            membership = Membership.create(ref, scheduler.time(), new Random(id.hashCode()));
+            ForwardSettings settings =
+                    new ForwardSettings(
+                            id,
+                            dataCentre,
+                            0.2,
+                            50,
+                            Duration.ofSeconds(10),
+                            Duration.ofSeconds(2),
+                            Duration.ofSeconds(3));
+            ForwardPorts ports =
+                    new ForwardPorts(
+                            scheduler.time(),
+                            scheduler,
+                            membership,
+                            e -> send(this, e),
+                            transport(),
+                            listener());
+            forwarder = Forwarder.create(settings, ports, new Random(id.hashCode()));
+            forwarder.onConfiguration(
+                    RoutingConfiguration.of(
+                            1,
+                            List.of(),
+                            List.of(
+                                    new ServiceSpec(ForwardRig.PLAIN, 100, Option.none()),
+                                    new ServiceSpec(ForwardRig.ENGINES, 100, Option.of(spec))),
+                            CallerLimits.INITIAL));
+            List<UpstreamRecord> records = new ArrayList<>();
+            records.add(ForwardRig.plain("p1", 100));
+            engineIds.forEach(e -> records.add(ForwardRig.engine(e, false)));
+            forwarder.onUpstreams(records);
+            // Ticks of different instances do not coincide.
+            scheduler.after(Duration.ofMillis(random.nextInt(100)), this::tick);
+        }
+
+        private OrderTransport transport() {
+            return new OrderTransport() {
+                @Override
+                public void order(UpstreamRecord u, Order order, Consumer<OrderReply> reply) {
+                    engines.order(u, order, reply);
+                }
+
+                @Override
+                public void report(UpstreamRecord u, Consumer<Option<EngineStatus>> reply) {
+                    reports++;
+                    engines.report(u, reply);
+                }
+            };
+        }
+
+        private void tick() {
+            if (up) {
+                forwarder.onTick();
+                scheduler.after(TICK, this::tick);
+            }
+        }
+
+        void receive(Envelope envelope) {
+            if (up) {
+                received.merge(envelope.getBodyCase().name(), 1, Integer::sum);
+                forwarder.onMessage(envelope);
+            }
+        }
+
+        int receivedOf(Envelope.BodyCase kind) {
+            return received.getOrDefault(kind.name(), 0);
+        }
+
+        /** Opens a call to the plain upstream, which runs until its transport ends it. */
+        FakeTransport call() {
+            Route route =
+                    new Route(
+                            "r",
+                            "h",
+                            "/x/",
+                            RequestKind.IDEMPOTENT,
+                            CALL_LIMIT,
+                            CALL_LIMIT,
+                            1,
+                            List.of(new ServiceShare(ForwardRig.PLAIN, 1)),
+                            1,
+                            CALL_LIMIT);
+            FakeTransport transport = new FakeTransport();
+            forwarder.open(
+                    new ForwardRequest(
+                            "q" + sequence++,
+                            route,
+                            route.serviceAt(0),
+                            scheduler.time().nanoTime(),
+                            CALL_LIMIT,
+                            Option.none(),
+                            0,
+                            0,
+                            new byte[] {(byte) sequence}),
+                    transport);
+            return transport;
+        }
+    }
+
+    /**
+     * @param size instances
+     * @param dataCentres data centres over which they are spread in turn
+     */
+    FleetRig(int size, int dataCentres, int engineCount) {
+        spec = new EngineSpec(8, 100_000, 1000, 6, 4, List.of(new ModelSpec("m", 500, 1)));
+        engines = new FakeEngines(scheduler, Duration.ofMillis(250), 40);
+        for (int i = 1; i <= engineCount; i++) {
+            engineIds.add("e" + i);
+        }
+        for (int i = 0; i < size; i++) {
+            String id = "n" + i;
+            nodes.put(id, new Node(id, "d" + i % dataCentres, 7000 + i));
+        }
+        greet();
+    }
+
+    private static ForwardListener listener() {
+        return new ForwardListener() {
+            @Override
+            public void completed(ForwardRequest r, int status, Duration took) {}
+
+            @Override
+            public void refused(ForwardRequest r, ResultCode code, Duration took) {}
+        };
+    }
+
+    /** Makes all instances known to each other, as seeds do. */
+    void greet() {
+        for (Node a : nodes.values()) {
+            MemberUpdate.Builder update =
+                    MemberUpdate.newBuilder()
+                            .setId(a.ref.id())
+                            .setIncarnation(a.ref.incarnation())
+                            .setHost(a.ref.host())
+                            .setPort(a.ref.port())
+                            .setDataCentre(a.ref.dataCentre())
+                            .setRegion("r")
+                            .setStatus(PeerStatus.PEER_STATUS_ALIVE);
+            for (Node b : nodes.values()) {
+                Envelope.Builder hello =
+                        Envelope.newBuilder().setPing(Ping.newBuilder().addUpdates(update));
+                deliver(a, b, hello);
+            }
+        }
+    }
+
+    private void send(Node from, Effect effect) {
+        if (effect instanceof Effect.SendPeer s && nodes.containsKey(s.instance())) {
+            deliver(from, nodes.get(s.instance()), s.envelope());
+        }
+    }
+
+    private void deliver(Node from, Node to, Envelope.Builder envelope) {
+        if (from == to || !from.up || from.side != to.side || random.nextDouble() < loss) {
+            return;
+        }
+        Envelope whole =
+                envelope.setFrom(from.ref.id())
+                        .setFromIncarnation(from.ref.incarnation())
+                        .setTo(to.ref.id())
+                        .build();
+        scheduler.after(
+                DELAY,
+                () -> {
+                    if (from.side == to.side) {
+                        to.receive(whole);
+                    }
+                });
+    }
+
+    /** Loses a part of all messages from now on. */
+    void setLoss(double part) {
+        loss = part;
+    }
+
+    /** Runs the fleet and checks that no two instances may give orders to one engine. */
+    void run(Duration time) {
+        for (long left = time.toMillis(); left > 0; left -= 50) {
+            scheduler.advance(Duration.ofMillis(50));
+            for (String e : engineIds) {
+                if (holders(e).size() > 1) {
+                    throw new AssertionError(e + " gets orders of " + holders(e));
+                }
+            }
+        }
+    }
+
+    /** Runs the fleet while two sides may give orders. */
+    void runParted(Duration time) {
+        scheduler.advance(time);
+    }
+
+    List<String> holders(String engine) {
+        return nodes.values().stream()
+                .filter(n -> n.up && n.forwarder.givesOrdersTo(engine))
+                .map(n -> n.ref.id())
+                .toList();
+    }
+
+    List<String> engineIds() {
+        return engineIds;
+    }
+
+    Node node(int number) {
+        return nodes.get("n" + number);
+    }
+
+    List<Node> up() {
+        return nodes.values().stream().filter(n -> n.up).toList();
+    }
+
+    /** Returns the instances that get shares of others, those with most shares first. */
+    List<Node> collectors() {
+        return up().stream()
+                .filter(n -> n.receivedOf(Envelope.BodyCase.LOAD_SHARE) > 0)
+                .sorted(
+                        (a, b) ->
+                                b.receivedOf(Envelope.BodyCase.LOAD_SHARE)
+                                        - a.receivedOf(Envelope.BodyCase.LOAD_SHARE))
+                .toList();
+    }
+
+    void forgetReceived() {
+        nodes.values().forEach(n -> n.received.clear());
+    }
+
+    /** Returns the different views that live instances have of the requests at an upstream. */
+    Set<Integer> views(String upstream) {
+        Set<Integer> views = new java.util.TreeSet<>();
+        up().forEach(n -> views.add(n.forwarder.requestsAt(upstream)));
+        return views;
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -0,0 +1,160 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.bronzehill.protocol.generated.Envelope;
+import org.testng.annotations.Test;
+
+/** Claims, loads and messages in fleets of many instances, on virtual time. */
+public class FleetTest {
+
+    /** Messages of a kind that an instance may receive in a second, from the bound on control. */
+    private static final int MOST_PER_SECOND = 125;
+
+    /** Time after which a change of load is known everywhere: a share and two digests. */
+    private static final Duration KNOWN = Duration.ofMillis(900);
+
+    @Test
+    public void startReadsNoReportOfEnginesBeforeClaims() {
+        FleetRig rig = new FleetRig(40, 4, 20);
+        rig.run(Duration.ofMillis(900));
+        assertEquals(rig.up().stream().mapToInt(n -> n.reports).sum(), 0);
+    }
+
+    @Test
+    public void eachEngineGetsOneInstanceInALargeFleet() {
+        FleetRig rig = new FleetRig(60, 5, 30);
+        rig.run(Duration.ofSeconds(6));
+        rig.engineIds().forEach(e -> assertEquals(rig.holders(e).size(), 1, e));
+    }
+
+    /** Guards against loads that are counted twice or not at all on their way. */
+    @Test
+    public void loadIsCountedOnceEverywhere() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        rig.run(Duration.ofSeconds(4));
+        List<FakeTransport> calls = new ArrayList<>();
+        for (int i : new int[] {0, 1, 7, 33}) {
+            calls.add(rig.node(i).call());
+        }
+        rig.run(KNOWN);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(rig.views("p1"), Set.of(4));
+            rig.run(Duration.ofMillis(250));
+        }
+        calls.forEach(c -> c.call().onComplete(200));
+        rig.run(KNOWN);
+        assertEquals(rig.views("p1"), Set.of(0));
+    }
+
+    @Test
+    public void anotherInstanceCollectsWhenTheCollectorIsGone() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        rig.run(Duration.ofSeconds(4));
+        rig.forgetReceived();
+        rig.run(Duration.ofSeconds(3));
+        FleetRig.Node gone = rig.collectors().get(0);
+        FleetRig.Node caller =
+                rig.up().stream()
+                        .filter(n -> n != gone)
+                        .filter(n -> n.ref.dataCentre().equals(gone.ref.dataCentre()))
+                        .findFirst()
+                        .get();
+        gone.up = false;
+        caller.call();
+        rig.run(Duration.ofSeconds(4));
+        assertEquals(rig.views("p1"), Set.of(1));
+    }
+
+    @Test
+    public void sidesOfAPartitionKnowTheirOwnLoadAndMeetAgain() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        rig.run(Duration.ofSeconds(4));
+        rig.up().stream().filter(n -> n.ref.dataCentre().equals("d1")).forEach(n -> n.side = 1);
+        rig.node(1).call();
+        rig.node(2).call();
+        rig.runParted(Duration.ofSeconds(4));
+        rig.up().forEach(n -> assertEquals(n.forwarder.requestsAt("p1"), 1, n.ref.id()));
+        rig.up().forEach(n -> n.side = 0);
+        for (int i = 0; i < 4; i++) {
+            rig.greet();
+            rig.runParted(Duration.ofSeconds(5));
+        }
+        assertEquals(rig.views("p1"), Set.of(2));
+        rig.engineIds().forEach(e -> assertEquals(rig.holders(e).size(), 1, e));
+        rig.run(Duration.ofSeconds(5));
+    }
+
+    /** Guards against views that depend on single datagrams. */
+    @Test
+    public void lostMessagesDelayTheViewOnly() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        rig.run(Duration.ofSeconds(4));
+        rig.setLoss(0.1);
+        rig.node(3).call();
+        rig.run(Duration.ofSeconds(5));
+        rig.setLoss(0);
+        rig.run(Duration.ofSeconds(2));
+        assertEquals(rig.views("p1"), Set.of(1));
+    }
+
+    /** Guards against control messages that grow with the fleet. */
+    @Test
+    public void messagesAreBoundedAtAnyFleetSize() {
+        for (int size : new int[] {20, 60, 150}) {
+            FleetRig rig = new FleetRig(size, 5, 20);
+            rig.run(Duration.ofSeconds(5));
+            rig.forgetReceived();
+            List<FakeTransport> open = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                open.add(rig.node(i % size).call());
+                rig.run(Duration.ofMillis(50));
+                if (open.size() > 10) {
+                    open.remove(0).call().onComplete(200);
+                }
+            }
+            for (FleetRig.Node n : rig.up()) {
+                for (Envelope.BodyCase kind : Envelope.BodyCase.values()) {
+                    assertTrue(
+                            n.receivedOf(kind) <= MOST_PER_SECOND * 5,
+                            size + " instances, " + kind + ": " + n.receivedOf(kind));
+                }
+            }
+        }
+    }
+
+    /** Guards against a cost of instances that have nothing to do. */
+    @Test
+    public void idleMemberOfALargeFleetReceivesFewMessages() {
+        FleetRig rig = new FleetRig(95, 5, 59);
+        rig.run(Duration.ofSeconds(8));
+        rig.forgetReceived();
+        rig.run(Duration.ofSeconds(10));
+        List<FleetRig.Node> collectors = rig.collectors();
+        assertTrue(collectors.size() <= 5, collectors.size() + " collectors");
+        for (FleetRig.Node n : rig.up()) {
+            int all = n.received.values().stream().mapToInt(Integer::intValue).sum();
+            // Two probes and their acks a second each way, and two digests.
+            assertTrue(collectors.contains(n) || all <= 100, n.ref.id() + ": " + n.received);
+        }
+    }
+
+    /** Guards against claims that come back on a longer way. */
+    @Test
+    public void olderClaimsAreIgnored() {
+        FleetRig rig = new FleetRig(2, 1, 1);
+        FleetRig.Node n = rig.node(0);
+        OrderClaims claims =
+                new OrderClaims(n.membership, TestSettings.of("n0"), new VirtualScheduler().time());
+        claims.onPeerClaims("n1", 8, java.util.Map.of("e1", 5L), Long.MAX_VALUE);
+        claims.onPeerClaims("n1", 7, java.util.Map.of(), Long.MAX_VALUE);
+        assertTrue(claims.holder("e1").contains("n1"));
+        claims.onPeerClaims("n1", 9, java.util.Map.of(), Long.MAX_VALUE);
+        assertTrue(claims.holder("e1").isEmpty());
+    }
+}
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsTest.java
@@ -121,6 +121,7 @@
                 if (n != to && n.up && to.up && n.side == to.side) {
                     to.claims.onPeerClaims(
                             n.ref.id(),
+                            n.claims.version(),
                             n.claims.own(),
                             scheduler.time().nanoTime() + SHARE_LIFETIME.toNanos());
                 }
