Let only the collectors of a large fleet watch the store

Cause: every change of a record ends the watch of every instance. What most changes say (what an engine holds) instances learn from each other anyway. Weighed: longer watches alone (a silent or lost watch is noticed only when it does not return); passing the changes on in datagrams (a configuration may have a megabyte); core.spread, which passes configurations on between peers, but neither records of upstreams nor adapter versions. Change: digests say up to which revision the collector has read a change that all must know (an upstream listed, moved, leaving or gone, a configuration, an adapter version) and whether the store answers it. An instance that gets such digests holds no watch: it reads the changes when there is news, and every 8 s. It watches itself as before once digests stop for 1.2 s or its collector loses the store. A watch that has not told what others have news of within 600 ms is given up. The bounds of the small fleets are untouched: below 25 instances there are no collectors.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -64,6 +64,7 @@
     private final CrashWatch crashWatch;
     private final OrderOffice office;
     private final LoadShares shares;
+    private final StoreNews storeNews;
     private final Map<String, WaitingCalls> queues = new HashMap<>();
     private final Map<String, Latency> latencies = new HashMap<>();
     private final Map<AdapterRef, Integer> versions = new HashMap<>();
@@ -100,7 +101,9 @@
                         EXPECTED_LOAD,
                         adapters);
         adapters.connect(office, this::onMisaddressed);
-        this.shares = new LoadShares(membership, upstreams, office, time, adapters::onPeerUse);
+        this.storeNews = new StoreNews(time);
+        this.shares =
+                new LoadShares(membership, upstreams, office, time, storeNews, adapters::onPeerUse);
     }
 
     /** Creates a forwarder without configuration or upstreams. */
@@ -115,16 +118,26 @@
 
     // What the platform publishes.
 
-    /** Takes over a configuration unless a newer one is in force. */
-    public void onConfiguration(RoutingConfiguration read) {
+    /** Returns what the instances tell each other of the store. */
+    public StoreNews storeNews() {
+        return storeNews;
+    }
+
+    /**
+     * Takes over a configuration unless a newer one is in force.
+     *
+     * @return whether it was taken over
+     */
+    public boolean onConfiguration(RoutingConfiguration read) {
         if (read.version() <= configuration.version()) {
-            return;
+            return false;
         }
         LOG.infof(
                 "event=configuration version=%d previous=%d",
                 read.version(), configuration.version());
         configuration = read;
         engines = engines();
+        return true;
     }
 
     /** Returns the configuration in force. */
@@ -142,11 +155,18 @@
         engines = engines();
     }
 
-    /** Takes over the record of one upstream. */
-    public void onUpstream(UpstreamRecord read) {
+    /**
+     * Takes over the record of one upstream.
+     *
+     * @return whether more has changed than what the upstream holds
+     */
+    public boolean onUpstream(UpstreamRecord read) {
+        UpstreamState known = upstreams.get(read.id());
+        boolean matters = known == null || !known.upstream().isUsedAs(read);
         upstreams.put(read).forEach(this::onUpstreamEnded);
         engines = engines();
         onRoom(read.service());
+        return matters;
     }
 
     /** Notes that the record of an upstream is gone. */
@@ -166,13 +186,19 @@
         adapters.onUpstreamEnded(ended);
     }
 
-    /** Notes the newest version of an adapter. */
-    public void onAdapterVersion(AdapterRef adapter, int version) {
+    /**
+     * Notes the newest version of an adapter.
+     *
+     * @return whether it was not known yet
+     */
+    public boolean onAdapterVersion(AdapterRef adapter, int version) {
         Integer known = versions.get(adapter);
         if (known == null || version > known) {
             versions.put(adapter, version);
             LOG.infof("event=adapter-version adapter=%s version=%d", adapter.key(), version);
+            return true;
         }
+        return false;
     }
 
     /** Returns how many upstreams are known. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -41,6 +41,7 @@
     private final UpstreamTable upstreams;
     private final OrderClaims claims;
     private final Collectors collectors;
+    private final StoreNews news;
     private final TimeSource time;
     private final Map<String, Long> reporters = new HashMap<>();
     private final Map<String, Long> others = new HashMap<>();
@@ -55,6 +56,17 @@
     private static final class Audience {
         private final Map<String, Integer> placesVersions = new HashMap<>();
         private List<UpstreamLoad> loads = List.of();
+        private long storeRevision;
+        private boolean storeAnswers;
+
+        /** Notes what is told of the store; returns whether it has changed. */
+        private boolean tell(StoreNews news) {
+            boolean changed =
+                    storeRevision != news.revision() || storeAnswers != news.isAnswering();
+            storeRevision = news.revision();
+            storeAnswers = news.isAnswering();
+            return changed;
+        }
     }
 
     LoadDigests(
@@ -62,11 +74,13 @@
             UpstreamTable upstreams,
             OrderClaims claims,
             Collectors collectors,
+            StoreNews news,
             TimeSource time) {
         this.membership = membership;
         this.upstreams = upstreams;
         this.claims = claims;
         this.collectors = collectors;
+        this.news = news;
         this.time = time;
         this.nextAt = time.nanoTime();
         this.repeatedAt = nextAt;
@@ -113,7 +127,8 @@
         Set<String> owners = new HashSet<>(reporters.keySet());
         owners.add(membership.self().id());
         List<OrderedUpstream> places = places(toCollectors, owners, repeat);
-        if (!repeat && places.isEmpty() && sums.equals(toCollectors.loads)) {
+        boolean changed = toCollectors.tell(news) || !sums.equals(toCollectors.loads);
+        if (!repeat && places.isEmpty() && !changed) {
             return;
         }
         toCollectors.loads = sums;
@@ -127,7 +142,8 @@
     private void tellReporters(boolean repeat, Effects out) {
         List<UpstreamLoad> totals = loads("");
         List<OrderedUpstream> places = places(toReporters, all(), repeat);
-        if (!repeat && places.isEmpty() && totals.equals(toReporters.loads)) {
+        boolean changed = toReporters.tell(news) || !totals.equals(toReporters.loads);
+        if (!repeat && places.isEmpty() && !changed) {
             return;
         }
         toReporters.loads = totals;
@@ -226,7 +242,9 @@
                 LoadDigest.newBuilder()
                         .setValidMs((int) (REPEAT.toMillis() * LIFETIME))
                         .addAllLoads(loads)
-                        .addAllPlaces(places);
+                        .addAllPlaces(places)
+                        .setStoreRevision(news.revision())
+                        .setStoreAnswers(news.isAnswering());
         if (withClaims) {
             for (OrderClaims.Heard h : claims.heard()) {
                 if (!h.instance().equals(receiver)) {
@@ -262,8 +280,10 @@
         } else {
             collectors.onDigest(from);
         }
+        boolean own = !digest.getBetweenCollectors() && collectors.mine().contains(from);
+        news.onDigest(digest.getStoreRevision(), digest.getStoreAnswers(), own);
         // Loads count once: a collector has them from collectors, others from their collector.
-        if (digest.getBetweenCollectors() ? isCollector() : collectors.mine().contains(from)) {
+        if (digest.getBetweenCollectors() ? isCollector() : own) {
             takeOverLoads(from, digest.getLoadsList(), validUntil);
         }
         for (InstanceClaims c : digest.getClaimsList()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -67,6 +67,7 @@
             UpstreamTable upstreams,
             OrderOffice office,
             TimeSource time,
+            StoreNews news,
             BiConsumer<String, AdapterRef> useListener) {
         this.membership = membership;
         this.upstreams = upstreams;
@@ -74,7 +75,8 @@
         this.time = time;
         this.uses = new AdapterUseShares(upstreams, office.claims(), time, useListener);
         this.collectors = new Collectors(membership, time);
-        this.digests = new LoadDigests(membership, upstreams, office.claims(), collectors, time);
+        this.digests =
+                new LoadDigests(membership, upstreams, office.claims(), collectors, news, time);
         this.nextAt = time.nanoTime();
         this.repeatedAt = nextAt;
         this.toldVersion = office.claims().version();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamRecord.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamRecord.java
@@ -29,6 +29,15 @@
         adapters = Map.copyOf(adapters);
     }
 
+    /** Returns whether requests are sent to both in the same way, whatever they hold. */
+    public boolean isUsedAs(UpstreamRecord other) {
+        return sameIncarnation(other)
+                && service.equals(other.service)
+                && dataCentre.equals(other.dataCentre)
+                && slots == other.slots
+                && draining == other.draining;
+    }
+
     /** Returns whether both records describe the same run of the upstream. */
     public boolean sameIncarnation(UpstreamRecord other) {
         return id.equals(other.id)
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -144,6 +145,54 @@
         }
     }
 
+    /** Guards against members that wait for news of the store which nobody sends. */
+    @Test
+    public void newsOfTheStoreReachesAllWhileTheirCollectorGetsAnswers() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        rig.run(Duration.ofSeconds(4));
+        rig.forgetReceived();
+        rig.run(Duration.ofSeconds(3));
+        List<FleetRig.Node> collectors = rig.collectors();
+        collectors.forEach(c -> c.forwarder.storeNews().onRead(70, false));
+        rig.run(KNOWN);
+        for (FleetRig.Node n : rig.up()) {
+            StoreNews news = n.forwarder.storeNews();
+            assertEquals(news.isWatched(), !collectors.contains(n), n.ref.id());
+            assertEquals(news.newest(), 0, n.ref.id());
+        }
+        collectors.get(0).forwarder.storeNews().onRead(71, true);
+        rig.run(KNOWN);
+        for (FleetRig.Node n : rig.up()) {
+            StoreNews news = n.forwarder.storeNews();
+            assertTrue(n == collectors.get(0) || news.newest() == 71, n.ref.id());
+        }
+        FleetRig.Node lost = collectors.get(1);
+        lost.forwarder.storeNews().onFailed();
+        rig.run(KNOWN);
+        for (FleetRig.Node n : rig.up()) {
+            boolean watched =
+                    !collectors.contains(n) && !n.ref.dataCentre().equals(lost.ref.dataCentre());
+            assertEquals(n.forwarder.storeNews().isWatched(), watched, n.ref.id());
+        }
+    }
+
+    @Test
+    public void membersWatchTheStoreWhenTheirCollectorIsGone() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        rig.run(Duration.ofSeconds(4));
+        rig.forgetReceived();
+        rig.run(Duration.ofSeconds(3));
+        List<FleetRig.Node> collectors = rig.collectors();
+        collectors.forEach(c -> c.forwarder.storeNews().onRead(70, false));
+        rig.run(KNOWN);
+        FleetRig.Node gone = collectors.get(0);
+        gone.up = false;
+        rig.run(Duration.ofMillis(1400));
+        rig.up().stream()
+                .filter(n -> n.ref.dataCentre().equals(gone.ref.dataCentre()))
+                .forEach(n -> assertFalse(n.forwarder.storeNews().isWatched(), n.ref.id()));
+    }
+
     /** Guards against claims that come back on a longer way. */
     @Test
     public void olderClaimsAreIgnored() {
