--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EventSplitter.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EventSplitter.java
@@ -14,10 +14,17 @@
 
     private static final String ID_FIELD = "id:";
 
+    /**
+     * Largest event, and bytes of repeated events that are dropped, after which the stream counts
+     * as broken; events hold a few tokens.
+     */
+    private static final int MAX_HELD_BYTES = 1 << 20;
+
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private long lastId;
     private boolean gap;
     private int lineLength;
+    private long dropped;
 
     private EventSplitter(long lastId) {
         this.lastId = lastId;
@@ -36,6 +43,9 @@
     public byte[] accept(byte[] bytes) {
         ByteArrayOutputStream whole = new ByteArrayOutputStream(bytes.length + pending.size());
         for (byte b : bytes) {
+            if (isOverlong()) {
+                break;
+            }
             pending.write(b);
             if (b == '\n') {
                 if (lineLength == 0) {
@@ -55,6 +65,7 @@
         long id = idOf(event);
         if (id != NO_EVENT) {
             if (id <= lastId) {
+                dropped += event.length;
                 return;
             }
             gap |= lastId != NO_EVENT && id != lastId + 1;
@@ -89,6 +100,11 @@
         return gap;
     }
 
+    /** Returns whether an event does not end, or earlier ones are repeated without end. */
+    public boolean isOverlong() {
+        return pending.size() > MAX_HELD_BYTES || dropped > MAX_HELD_BYTES;
+    }
+
     /** Returns the number of the last event, or {@link #NO_EVENT}. */
     public long lastId() {
         return lastId;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -102,6 +102,10 @@
     }
 
     private static boolean isReady(Demand demand, UpstreamState u) {
+        if (demand.engine().isEmpty()) {
+            // A plain service holds no models, whatever the request names.
+            return true;
+        }
         return demand.request()
                 .adapter()
                 .forAll(
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/EventSplitterTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/EventSplitterTest.java
@@ -55,4 +55,17 @@
         assertEquals(s.lastId(), 7);
         assertFalse(s.hasGap());
     }
+
+    /** Guards against memory that grows with an event that does not end. */
+    @Test
+    public void endlessEventIsOverlong() {
+        EventSplitter splitter = EventSplitter.after(EventSplitter.NO_EVENT);
+        byte[] part = new byte[64 * 1024];
+        java.util.Arrays.fill(part, (byte) 'x');
+        for (int i = 0; i < 100; i++) {
+            splitter.accept(part);
+        }
+        assertTrue(splitter.isOverlong());
+        assertTrue(splitter.rest().length < 2 << 20, splitter.rest().length + " bytes held");
+    }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardCallTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardCallTest.java
@@ -211,4 +211,12 @@
         rig.scheduler().advance(Duration.ofSeconds(1));
         assertTrue(last.attempts().isEmpty());
     }
+
+    /** Guards against requests that wait for an adapter where there are none. */
+    @Test
+    public void modelNamedForAPlainServiceIsNotWaitedFor() {
+        ForwardRig rig = new ForwardRig(1, 4, Duration.ofMillis(250), 8);
+        FakeTransport t = rig.open(RequestKind.IDEMPOTENT, 1, Option.of(new AdapterRef("m", "a1")));
+        assertEquals(t.attempts().size(), 1);
+    }
 }
