--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -12,7 +12,6 @@
 import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.membership.Peer;
-import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.time.TimeSource;
@@ -27,15 +26,6 @@
     /** Adapter load time assumed until one was measured. */
     private static final Duration EXPECTED_LOAD = Duration.ofMillis(300);
 
-    /** Shortest time without a sign of an answer before an idempotent request is sent again. */
-    private static final Duration MIN_PATIENCE = Duration.ofMillis(60);
-
-    /** Times the usual latency after which an answer counts as stalled. */
-    private static final int PATIENCE_FACTOR = 5;
-
-    /** Time without an event after which a resumable stream goes on elsewhere. */
-    private static final Duration EVENT_PATIENCE = Duration.ofMillis(1200);
-
     /** Part of a caller's remaining time that it may be asked to wait before it comes back. */
     private static final double MAX_RETURN = 0.3;
 
@@ -66,7 +56,7 @@
     private final LoadShares shares;
     private final StoreNews storeNews;
     private final Map<String, WaitingCalls> queues = new HashMap<>();
-    private final Map<String, Latency> latencies = new HashMap<>();
+    private final Patience patience = new Patience();
     private final Map<AdapterRef, Integer> versions = new HashMap<>();
     private final PromptPace promptPace = new PromptPace();
     private final Set<ForwardCall> open = new HashSet<>();
@@ -211,6 +201,10 @@
         return upstreams.get(upstream).totalRequests();
     }
 
+    Option<String> holderOf(String upstream) {
+        return office.claims().holder(upstream);
+    }
+
     /** Returns whether this instance may give orders to an upstream now. */
     boolean givesOrdersTo(String upstream) {
         return office.claims().fencing(upstream).isDefined();
@@ -249,7 +243,7 @@
                         configuration.service(r.service()).flatMap(ServiceSpec::engine),
                         requiredVersion(r).getOrElse(0),
                         waits.expectedLoad(),
-                        home(r, serving),
+                        UpstreamChooser.home(r, serving),
                         promptPace.msPerToken(),
                         call.avoided());
         Option<UpstreamChooser.Choice> choice = chooser.choose(demand, serving);
@@ -260,23 +254,6 @@
         return choice;
     }
 
-    /** Returns the first upstream in the rendezvous order of the request's adapter. */
-    private static String home(ForwardRequest request, List<UpstreamState> serving) {
-        String best = "";
-        if (request.adapter().isDefined() && !request.adapter().get().isBase()) {
-            long key = RendezvousHash.keyHash(request.adapter().get().key());
-            long most = Long.MIN_VALUE;
-            for (UpstreamState u : serving) {
-                long weight = RendezvousHash.weightOf(key, u.nameHash());
-                if (weight >= most) {
-                    most = weight;
-                    best = u.id();
-                }
-            }
-        }
-        return best;
-    }
-
     /** Returns the version of the adapter that must answer; empty if any may. */
     Option<Integer> requiredVersion(ForwardRequest request) {
         return request.adapter().flatMap(a -> Option.of(versions.get(a)));
@@ -355,24 +332,11 @@
 
     /** Returns how long an upstream may be silent before the request is sent elsewhere. */
     Duration patience(ForwardRequest request, boolean answerBegun) {
-        if (request.route().kind().isStream()) {
-            Duration first = request.route().target().multipliedBy(2);
-            return answerBegun ? EVENT_PATIENCE : max(first, EVENT_PATIENCE);
-        }
-        Duration usual = latency(request.route()).usual().multipliedBy(PATIENCE_FACTOR);
-        return max(MIN_PATIENCE, usual);
-    }
-
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) > 0 ? a : b;
-    }
-
-    private Latency latency(Route route) {
-        return latencies.computeIfAbsent(route.name(), n -> new Latency(route.target()));
+        return patience.of(request.route(), answerBegun);
     }
 
     void onFirstByte(ForwardCall call, long nanos) {
-        latency(call.request().route()).add(nanos);
+        patience.onFirstByte(call.request().route(), nanos);
         promptPace.add(call.request().promptTokens(), nanos);
     }
 
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Patience.java
@@ -0,0 +1,40 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/** How long an upstream may be silent before a request is sent elsewhere, learned by route. */
+final class Patience {
+
+    /** Shortest time without a sign of an answer before an idempotent request is sent again. */
+    private static final Duration SHORTEST = Duration.ofMillis(60);
+
+    /** Times the usual latency after which an answer counts as stalled. */
+    private static final int FACTOR = 5;
+
+    /** Time without an event after which a resumable stream goes on elsewhere. */
+    private static final Duration EVENT = Duration.ofMillis(1200);
+
+    private final Map<String, Latency> latencies = new HashMap<>();
+
+    Duration of(Route route, boolean answerBegun) {
+        if (route.kind().isStream()) {
+            return answerBegun ? EVENT : max(route.target().multipliedBy(2), EVENT);
+        }
+        return max(SHORTEST, latency(route).usual().multipliedBy(FACTOR));
+    }
+
+    /** Notes the time from a sending to the first byte of the answer. */
+    void onFirstByte(Route route, long nanos) {
+        latency(route).add(nanos);
+    }
+
+    private Latency latency(Route route) {
+        return latencies.computeIfAbsent(route.name(), n -> new Latency(route.target()));
+    }
+
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.bronzehill.core.model.RendezvousHash;
 
 /**
  * Chooses the upstream of a request: the one with the least expected time to a complete answer.
@@ -67,6 +68,23 @@
             double msPerPromptToken,
             Set<String> avoid) {}
 
+    /** Returns the first upstream in the rendezvous order of the request's adapter. */
+    static String home(ForwardRequest request, Collection<UpstreamState> serving) {
+        String best = "";
+        if (request.adapter().isDefined() && !request.adapter().get().isBase()) {
+            long key = RendezvousHash.keyHash(request.adapter().get().key());
+            long most = Long.MIN_VALUE;
+            for (UpstreamState u : serving) {
+                long weight = RendezvousHash.weightOf(key, u.nameHash());
+                if (weight >= most) {
+                    most = weight;
+                    best = u.id();
+                }
+            }
+        }
+        return best;
+    }
+
     /** Returns the best upstream that has room; empty if none has. */
     Option<Choice> choose(Demand demand, Collection<UpstreamState> upstreams) {
         Choice best = null;
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -34,6 +35,24 @@
         rig.engineIds().forEach(e -> assertEquals(rig.holders(e).size(), 1, e));
     }
 
+    /** Guards against engines that are looked at because nobody is known to give them orders. */
+    @Test
+    public void everyInstanceKnowsWhoGivesOrders() {
+        FleetRig rig = new FleetRig(95, 5, 59);
+        rig.run(Duration.ofSeconds(6));
+        rig.node(3).call();
+        for (int i = 0; i < 30; i++) {
+            rig.run(Duration.ofMillis(500));
+            for (FleetRig.Node n : rig.up()) {
+                for (String e : rig.engineIds()) {
+                    assertTrue(
+                            n.forwarder.holderOf(e).equals(Option.of(rig.holders(e).get(0))),
+                            i + " " + n.ref.id() + " " + e + " " + n.forwarder.holderOf(e));
+                }
+            }
+        }
+    }
+
     /** Guards against loads that are counted twice or not at all on their way. */
     @Test
     public void loadIsCountedOnceEverywhere() {
