Repeat the collectors' own claims, and split digests into packets

A digest repeated the claims of all instances but the collector's own, so whoever lost the one datagram that told them never learned of them; and a digest with all claims took some 4 kB. Ruled out: claims that change hands (the log of three data centres shows 8 claims in the first 20 s, none given up). Change: a collector's claims are in its digests; digests are sent in parts that fit into one packet. Test: FleetTest loses a fifth of all messages while claims are made, and fails on messages beyond a packet; both failed before.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -37,6 +37,12 @@
     /** Repetitions in which what every engine holds is told again. */
     private static final int TURNS = 8;
 
+    /** Content of one packet of 1,500 bytes, with room for names and headers. */
+    private static final int MAX_PART_BYTES = 1200;
+
+    /** Time for which the collector's own claims count; as for those in shares. */
+    private static final Duration OWN_CLAIMS = Duration.ofMillis(2500);
+
     private final Membership membership;
     private final UpstreamTable upstreams;
     private final OrderClaims claims;
@@ -95,7 +101,7 @@
     void onReport(String from, long validUntil, Effects out) {
         others.remove(from);
         if (reporters.put(from, validUntil) == null && isCollector()) {
-            send(from, digest(from, loads(from), places(toReporters, all(), false), true), out);
+            tell(List.of(from), digest(loads(from)), places(toReporters, all(), false), true, out);
         }
     }
 
@@ -132,11 +138,9 @@
             return;
         }
         toCollectors.loads = sums;
-        LoadDigest digest =
-                digest("", sums, places, repeat).toBuilder().setBetweenCollectors(true).build();
         Set<String> receivers = new HashSet<>(collectors.firsts());
         receivers.addAll(others.keySet());
-        receivers.forEach(r -> send(r, digest, out));
+        tell(receivers, digest(sums).setBetweenCollectors(true), places, repeat, out);
     }
 
     private void tellReporters(boolean repeat, Effects out) {
@@ -148,7 +152,7 @@
         }
         toReporters.loads = totals;
         for (String r : reporters.keySet()) {
-            send(r, digest(r, loads(r), places, repeat), out);
+            tell(List.of(r), digest(loads(r)), places, repeat, out);
         }
     }
 
@@ -233,25 +237,61 @@
         return claim.filter(c -> fencing != null && c.fencing() == fencing);
     }
 
-    private LoadDigest digest(
-            String receiver,
-            List<UpstreamLoad> loads,
+    private LoadDigest.Builder digest(List<UpstreamLoad> loads) {
+        return LoadDigest.newBuilder()
+                .setValidMs((int) (REPEAT.toMillis() * LIFETIME))
+                .addAllLoads(loads)
+                .setStoreRevision(news.revision())
+                .setStoreAnswers(news.isAnswering());
+    }
+
+    /** Sends a digest in as many parts as it takes packets. */
+    private void tell(
+            Collection<String> receivers,
+            LoadDigest.Builder first,
             List<OrderedUpstream> places,
-            boolean withClaims) {
-        LoadDigest.Builder b =
-                LoadDigest.newBuilder()
-                        .setValidMs((int) (REPEAT.toMillis() * LIFETIME))
-                        .addAllLoads(loads)
-                        .addAllPlaces(places)
-                        .setStoreRevision(news.revision())
-                        .setStoreAnswers(news.isAnswering());
-        if (withClaims) {
-            for (OrderClaims.Heard h : claims.heard()) {
-                if (!h.instance().equals(receiver)) {
-                    b.addClaims(claimsOf(h));
-                }
+            boolean withClaims,
+            Effects out) {
+        List<LoadDigest> parts = new ArrayList<>();
+        LoadDigest.Builder part = first;
+        int bytes = first.build().getSerializedSize();
+        LoadDigest.Builder further = first.clone().clearLoads().setFurtherPart(true);
+        for (OrderedUpstream o : places) {
+            if (bytes + o.getSerializedSize() > MAX_PART_BYTES) {
+                parts.add(part.build());
+                part = further.clone();
+                bytes = 0;
             }
+            part.addPlaces(o);
+            bytes += o.getSerializedSize();
         }
+        for (InstanceClaims c : withClaims ? claims() : List.<InstanceClaims>of()) {
+            if (bytes + c.getSerializedSize() > MAX_PART_BYTES) {
+                parts.add(part.build());
+                part = further.clone();
+                bytes = 0;
+            }
+            part.addClaims(c);
+            bytes += c.getSerializedSize();
+        }
+        parts.add(part.build());
+        receivers.forEach(r -> parts.forEach(p -> send(r, p, out)));
+    }
+
+    private List<InstanceClaims> claims() {
+        List<InstanceClaims> found = new ArrayList<>();
+        claims.heard().forEach(h -> found.add(claimsOf(h)));
+        found.add(ownClaims());
+        return found;
+    }
+
+    private InstanceClaims ownClaims() {
+        InstanceClaims.Builder b =
+                InstanceClaims.newBuilder()
+                        .setInstance(membership.self().id())
+                        .setClaimsVersion(claims.version())
+                        .setValidMs((int) OWN_CLAIMS.toMillis());
+        claims.own().forEach((u, f) -> b.addOrdered(EnginePlaces.claim(u, f)));
         return b.build();
     }
 
@@ -283,7 +323,8 @@
         boolean own = !digest.getBetweenCollectors() && collectors.mine().contains(from);
         news.onDigest(digest.getStoreRevision(), digest.getStoreAnswers(), own);
         // Loads count once: a collector has them from collectors, others from their collector.
-        if (digest.getBetweenCollectors() ? isCollector() : own) {
+        boolean counts = digest.getBetweenCollectors() ? isCollector() : own;
+        if (counts && !digest.getFurtherPart()) {
             takeOverLoads(from, digest.getLoadsList(), validUntil);
         }
         for (InstanceClaims c : digest.getClaimsList()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
@@ -30,7 +30,7 @@
     private static final int MAX_UPDATES = 8;
 
     /** Updates in a message to an instance that has just started; they fit into one packet. */
-    private static final int MAX_INTRODUCED = 16;
+    private static final int MAX_INTRODUCED = 14;
 
     private static final long SUSPICION_NANOS = 2_000_000_000L;
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -26,6 +26,9 @@
 
     private static final Duration DELAY = Duration.ofMillis(1);
 
+    /** Content of a datagram that is sent in one packet. */
+    private static final int PACKET_BYTES = 1472;
+
     /** Longer than any test lasts. */
     private static final Duration CALL_LIMIT = Duration.ofMinutes(5);
 
@@ -211,6 +214,10 @@
                         .setFromIncarnation(from.ref.incarnation())
                         .setTo(to.ref.id())
                         .build();
+        if (whole.getSerializedSize() > PACKET_BYTES) {
+            throw new AssertionError(
+                    whole.getBodyCase() + " of " + whole.getSerializedSize() + " bytes");
+        }
         scheduler.after(
                 DELAY,
                 () -> {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -53,6 +53,22 @@
         }
     }
 
+    /** Guards against claims that are told once only, and lost on the way. */
+    @Test
+    public void lostNewsOfClaimsIsRepeated() {
+        FleetRig rig = new FleetRig(60, 5, 30);
+        rig.setLoss(0.2);
+        rig.runParted(Duration.ofSeconds(8));
+        rig.setLoss(0);
+        rig.runParted(Duration.ofSeconds(4));
+        for (FleetRig.Node n : rig.up()) {
+            for (String e : rig.engineIds()) {
+                assertEquals(rig.holders(e).size(), 1, e);
+                assertEquals(n.forwarder.holderOf(e), Option.of(rig.holders(e).get(0)), n.ref.id());
+            }
+        }
+    }
+
     /** Guards against loads that are counted twice or not at all on their way. */
     @Test
     public void loadIsCountedOnceEverywhere() {
