Order above a clock that was ahead after a refusal

Cause: fencing numbers begin with the wall clock. A holder whose clock had jumped ahead and which is gone without having told its number leaves the engine with a number that its successor reaches only when its own clock does; until then every order is refused, with a pause of leaseMs each time. Change: after a refusal the next number lies 10 s ahead. The test failed before.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -47,6 +47,12 @@
     /** Time from a claim to its first order: several intervals between load shares. */
     private static final Duration ANNOUNCE = Duration.ofMillis(200);
 
+    /**
+     * How far the next number lies ahead after an upstream has seen a higher one: more than clocks
+     * differ, since a holder whose clock was ahead may be gone without having told its number.
+     */
+    private static final Duration FENCED_STEP = Duration.ofSeconds(10);
+
     /** Bits below the milliseconds of a fencing number, which tell instances apart. */
     private static final int INSTANCE_BITS = 12;
 
@@ -180,6 +186,11 @@
     /** Gives up a claim because the upstream has seen a higher fencing number. */
     void onFenced(String upstream) {
         notBefore.put(upstream, time.nanoTime() + settings.claimTime().toNanos());
+        Own refused = own.get(upstream);
+        if (refused != null) {
+            long step = FENCED_STEP.toMillis() << INSTANCE_BITS;
+            highestFencing.merge(upstream, refused.fencing() + step, Math::max);
+        }
         drop(upstream, "fenced-by-upstream");
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsStartTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsStartTest.java
@@ -56,4 +56,15 @@
         claims.dropAll("stop");
         assertTrue(claims.version() > claimed);
     }
+
+    /** Guards against numbers that stay below that of a holder whose clock was ahead. */
+    @Test
+    public void claimAfterARefusalIsAboveAClockThatWasAhead() {
+        run(Duration.ofSeconds(4));
+        long refused = claims.fencing("e1").get();
+        long ahead = refused + (Duration.ofSeconds(8).toMillis() << 12);
+        claims.onFenced("e1");
+        run(Duration.ofSeconds(5));
+        assertTrue(claims.fencing("e1").get() > ahead);
+    }
 }
