Ignore members without a usable address; bound what messages of other instances state

Cause: PeerMessagesTest sends 3,000 strange datagrams, a third of them with changed bytes. A member with an impossible port was taken into the table, and from then on every tick failed when it wrote to it: claims, shares and the planned stop stood still (the stop of the test never ended). Ages and counts overflowed. Change: such members are ignored; ages are checked before they are converted, and counts are cut to what can be.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/crash/CrashRegistry.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/crash/CrashRegistry.java
@@ -106,10 +106,11 @@
                 entries.remove(mark.getFingerprint());
                 continue;
             }
-            long marked = time.nanoTime() - Duration.ofMillis(mark.getAgeMs()).toNanos();
-            if (mark.getAgeMs() >= RETENTION.toMillis() || mark.getReporter().equals(self)) {
+            boolean current = mark.getAgeMs() >= 0 && mark.getAgeMs() < RETENTION.toMillis();
+            if (!current || mark.getReporter().equals(self)) {
                 continue;
             }
+            long marked = time.nanoTime() - Duration.ofMillis(mark.getAgeMs()).toNanos();
             touch(mark.getFingerprint(), marked)
                     .counts
                     .merge(mark.getReporter(), mark.getCrashes(), Math::max);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -44,9 +44,17 @@
 
         private static final PeerLoad NONE = new PeerLoad(0, 0, 0, 0);
 
+        /** Counts that cannot be are cut, so that sums of them do not overflow. */
+        private static final long MOST = 1_000_000_000L;
+
+        private static final int MOST_REQUESTS = 1_000_000;
+
         static PeerLoad of(UpstreamLoad load, long validUntil) {
             return new PeerLoad(
-                    load.getRequests(), load.getTokens(), load.getUnreadTokens(), validUntil);
+                    Math.max(0, Math.min(load.getRequests(), MOST_REQUESTS)),
+                    Math.max(0, Math.min(load.getTokens(), MOST)),
+                    Math.max(0, Math.min(load.getUnreadTokens(), MOST)),
+                    validUntil);
         }
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
@@ -32,6 +32,7 @@
     /** Updates in a message to an instance that has just started; they fit into one packet. */
     private static final int MAX_INTRODUCED = 14;
 
+    private static final int MAX_PORT = 65_535;
     private static final long SUSPICION_NANOS = 2_000_000_000L;
 
     /** Together with the 3 s until a silent instance is DEAD, it is removed after 10 s. */
@@ -93,6 +94,9 @@
 
     /** Takes over what a message says about an instance. */
     void merge(MemberUpdate update, Effects out) {
+        if (!isWellFormed(update)) {
+            return;
+        }
         if (update.getId().equals(self.id())) {
             mergeSelf(update);
             return;
@@ -300,6 +304,14 @@
         return peers;
     }
 
+    /** A row without a name or a usable address would fail each time that it is sent to. */
+    private static boolean isWellFormed(MemberUpdate update) {
+        return !update.getId().isEmpty()
+                && !update.getHost().isEmpty()
+                && update.getPort() >= 0
+                && update.getPort() <= MAX_PORT;
+    }
+
     private static boolean isBad(MemberUpdate update) {
         return switch (update.getStatus()) {
             case PEER_STATUS_SUSPECT, PEER_STATUS_DEAD -> true;
