Have collectors in large fleets only

Cause: an instance took every share for a report to it, in fleets in which everybody tells everybody too. It sent the sender one digest, which counted loads twice and let the sender stop watching the store for 1.2 s. Found on reading; the test failed before (8 digests in a fleet of nine). A new reporter's first digest also kept changes from the other reporters until their turn (up to 4 s). Change: reports and digests count only above the size at which everybody tells everybody; what engines hold is forgotten with them.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -101,7 +101,12 @@
     void onReport(String from, long validUntil, Effects out) {
         others.remove(from);
         if (reporters.put(from, validUntil) == null && isCollector()) {
-            tell(List.of(from), digest(loads(from)), places(toReporters, all(), false), true, out);
+            tell(
+                    List.of(from),
+                    digest(loads(from)),
+                    places(new Audience(), all(), false),
+                    true,
+                    out);
         }
     }
 
@@ -123,11 +128,18 @@
         if (repeat) {
             repeatedAt = now;
             turn = (turn + 1) % TURNS;
+            forgetUnlisted();
         }
         tellCollectors(repeat, out);
         tellReporters(repeat, out);
     }
 
+    private void forgetUnlisted() {
+        placesOf.keySet().removeIf(id -> upstreams.get(id) == null);
+        toReporters.placesVersions.keySet().retainAll(placesOf.keySet());
+        toCollectors.placesVersions.keySet().retainAll(placesOf.keySet());
+    }
+
     private void tellCollectors(boolean repeat, Effects out) {
         List<UpstreamLoad> sums = sums();
         Set<String> owners = new HashSet<>(reporters.keySet());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -87,7 +87,7 @@
         List<InstanceRef> live = membership.live();
         Set<InstanceRef> joined = joined(live);
         noteOwnPlaces();
-        if (live.size() <= DIRECT_FLEET) {
+        if (!hasCollectors()) {
             tellAll(live, joined, out);
         } else {
             tellCollector(live, joined, out);
@@ -98,6 +98,10 @@
         toldVersion = office.claims().version();
     }
 
+    private boolean hasCollectors() {
+        return membership.live().size() > DIRECT_FLEET;
+    }
+
     private void tellAll(List<InstanceRef> live, Set<InstanceRef> joined, Effects out) {
         long now = time.nanoTime();
         Duration interval = PER_INSTANCE.multipliedBy(live.size());
@@ -177,6 +181,7 @@
 
     /** Lets the collector's part of this instance know what its own engines hold. */
     private void noteOwnPlaces() {
+        sentPlaces.keySet().removeIf(id -> upstreams.get(id) == null);
         office.claims()
                 .own()
                 .forEach(
@@ -268,7 +273,7 @@
         }
         office.claims().onPeerClaims(peer, share.getClaimsVersion(), claims, validUntil);
         share.getOrderedList().forEach(o -> takeOverPlaces(peer, o));
-        if (!share.getClaimsOnly()) {
+        if (!share.getClaimsOnly() && hasCollectors()) {
             digests.onReport(peer, validUntil, out);
         }
     }
@@ -304,7 +309,9 @@
 
     /** Takes over the digest of a collector. */
     void onDigest(String from, LoadDigest digest) {
-        digests.onDigest(from, digest);
+        if (hasCollectors()) {
+            digests.onDigest(from, digest);
+        }
     }
 
     /** Takes over which adapters another instance uses. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -69,6 +69,20 @@
         }
     }
 
+    /** Guards against collectors where everybody tells everybody, and watches the store. */
+    @Test
+    public void smallFleetHasNoCollectors() {
+        FleetRig rig = new FleetRig(9, 3, 5);
+        rig.up().forEach(n -> n.forwarder.storeNews().onRead(70, true));
+        for (int i = 0; i < 40; i++) {
+            rig.run(Duration.ofMillis(100));
+            for (FleetRig.Node n : rig.up()) {
+                assertEquals(n.receivedOf(Envelope.BodyCase.LOAD_DIGEST), 0, n.ref.id());
+                assertFalse(n.forwarder.storeNews().isWatched(), n.ref.id());
+            }
+        }
+    }
+
     /** Guards against loads that are counted twice or not at all on their way. */
     @Test
     public void loadIsCountedOnceEverywhere() {
