Tell members of a large fleet that the store came back before they read what lapsed

Cause: records that lapse while the store is away come back within two seconds, and are kept for that time by an instance that noticed the outage. An instance for which a collector watches the store makes no call meanwhile, notices nothing, and would drop all lapsed upstreams with its next read. Found on reading; the test failed before. Change: digests tell for three seconds that the store came back for the collector.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -168,6 +168,7 @@
     /** Notes that the store answers again after an outage. */
     public void onStoreReturned() {
         upstreams.onStoreReturned();
+        storeNews.onReturned();
     }
 
     private void onUpstreamEnded(UpstreamState ended) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -254,7 +254,8 @@
                 .setValidMs((int) (REPEAT.toMillis() * LIFETIME))
                 .addAllLoads(loads)
                 .setStoreRevision(news.revision())
-                .setStoreAnswers(news.isAnswering());
+                .setStoreAnswers(news.isAnswering())
+                .setStoreReturnedMs(news.returnedMillis());
     }
 
     /** Sends a digest in as many parts as it takes packets. */
@@ -334,6 +335,9 @@
         }
         boolean own = !digest.getBetweenCollectors() && collectors.mine().contains(from);
         news.onDigest(digest.getStoreRevision(), digest.getStoreAnswers(), own);
+        if (own && news.onReturnTold(digest.getStoreReturnedMs())) {
+            upstreams.onStoreReturned();
+        }
         // Loads count once: a collector has them from collectors, others from their collector.
         boolean counts = digest.getBetweenCollectors() ? isCollector() : own;
         if (counts && !digest.getFurtherPart()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StoreNews.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StoreNews.java
@@ -13,12 +13,18 @@
     /** Time for which a digest counts: two repetitions and the time between two ticks. */
     private static final Duration FRESH = LoadDigests.REPEAT.multipliedBy(2).plusMillis(200);
 
+    /** Time for which a return of the store is told: about that in which lapsed records return. */
+    private static final Duration RETURN_TOLD = Duration.ofSeconds(3);
+
+    private static final long NEVER = Long.MIN_VALUE;
+
     private final TimeSource time;
     private long read;
     private boolean answering;
     private long heard;
     private boolean watched;
     private long heardAt;
+    private long returnedAt = NEVER;
 
     StoreNews(TimeSource time) {
         this.time = time;
@@ -42,6 +48,19 @@
         answering = false;
     }
 
+    /** Notes that the store answers this instance again after an outage. */
+    void onReturned() {
+        returnedAt = time.nanoTime();
+    }
+
+    /** Returns how long ago the store came back, in ms; 0 if that was not recently. */
+    int returnedMillis() {
+        long age = time.nanoTime() - returnedAt;
+        return returnedAt == NEVER || age > RETURN_TOLD.toNanos()
+                ? 0
+                : (int) Math.max(1, age / 1_000_000);
+    }
+
     /** Returns the newest revision with a change that matters of which others have told. */
     public long newest() {
         return heard;
@@ -61,6 +80,19 @@
         return answering;
     }
 
+    /**
+     * Takes over that the store has come back for the collector to which this instance reports.
+     *
+     * @return whether that is new
+     */
+    boolean onReturnTold(int millis) {
+        boolean news = millis > 0 && returnedMillis() == 0;
+        if (news) {
+            returnedAt = time.nanoTime() - Duration.ofMillis(millis).toNanos();
+        }
+        return news;
+    }
+
     /**
      * Takes over what a collector tells.
      *
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -225,6 +225,32 @@
         }
     }
 
+    /** Guards against members that drop lapsed records because they noticed no outage. */
+    @Test
+    public void returnOfTheStoreIsKnownBeforeWhatLapsed() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        rig.run(Duration.ofSeconds(4));
+        rig.forgetReceived();
+        rig.run(Duration.ofSeconds(3));
+        List<FleetRig.Node> collectors = rig.collectors();
+        collectors.forEach(c -> c.forwarder.storeNews().onRead(70, false));
+        rig.run(KNOWN);
+        collectors.forEach(c -> c.forwarder.onStoreReturned());
+        collectors.forEach(c -> c.forwarder.storeNews().onRead(71, true));
+        rig.run(KNOWN);
+        for (FleetRig.Node n : rig.up()) {
+            n.forwarder.onUpstreamRemoved("e1");
+            assertEquals(n.forwarder.upstreamCount(), 11, n.ref.id());
+        }
+        rig.run(Duration.ofSeconds(3));
+        rig.up().forEach(n -> assertEquals(n.forwarder.upstreamCount(), 10, n.ref.id()));
+        rig.run(Duration.ofSeconds(4));
+        for (FleetRig.Node n : rig.up()) {
+            n.forwarder.onUpstreamRemoved("e2");
+            assertEquals(n.forwarder.upstreamCount(), 9, n.ref.id());
+        }
+    }
+
     @Test
     public void membersWatchTheStoreWhenTheirCollectorIsGone() {
         FleetRig rig = new FleetRig(60, 5, 10);
