--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
@@ -304,12 +304,9 @@
         return peers;
     }
 
-    /** A row without a name or a usable address would fail each time that it is sent to. */
+    /** A row without a name or a possible port would fail each time that it is sent to. */
     private static boolean isWellFormed(MemberUpdate update) {
-        return !update.getId().isEmpty()
-                && !update.getHost().isEmpty()
-                && update.getPort() >= 0
-                && update.getPort() <= MAX_PORT;
+        return !update.getId().isEmpty() && update.getPort() >= 0 && update.getPort() <= MAX_PORT;
     }
 
     private static boolean isBad(MemberUpdate update) {
