Keep claims that a relayed list of the same version leaves out

Instances list an upstream up to a second apart. One that does not list it yet forgets its claim, and as a collector relayed the claims of all instances without it, under the same version; the other collectors took that for the whole list and relayed it in turn, so the claim never got through. Change: a list of the same version adds claims and removes none; between collectors only those of the instances that report to the sender are told. The test failed before.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -105,7 +105,7 @@
                     List.of(from),
                     digest(loads(from)),
                     places(new Audience(), all(), false),
-                    true,
+                    claimsOf(all()),
                     out);
         }
     }
@@ -152,7 +152,8 @@
         toCollectors.loads = sums;
         Set<String> receivers = new HashSet<>(collectors.firsts());
         receivers.addAll(others.keySet());
-        tell(receivers, digest(sums).setBetweenCollectors(true), places, repeat, out);
+        List<InstanceClaims> told = repeat ? claimsOf(owners) : List.of();
+        tell(receivers, digest(sums).setBetweenCollectors(true), places, told, out);
     }
 
     private void tellReporters(boolean repeat, Effects out) {
@@ -163,8 +164,9 @@
             return;
         }
         toReporters.loads = totals;
+        List<InstanceClaims> told = repeat ? claimsOf(all()) : List.of();
         for (String r : reporters.keySet()) {
-            tell(List.of(r), digest(loads(r)), places, repeat, out);
+            tell(List.of(r), digest(loads(r)), places, told, out);
         }
     }
 
@@ -263,7 +265,7 @@
             Collection<String> receivers,
             LoadDigest.Builder first,
             List<OrderedUpstream> places,
-            boolean withClaims,
+            List<InstanceClaims> claims,
             Effects out) {
         List<LoadDigest> parts = new ArrayList<>();
         LoadDigest.Builder part = first;
@@ -278,7 +280,7 @@
             part.addPlaces(o);
             bytes += o.getSerializedSize();
         }
-        for (InstanceClaims c : withClaims ? claims() : List.<InstanceClaims>of()) {
+        for (InstanceClaims c : claims) {
             if (bytes + c.getSerializedSize() > MAX_PART_BYTES) {
                 parts.add(part.build());
                 part = further.clone();
@@ -291,9 +293,11 @@
         receivers.forEach(r -> parts.forEach(p -> send(r, p, out)));
     }
 
-    private List<InstanceClaims> claims() {
+    private List<InstanceClaims> claimsOf(Set<String> owners) {
         List<InstanceClaims> found = new ArrayList<>();
-        claims.heard().forEach(h -> found.add(claimsOf(h)));
+        claims.heard().stream()
+                .filter(h -> owners.contains(h.instance()))
+                .forEach(h -> found.add(claimsOf(h)));
         found.add(ownClaims());
         return found;
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -89,17 +89,21 @@
      */
     void onPeerClaims(
             String peer, long claimsVersion, Map<String, Long> fencingByUpstream, long validUntil) {
-        if (claimsVersion < versions.getOrDefault(peer, 0L)) {
+        long known = versions.getOrDefault(peer, 0L);
+        if (claimsVersion < known) {
             return;
         }
         versions.put(peer, claimsVersion);
-        others.values().removeIf(c -> c.instance().equals(peer));
+        if (claimsVersion > known) {
+            // One that relays the same version may not list all of the upstreams yet.
+            others.values().removeIf(c -> c.instance().equals(peer));
+        }
         heardUntil.merge(peer, validUntil, (a, b) -> a - b > 0 ? a : b);
         fencingByUpstream.forEach(
                 (upstream, fencing) -> {
                     highestFencing.merge(upstream, fencing, Math::max);
-                    Claim known = others.get(upstream);
-                    if (known == null || known.fencing() < fencing) {
+                    Claim claimed = others.get(upstream);
+                    if (claimed == null || claimed.fencing() < fencing) {
                         others.put(upstream, new Claim(peer, fencing));
                     }
                     Own mine = own.get(upstream);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -278,6 +278,9 @@
         claims.onPeerClaims("n1", 8, java.util.Map.of("e1", 5L), Long.MAX_VALUE);
         claims.onPeerClaims("n1", 7, java.util.Map.of(), Long.MAX_VALUE);
         assertTrue(claims.holder("e1").contains("n1"));
+        // Relayed by an instance that does not list the upstream yet.
+        claims.onPeerClaims("n1", 8, java.util.Map.of(), Long.MAX_VALUE);
+        assertTrue(claims.holder("e1").contains("n1"));
         claims.onPeerClaims("n1", 9, java.util.Map.of(), Long.MAX_VALUE);
         assertTrue(claims.holder("e1").isEmpty());
     }
