Say once what shares, digests and uses had in common

Read again as a whole; no decision is meant to change. - Loads of others are taken over by UpstreamTable, adapters in use by AdapterUseShares, claims' numbers read by EnginePlaces: each stood two or three times, in LoadShares, LoadDigests and AdapterUseShares. The message of a load, the claims of an instance (own and others'), lifetimes and the splitting into packets stood twice. - Under which claim it is known what an engine holds was kept in a map of LoadDigests, filled in each tick in small fleets too and pruned in large ones only, so that it grew with each engine that ever was; it is a field of the engine's state now.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterUseShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterUseShares.java
@@ -1,6 +1,6 @@
 package org.bronzehill.core.forward;
 
-import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -19,12 +19,6 @@
  */
 final class AdapterUseShares {
 
-    /** Interval at which unchanged uses are repeated. */
-    private static final Duration REPEAT = Duration.ofMillis(1000);
-
-    /** Time for which uses count: two repetitions may be lost. */
-    private static final Duration LIFETIME = REPEAT.multipliedBy(5).dividedBy(2);
-
     private final UpstreamTable upstreams;
     private final OrderClaims claims;
     private final TimeSource time;
@@ -50,7 +44,7 @@
     /** Sends what has changed, and from time to time everything. */
     void onTick(Effects out) {
         long now = time.nanoTime();
-        boolean repeat = now - repeatedAt >= REPEAT.toNanos();
+        boolean repeat = now - repeatedAt >= LoadShares.REPEAT.toNanos();
         repeatedAt = repeat ? now : repeatedAt;
         Map<String, AdapterUses> present = byHolder();
         Set<String> receivers = new HashSet<>(present.keySet());
@@ -82,19 +76,24 @@
                                             .addLoads(load));
         }
         Map<String, AdapterUses> built = new HashMap<>();
-        found.forEach((i, b) -> built.put(i, b.setValidMs((int) LIFETIME.toMillis()).build()));
+        int validMs = (int) LoadShares.lifetime(LoadShares.REPEAT).toMillis();
+        found.forEach((i, b) -> built.put(i, b.setValidMs(validMs).build()));
         return built;
     }
 
-    /** Takes over the uses of another instance; they replace its earlier ones. */
-    void onMessage(String from, AdapterUses uses) {
-        long validUntil = time.nanoTime() + Duration.ofMillis(uses.getValidMs()).toNanos();
+    /**
+     * Takes over the uses that another instance tells. They replace its earlier ones, except where
+     * it names an upstream without adapters: then it tells them in a message of their own.
+     */
+    void takeOver(String from, Collection<UpstreamLoad> loads, long validUntil) {
         Set<UpstreamState> named = new HashSet<>();
-        for (UpstreamLoad load : uses.getLoadsList()) {
+        for (UpstreamLoad load : loads) {
             UpstreamState u = upstreams.get(load.getUpstreamHash());
             if (u != null) {
                 named.add(u);
-                onUses(from, u, load, validUntil);
+                if (load.getAdaptersCount() > 0) {
+                    takeOver(from, u, load, validUntil);
+                }
             }
         }
         for (UpstreamState u : upstreams.all()) {
@@ -104,8 +103,7 @@
         }
     }
 
-    /** Takes over which adapters another instance uses at one upstream. */
-    void onUses(String from, UpstreamState u, UpstreamLoad load, long validUntil) {
+    private void takeOver(String from, UpstreamState u, UpstreamLoad load, long validUntil) {
         Set<AdapterRef> adapters = new HashSet<>();
         load.getAdaptersList().forEach(k -> AdapterRef.parse(k).forEach(adapters::add));
         u.onPeerUses(from, adapters, validUntil);
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/DigestParts.java
@@ -0,0 +1,42 @@
+package org.bronzehill.core.forward;
+
+import com.google.protobuf.MessageLite;
+import java.util.ArrayList;
+import java.util.List;
+import org.bronzehill.protocol.generated.LoadDigest;
+
+/** A digest in as many parts as it takes packets; the first one states the loads. */
+final class DigestParts {
+
+    /** Content of one packet of 1,500 bytes, with room for names and headers. */
+    private static final int MAX_BYTES = 1200;
+
+    private final List<LoadDigest> full = new ArrayList<>();
+    private final LoadDigest.Builder further;
+    private LoadDigest.Builder part;
+    private int bytes;
+
+    DigestParts(LoadDigest.Builder first) {
+        this.part = first;
+        this.bytes = first.build().getSerializedSize();
+        this.further = first.clone().clearLoads().setFurtherPart(true);
+    }
+
+    /** Returns the part to which a message is to be added. */
+    LoadDigest.Builder withRoomFor(MessageLite message) {
+        int size = message.getSerializedSize();
+        if (bytes + size > MAX_BYTES) {
+            full.add(part.build());
+            part = further.clone();
+            bytes = 0;
+        }
+        bytes += size;
+        return part;
+    }
+
+    /** Returns all parts; nothing can be added afterwards. */
+    List<LoadDigest> all() {
+        full.add(part.build());
+        return full;
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EnginePlaces.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EnginePlaces.java
@@ -1,5 +1,6 @@
 package org.bronzehill.core.forward;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -34,9 +35,9 @@
     }
 
     /** Takes over what the engine holds, if the message states that of its present run. */
-    static boolean takeOver(UpstreamState u, OrderedUpstream ordered) {
+    static void takeOver(UpstreamState u, OrderedUpstream ordered) {
         if (!ordered.getComplete() || u.upstream().startedAtMs() != ordered.getStartedAtMs()) {
-            return false;
+            return;
         }
         Map<AdapterRef, Integer> held = new HashMap<>();
         Map<AdapterRef, Integer> coming = new HashMap<>();
@@ -46,6 +47,13 @@
         }
         u.setModels(Set.copyOf(ordered.getModelsList()));
         u.setAdapters(held, coming);
-        return true;
+        u.setPlacesFencing(ordered.getFencing());
+    }
+
+    /** Returns the fencing numbers of claims by upstream. */
+    static Map<String, Long> fencing(Collection<OrderedUpstream> claims) {
+        Map<String, Long> fencing = new HashMap<>();
+        claims.forEach(c -> fencing.put(c.getUpstream(), c.getFencing()));
+        return fencing;
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -64,6 +64,7 @@
     private Map<UpstreamState, EngineSpec> engines = Map.of();
     private long sequence;
     private boolean draining;
+    private boolean enginesChanged;
     private boolean callTickArmed;
 
     private Forwarder(ForwardSettings settings, ForwardPorts ports, RandomGenerator random) {
@@ -126,7 +127,7 @@
                 "event=configuration version=%d previous=%d",
                 read.version(), configuration.version());
         configuration = read;
-        engines = engines();
+        enginesChanged = true;
         return true;
     }
 
@@ -142,7 +143,7 @@
     /** Takes over the complete list of upstreams. */
     public void onUpstreams(Collection<UpstreamRecord> records) {
         upstreams.replaceAll(records).forEach(this::onUpstreamEnded);
-        engines = engines();
+        enginesChanged = true;
     }
 
     /**
@@ -154,7 +155,7 @@
         UpstreamState known = upstreams.get(read.id());
         boolean matters = known == null || !known.upstream().isUsedAs(read);
         upstreams.put(read).forEach(this::onUpstreamEnded);
-        engines = engines();
+        enginesChanged |= matters;
         onRoom(read.service());
         return matters;
     }
@@ -162,7 +163,6 @@
     /** Notes that the record of an upstream is gone. */
     public void onUpstreamRemoved(String id) {
         upstreams.remove(id).forEach(this::onUpstreamEnded);
-        engines = engines();
     }
 
     /** Notes that the store answers again after an outage. */
@@ -172,6 +172,7 @@
     }
 
     private void onUpstreamEnded(UpstreamState ended) {
+        enginesChanged = true;
         office.drop(ended);
         crashWatch.onDown(ended.id());
         adapters.onUpstreamEnded(ended);
@@ -383,7 +384,7 @@
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
             crashWatch.onDown(upstream.id());
             adapters.onUpstreamEnded(upstream);
-            engines = engines();
+            enginesChanged = true;
         }
     }
 
@@ -427,9 +428,9 @@
         membership.onTick(out);
         crashes.onTick(out);
         retries.onTick(membership.live().size());
-        List<UpstreamState> ended = upstreams.onTick();
-        if (!ended.isEmpty()) {
-            ended.forEach(this::onUpstreamEnded);
+        upstreams.onTick().forEach(this::onUpstreamEnded);
+        if (enginesChanged) {
+            enginesChanged = false;
             engines = engines();
         }
         office.onTick(engines, !open.isEmpty());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -31,27 +31,18 @@
     /** Longest interval between digests; an unchanged one is repeated then. */
     static final Duration REPEAT = Duration.ofMillis(500);
 
-    /** Lifetime of a digest in repetitions: two of them may be lost. */
-    private static final double LIFETIME = 2.5;
-
     /** Repetitions in which what every engine holds is told again. */
     private static final int TURNS = 8;
 
-    /** Content of one packet of 1,500 bytes, with room for names and headers. */
-    private static final int MAX_PART_BYTES = 1200;
-
-    /** Time for which the collector's own claims count; as for those in shares. */
-    private static final Duration OWN_CLAIMS = Duration.ofMillis(2500);
-
     private final Membership membership;
     private final UpstreamTable upstreams;
+    private final OrderOffice office;
     private final OrderClaims claims;
     private final Collectors collectors;
     private final StoreNews news;
     private final TimeSource time;
     private final Map<String, Long> reporters = new HashMap<>();
     private final Map<String, Long> others = new HashMap<>();
-    private final Map<String, Long> placesOf = new HashMap<>();
     private final Audience toReporters = new Audience();
     private final Audience toCollectors = new Audience();
     private long nextAt;
@@ -62,14 +53,13 @@
     private static final class Audience {
         private final Map<String, Integer> placesVersions = new HashMap<>();
         private List<UpstreamLoad> loads = List.of();
-        private long storeRevision;
+        private long newsRevision;
         private boolean storeAnswers;
 
         /** Notes what is told of the store; returns whether it has changed. */
         private boolean tell(StoreNews news) {
-            boolean changed =
-                    storeRevision != news.revision() || storeAnswers != news.isAnswering();
-            storeRevision = news.revision();
+            boolean changed = newsRevision != news.revision() || storeAnswers != news.isAnswering();
+            newsRevision = news.revision();
             storeAnswers = news.isAnswering();
             return changed;
         }
@@ -78,13 +68,14 @@
     LoadDigests(
             Membership membership,
             UpstreamTable upstreams,
-            OrderClaims claims,
+            OrderOffice office,
             Collectors collectors,
             StoreNews news,
             TimeSource time) {
         this.membership = membership;
         this.upstreams = upstreams;
-        this.claims = claims;
+        this.office = office;
+        this.claims = office.claims();
         this.collectors = collectors;
         this.news = news;
         this.time = time;
@@ -110,11 +101,6 @@
         }
     }
 
-    /** Notes what an engine holds under the present claim on it. */
-    void onPlaces(String upstream, long fencing) {
-        placesOf.put(upstream, fencing);
-    }
-
     /** Sends the digests that are due. */
     void onTick(Effects out) {
         long now = time.nanoTime();
@@ -135,9 +121,8 @@
     }
 
     private void forgetUnlisted() {
-        placesOf.keySet().removeIf(id -> upstreams.get(id) == null);
-        toReporters.placesVersions.keySet().retainAll(placesOf.keySet());
-        toCollectors.placesVersions.keySet().retainAll(placesOf.keySet());
+        toReporters.placesVersions.keySet().removeIf(id -> upstreams.get(id) == null);
+        toCollectors.placesVersions.keySet().removeIf(id -> upstreams.get(id) == null);
     }
 
     private void tellCollectors(boolean repeat, Effects out) {
@@ -213,13 +198,7 @@
     private static void add(
             UpstreamState u, int requests, long tokens, long unread, List<UpstreamLoad> into) {
         if (requests > 0) {
-            into.add(
-                    UpstreamLoad.newBuilder()
-                            .setUpstreamHash(u.shortHash())
-                            .setRequests(requests)
-                            .setTokens(tokens)
-                            .setUnreadTokens(unread)
-                            .build());
+            into.add(u.toMessage(requests, tokens, unread));
         }
     }
 
@@ -243,19 +222,19 @@
 
     /** Returns the claim on an engine of which it is known what it holds. */
     private Option<Claim> claimOn(UpstreamState u) {
-        Long fencing = placesOf.get(u.id());
-        Option<Claim> claim =
-                claims.holds(u.id())
-                        ? Option.of(new Claim(membership.self().id(), claims.own().get(u.id())))
-                        : claims.claimOfOther(u.id());
-        return claim.filter(c -> fencing != null && c.fencing() == fencing);
+        return claims.claim(u.id())
+                .filter(
+                        c ->
+                                claims.holds(u.id())
+                                        ? office.hasReport(u)
+                                        : u.placesFencing() == c.fencing());
     }
 
     private LoadDigest.Builder digest(List<UpstreamLoad> loads) {
         return LoadDigest.newBuilder()
-                .setValidMs((int) (REPEAT.toMillis() * LIFETIME))
+                .setValidMs((int) LoadShares.lifetime(REPEAT).toMillis())
                 .addAllLoads(loads)
-                .setStoreRevision(news.revision())
+                .setNewsRevision(news.revision())
                 .setStoreAnswers(news.isAnswering())
                 .setStoreReturnedMs(news.returnedMillis());
     }
@@ -267,30 +246,11 @@
             List<OrderedUpstream> places,
             List<InstanceClaims> claims,
             Effects out) {
-        List<LoadDigest> parts = new ArrayList<>();
-        LoadDigest.Builder part = first;
-        int bytes = first.build().getSerializedSize();
-        LoadDigest.Builder further = first.clone().clearLoads().setFurtherPart(true);
-        for (OrderedUpstream o : places) {
-            if (bytes + o.getSerializedSize() > MAX_PART_BYTES) {
-                parts.add(part.build());
-                part = further.clone();
-                bytes = 0;
-            }
-            part.addPlaces(o);
-            bytes += o.getSerializedSize();
-        }
-        for (InstanceClaims c : claims) {
-            if (bytes + c.getSerializedSize() > MAX_PART_BYTES) {
-                parts.add(part.build());
-                part = further.clone();
-                bytes = 0;
-            }
-            part.addClaims(c);
-            bytes += c.getSerializedSize();
-        }
-        parts.add(part.build());
-        receivers.forEach(r -> parts.forEach(p -> send(r, p, out)));
+        DigestParts parts = new DigestParts(first);
+        places.forEach(p -> parts.withRoomFor(p).addPlaces(p));
+        claims.forEach(c -> parts.withRoomFor(c).addClaims(c));
+        List<LoadDigest> all = parts.all();
+        receivers.forEach(r -> all.forEach(p -> send(r, p, out)));
     }
 
     private List<InstanceClaims> claimsOf(Set<String> owners) {
@@ -298,27 +258,19 @@
         claims.heard().stream()
                 .filter(h -> owners.contains(h.instance()))
                 .forEach(h -> found.add(claimsOf(h)));
-        found.add(ownClaims());
+        Duration lifetime = LoadShares.lifetime(LoadShares.REPEAT);
+        String self = membership.self().id();
+        found.add(claimsOf(new OrderClaims.Heard(self, claims.version(), claims.own(), lifetime)));
         return found;
     }
 
-    private InstanceClaims ownClaims() {
+    private static InstanceClaims claimsOf(OrderClaims.Heard of) {
         InstanceClaims.Builder b =
                 InstanceClaims.newBuilder()
-                        .setInstance(membership.self().id())
-                        .setClaimsVersion(claims.version())
-                        .setValidMs((int) OWN_CLAIMS.toMillis());
-        claims.own().forEach((u, f) -> b.addOrdered(EnginePlaces.claim(u, f)));
-        return b.build();
-    }
-
-    private static InstanceClaims claimsOf(OrderClaims.Heard heard) {
-        InstanceClaims.Builder b =
-                InstanceClaims.newBuilder()
-                        .setInstance(heard.instance())
-                        .setClaimsVersion(heard.version())
-                        .setValidMs((int) heard.left().toMillis());
-        heard.fencingByUpstream().forEach((u, f) -> b.addOrdered(EnginePlaces.claim(u, f)));
+                        .setInstance(of.instance())
+                        .setClaimsVersion(of.version())
+                        .setValidMs((int) of.left().toMillis());
+        of.fencingByUpstream().forEach((u, f) -> b.addOrdered(EnginePlaces.claim(u, f)));
         return b.build();
     }
 
@@ -338,19 +290,18 @@
             collectors.onDigest(from);
         }
         boolean own = !digest.getBetweenCollectors() && collectors.mine().contains(from);
-        news.onDigest(digest.getStoreRevision(), digest.getStoreAnswers(), own);
+        news.onDigest(digest.getNewsRevision(), digest.getStoreAnswers(), own);
         if (own && news.onReturnTold(digest.getStoreReturnedMs())) {
             upstreams.onStoreReturned();
         }
         // Loads count once: a collector has them from collectors, others from their collector.
         boolean counts = digest.getBetweenCollectors() ? isCollector() : own;
         if (counts && !digest.getFurtherPart()) {
-            takeOverLoads(from, digest.getLoadsList(), validUntil);
+            upstreams.onPeerLoads(from, digest.getLoadsList(), validUntil);
         }
         for (InstanceClaims c : digest.getClaimsList()) {
             if (!c.getInstance().equals(membership.self().id())) {
-                Map<String, Long> fencing = new HashMap<>();
-                c.getOrderedList().forEach(o -> fencing.put(o.getUpstream(), o.getFencing()));
+                Map<String, Long> fencing = EnginePlaces.fencing(c.getOrderedList());
                 long until = now + Duration.ofMillis(c.getValidMs()).toNanos();
                 claims.onPeerClaims(c.getInstance(), c.getClaimsVersion(), fencing, until);
             }
@@ -358,25 +309,12 @@
         digest.getPlacesList().forEach(this::takeOverPlaces);
     }
 
-    private void takeOverLoads(String from, Collection<UpstreamLoad> loads, long validUntil) {
-        Set<UpstreamState> named = new HashSet<>();
-        for (UpstreamLoad load : loads) {
-            UpstreamState u = upstreams.get(load.getUpstreamHash());
-            if (u != null) {
-                named.add(u);
-                u.onPeerLoad(from, UpstreamState.PeerLoad.of(load, validUntil));
-            }
-        }
-        upstreams.all().stream().filter(u -> !named.contains(u)).forEach(u -> u.dropPeer(from));
-    }
-
     private void takeOverPlaces(OrderedUpstream ordered) {
         UpstreamState u = upstreams.get(ordered.getUpstream());
-        boolean claimed =
-                claims.claimOfOther(ordered.getUpstream())
-                        .exists(c -> c.fencing() == ordered.getFencing());
-        if (u != null && claimed && !claims.holds(u.id()) && EnginePlaces.takeOver(u, ordered)) {
-            onPlaces(u.id(), ordered.getFencing());
+        if (u != null
+                && !claims.holds(u.id())
+                && claims.claim(u.id()).exists(c -> c.fencing() == ordered.getFencing())) {
+            EnginePlaces.takeOver(u, ordered);
         }
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadShares.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -39,9 +40,9 @@
     private static final int DIRECT_FLEET = 24;
 
     /** Shortest interval at which an unchanged share is repeated. */
-    private static final Duration REPEAT = Duration.ofMillis(1000);
+    static final Duration REPEAT = Duration.ofMillis(1000);
 
-    /** Lifetime of a share in intervals between repetitions: two of them may be lost. */
+    /** Lifetime of a message in intervals between repetitions: two of them may be lost. */
     private static final double LIFETIME = 2.5;
 
     private final Membership membership;
@@ -75,8 +76,7 @@
         this.time = time;
         this.uses = new AdapterUseShares(upstreams, office.claims(), time, useListener);
         this.collectors = new Collectors(membership, time);
-        this.digests =
-                new LoadDigests(membership, upstreams, office.claims(), collectors, news, time);
+        this.digests = new LoadDigests(membership, upstreams, office, collectors, news, time);
         this.nextAt = time.nanoTime();
         this.repeatedAt = nextAt;
         this.toldVersion = office.claims().version();
@@ -86,7 +86,7 @@
     void onTick(Effects out) {
         List<InstanceRef> live = membership.live();
         Set<InstanceRef> joined = joined(live);
-        noteOwnPlaces();
+        sentPlaces.keySet().removeIf(id -> upstreams.get(id) == null);
         if (!hasCollectors()) {
             tellAll(live, joined, out);
         } else {
@@ -179,20 +179,6 @@
         }
     }
 
-    /** Lets the collector's part of this instance know what its own engines hold. */
-    private void noteOwnPlaces() {
-        sentPlaces.keySet().removeIf(id -> upstreams.get(id) == null);
-        office.claims()
-                .own()
-                .forEach(
-                        (id, fencing) -> {
-                            UpstreamState u = upstreams.get(id);
-                            if (u != null && office.hasReport(u)) {
-                                digests.onPlaces(id, fencing);
-                            }
-                        });
-    }
-
     private LoadShare.Builder empty() {
         return LoadShare.newBuilder()
                 .setValidMs((int) lifetime().toMillis())
@@ -201,7 +187,11 @@
 
     private Duration lifetime() {
         Duration interval = PER_INSTANCE.multipliedBy(membership.live().size());
-        Duration repeat = interval.compareTo(REPEAT) > 0 ? interval : REPEAT;
+        return lifetime(Collections.max(List.of(interval, REPEAT)));
+    }
+
+    /** Returns the time for which a message counts that is repeated at an interval. */
+    static Duration lifetime(Duration repeat) {
         return Duration.ofNanos((long) (repeat.toNanos() * LIFETIME));
     }
 
@@ -220,13 +210,7 @@
         LoadShare.Builder share = empty();
         for (UpstreamState u : upstreams.all()) {
             if (u.ownRequests() > 0) {
-                UpstreamLoad.Builder load =
-                        UpstreamLoad.newBuilder()
-                                .setUpstreamHash(u.shortHash())
-                                .setRequests(u.ownRequests())
-                                .setTokens(u.ownTokens())
-                                .setUnreadTokens(u.ownUnreadTokens());
-                share.addLoads(load);
+                share.addLoads(u.toMessage(u.ownRequests(), u.ownTokens(), u.ownUnreadTokens()));
             }
         }
         addClaims(share, all, remember);
@@ -265,12 +249,10 @@
     void onShare(String peer, LoadShare share, Effects out) {
         long validUntil = time.nanoTime() + Duration.ofMillis(share.getValidMs()).toNanos();
         if (!share.getClaimsOnly()) {
-            takeOverLoads(peer, share.getLoadsList(), validUntil);
-        }
-        Map<String, Long> claims = new HashMap<>();
-        for (OrderedUpstream ordered : share.getOrderedList()) {
-            claims.put(ordered.getUpstream(), ordered.getFencing());
+            upstreams.onPeerLoads(peer, share.getLoadsList(), validUntil);
+            uses.takeOver(peer, share.getLoadsList(), validUntil);
         }
+        Map<String, Long> claims = EnginePlaces.fencing(share.getOrderedList());
         office.claims().onPeerClaims(peer, share.getClaimsVersion(), claims, validUntil);
         share.getOrderedList().forEach(o -> takeOverPlaces(peer, o));
         if (!share.getClaimsOnly() && hasCollectors()) {
@@ -278,32 +260,10 @@
         }
     }
 
-    private void takeOverLoads(String peer, List<UpstreamLoad> loads, long validUntil) {
-        Set<String> named = new HashSet<>();
-        for (UpstreamLoad load : loads) {
-            UpstreamState u = upstreams.get(load.getUpstreamHash());
-            if (u != null) {
-                named.add(u.id());
-                u.onPeerLoad(peer, UpstreamState.PeerLoad.of(load, validUntil));
-                if (load.getAdaptersCount() > 0) {
-                    uses.onUses(peer, u, load, validUntil);
-                }
-            }
-        }
-        for (UpstreamState u : upstreams.all()) {
-            if (!named.contains(u.id())) {
-                u.dropPeer(peer);
-                u.onPeerUses(peer, Set.of(), validUntil);
-            }
-        }
-    }
-
     private void takeOverPlaces(String peer, OrderedUpstream ordered) {
         UpstreamState u = upstreams.get(ordered.getUpstream());
-        if (u != null
-                && office.claims().holder(u.id()).contains(peer)
-                && EnginePlaces.takeOver(u, ordered)) {
-            digests.onPlaces(u.id(), ordered.getFencing());
+        if (u != null && office.claims().holder(u.id()).contains(peer)) {
+            EnginePlaces.takeOver(u, ordered);
         }
     }
 
@@ -316,6 +276,7 @@
 
     /** Takes over which adapters another instance uses. */
     void onUses(String from, AdapterUses message) {
-        uses.onMessage(from, message);
+        long validUntil = time.nanoTime() + Duration.ofMillis(message.getValidMs()).toNanos();
+        uses.takeOver(from, message.getLoadsList(), validUntil);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -226,7 +226,7 @@
         return version;
     }
 
-    /** Claims of another instance that count at present. */
+    /** Claims of one instance that count at present. */
     record Heard(
             String instance, long version, Map<String, Long> fencingByUpstream, Duration left) {}
 
@@ -266,10 +266,15 @@
         return own.containsKey(upstream);
     }
 
+    /** Returns the claim on the upstream that counts here, which may be an own one. */
+    Option<Claim> claim(String upstream) {
+        return Option.of(own.get(upstream))
+                .map(o -> new Claim(settings.instance(), o.fencing()))
+                .orElse(claimOfOther(upstream));
+    }
+
     /** Returns the instance that gives orders to the upstream. */
     Option<String> holder(String upstream) {
-        return own.containsKey(upstream)
-                ? Option.of(settings.instance())
-                : Option.of(others.get(upstream)).map(Claim::instance);
+        return claim(upstream).map(Claim::instance);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Patience.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Patience.java
@@ -1,7 +1,9 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** How long an upstream may be silent before a request is sent elsewhere, learned by route. */
@@ -20,9 +22,11 @@
 
     Duration of(Route route, boolean answerBegun) {
         if (route.kind().isStream()) {
-            return answerBegun ? EVENT : max(route.target().multipliedBy(2), EVENT);
+            return answerBegun
+                    ? EVENT
+                    : Collections.max(List.of(route.target().multipliedBy(2), EVENT));
         }
-        return max(SHORTEST, latency(route).usual().multipliedBy(FACTOR));
+        return Collections.max(List.of(SHORTEST, latency(route).usual().multipliedBy(FACTOR)));
     }
 
     /** Notes the time from a sending to the first byte of the answer. */
@@ -33,8 +37,4 @@
     private Latency latency(Route route) {
         return latencies.computeIfAbsent(route.name(), n -> new Latency(route.target()));
     }
-
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) > 0 ? a : b;
-    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -31,6 +31,7 @@
     private UpstreamRecord upstream;
     private final long nameHash;
     private int placesVersion;
+    private long placesFencing;
     private final Map<AdapterRef, Integer> awaited = new HashMap<>();
     private int awaiting;
     private boolean misaddressed;
@@ -145,6 +146,16 @@
         return users.keySet();
     }
 
+    /** Returns the message that states a load of this upstream. */
+    UpstreamLoad toMessage(int sentRequests, long sentTokens, long sentUnreadTokens) {
+        return UpstreamLoad.newBuilder()
+                .setUpstreamHash(shortHash())
+                .setRequests(sentRequests)
+                .setTokens(sentTokens)
+                .setUnreadTokens(sentUnreadTokens)
+                .build();
+    }
+
     void onPeerLoad(String peer, PeerLoad load) {
         peers.put(peer, load);
     }
@@ -219,6 +230,15 @@
         return placesVersion;
     }
 
+    /** Returns the fencing number of the claim under which another instance told what it holds. */
+    long placesFencing() {
+        return placesFencing;
+    }
+
+    void setPlacesFencing(long fencing) {
+        placesFencing = fencing;
+    }
+
     void setModels(Set<String> held) {
         placesVersion += models.equals(held) ? 0 : 1;
         models.clear();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.UpstreamLoad;
 import org.jboss.logging.Logger;
 
 /** Upstreams by identifier, kept from what the platform publishes. */
@@ -129,6 +130,23 @@
         return byHash.get(shortHash);
     }
 
+    /** Takes over the loads that another instance tells; they replace its earlier ones. */
+    void onPeerLoads(String peer, Collection<UpstreamLoad> loads, long validUntil) {
+        Set<UpstreamState> named = new HashSet<>();
+        for (UpstreamLoad load : loads) {
+            UpstreamState u = get(load.getUpstreamHash());
+            if (u != null) {
+                named.add(u);
+                u.onPeerLoad(peer, UpstreamState.PeerLoad.of(load, validUntil));
+            }
+        }
+        for (UpstreamState u : all()) {
+            if (!named.contains(u)) {
+                u.dropPeer(peer);
+            }
+        }
+    }
+
     Collection<UpstreamState> all() {
         return states.values();
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -13,7 +13,6 @@
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.node.Effect;
-import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.protocol.generated.Envelope;
 import org.bronzehill.protocol.generated.MemberUpdate;
 import org.bronzehill.protocol.generated.PeerStatus;
@@ -54,15 +53,7 @@
         private Node(String id, String dataCentre, int port) {
             ref = new InstanceRef(id, scheduler.time().millis(), id, port, dataCentre, "r");
             membership = Membership.create(ref, scheduler.time(), new Random(id.hashCode()));
-            ForwardSettings settings =
-                    new ForwardSettings(
-                            id,
-                            dataCentre,
-                            0.2,
-                            50,
-                            Duration.ofSeconds(10),
-                            Duration.ofSeconds(2),
-                            Duration.ofSeconds(3));
+            ForwardSettings settings = TestSettings.in(dataCentre, id);
             ForwardPorts ports =
                     new ForwardPorts(
                             scheduler.time(),
@@ -70,7 +61,7 @@
                             membership,
                             e -> send(this, e),
                             transport(),
-                            listener());
+                            TestSettings.listener());
             forwarder = Forwarder.create(settings, ports, new Random(id.hashCode()));
             forwarder.onConfiguration(
                     RoutingConfiguration.of(
@@ -169,16 +160,6 @@
         greet();
     }
 
-    private static ForwardListener listener() {
-        return new ForwardListener() {
-            @Override
-            public void completed(ForwardRequest r, int status, Duration took) {}
-
-            @Override
-            public void refused(ForwardRequest r, ResultCode code, Duration took) {}
-        };
-    }
-
     /** Makes all instances known to each other, as seeds do. */
     void greet() {
         for (Node a : nodes.values()) {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -21,6 +21,16 @@
     /** Time after which a change of load is known everywhere: a share and two digests. */
     private static final Duration KNOWN = Duration.ofMillis(900);
 
+    private static List<FleetRig.Node> collectorsThatReadTheStore(FleetRig rig) {
+        rig.run(Duration.ofSeconds(4));
+        rig.forgetReceived();
+        rig.run(Duration.ofSeconds(3));
+        List<FleetRig.Node> collectors = rig.collectors();
+        collectors.forEach(c -> c.forwarder.storeNews().onRead(70, false));
+        rig.run(KNOWN);
+        return collectors;
+    }
+
     @Test
     public void startReadsNoReportOfEnginesBeforeClaims() {
         FleetRig rig = new FleetRig(40, 4, 20);
@@ -198,12 +208,7 @@
     @Test
     public void newsOfTheStoreReachesAllWhileTheirCollectorGetsAnswers() {
         FleetRig rig = new FleetRig(60, 5, 10);
-        rig.run(Duration.ofSeconds(4));
-        rig.forgetReceived();
-        rig.run(Duration.ofSeconds(3));
-        List<FleetRig.Node> collectors = rig.collectors();
-        collectors.forEach(c -> c.forwarder.storeNews().onRead(70, false));
-        rig.run(KNOWN);
+        List<FleetRig.Node> collectors = collectorsThatReadTheStore(rig);
         for (FleetRig.Node n : rig.up()) {
             StoreNews news = n.forwarder.storeNews();
             assertEquals(news.isWatched(), !collectors.contains(n), n.ref.id());
@@ -229,12 +234,7 @@
     @Test
     public void returnOfTheStoreIsKnownBeforeWhatLapsed() {
         FleetRig rig = new FleetRig(60, 5, 10);
-        rig.run(Duration.ofSeconds(4));
-        rig.forgetReceived();
-        rig.run(Duration.ofSeconds(3));
-        List<FleetRig.Node> collectors = rig.collectors();
-        collectors.forEach(c -> c.forwarder.storeNews().onRead(70, false));
-        rig.run(KNOWN);
+        List<FleetRig.Node> collectors = collectorsThatReadTheStore(rig);
         collectors.forEach(c -> c.forwarder.onStoreReturned());
         collectors.forEach(c -> c.forwarder.storeNews().onRead(71, true));
         rig.run(KNOWN);
@@ -254,12 +254,7 @@
     @Test
     public void membersWatchTheStoreWhenTheirCollectorIsGone() {
         FleetRig rig = new FleetRig(60, 5, 10);
-        rig.run(Duration.ofSeconds(4));
-        rig.forgetReceived();
-        rig.run(Duration.ofSeconds(3));
-        List<FleetRig.Node> collectors = rig.collectors();
-        collectors.forEach(c -> c.forwarder.storeNews().onRead(70, false));
-        rig.run(KNOWN);
+        List<FleetRig.Node> collectors = collectorsThatReadTheStore(rig);
         FleetRig.Node gone = collectors.get(0);
         gone.up = false;
         rig.run(Duration.ofMillis(1400));
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -10,7 +10,6 @@
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.node.Effect;
-import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.protocol.generated.Ack;
 import org.bronzehill.protocol.generated.Envelope;
 import org.bronzehill.protocol.generated.MemberUpdate;
@@ -39,14 +38,6 @@
         engines = new FakeEngines(scheduler, loadTime, atFullSpeed);
         InstanceRef self = new InstanceRef("i1", 1, "10.0.0.1", 7000, "a", "r");
         ForwardSettings settings = TestSettings.of("i1");
-        ForwardListener listener =
-                new ForwardListener() {
-                    @Override
-                    public void completed(ForwardRequest r, int status, Duration took) {}
-
-                    @Override
-                    public void refused(ForwardRequest r, ResultCode code, Duration took) {}
-                };
         ForwardPorts ports =
                 new ForwardPorts(
                         scheduler.time(),
@@ -54,7 +45,7 @@
                         Membership.create(self, scheduler.time(), new Random(1)),
                         effects::add,
                         engines,
-                        listener);
+                        TestSettings.listener());
         forwarder = Forwarder.create(settings, ports, new Random(2));
         forwarder.onConfiguration(configuration());
         forwarder.onUpstreams(upstreams(engineCount));
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/TestSettings.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/TestSettings.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
+import org.bronzehill.core.result.ResultCode;
 
 /** Settings of instances in tests. */
 final class TestSettings {
@@ -19,6 +20,30 @@
                 Duration.ofSeconds(3));
     }
 
+    /** Returns the settings of an instance in a data centre, with a usual retry budget. */
+    static ForwardSettings in(String dataCentre, String instance) {
+        ForwardSettings s = of(instance);
+        return new ForwardSettings(
+                instance,
+                dataCentre,
+                s.retryRatio(),
+                s.retrySlack(),
+                s.retryWindow(),
+                s.storeReturn(),
+                s.claimTime());
+    }
+
+    /** Returns a listener that ignores what becomes of calls. */
+    static ForwardListener listener() {
+        return new ForwardListener() {
+            @Override
+            public void completed(ForwardRequest r, int status, Duration took) {}
+
+            @Override
+            public void refused(ForwardRequest r, ResultCode code, Duration took) {}
+        };
+    }
+
     /** Returns the settings of an instance with a usual retry budget. */
     static ForwardSettings of(String instance) {
         return of(instance, 0.2, 50);
