Discover the other instances again after a pause before claiming engines

Cause: a suspended instance that resumes first handles the departures which the others sent before they restarted. It then knows nobody, is first in every rendezvous order, and after 150 ms claims the engines of live instances with higher fencing numbers. Ruled out: the claims that it held itself; these already wait out the lease. Change: a pause restarts the discovery that precedes claims after a start.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -482,7 +482,7 @@
      */
     public void onProcessPause() {
         LOG.info("event=process-pause action=release-claims");
-        controller.claims().releaseAll("process-pause");
+        controller.claims().onProcessPause();
     }
 
     /**
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -212,7 +212,16 @@
         release(upstream, "fenced-by-upstream");
     }
 
-    /** Releases all claims, after a pause of the process or before a stop. */
+    /**
+     * Releases all claims because the process did not run for some time. What this instance knows
+     * of the others is as old as the pause, so they are discovered again before the next claim.
+     */
+    void onProcessPause() {
+        releaseAll("process-pause");
+        started = false;
+    }
+
+    /** Releases all claims before a stop. */
     void releaseAll(String reason) {
         long resume = time.nanoTime() + settings.orderLease().toNanos();
         for (String u : new ArrayList<>(ownClaims.keySet())) {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsStartTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsStartTest.java
@@ -4,10 +4,16 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.protocol.generated.Envelope;
+import org.bronzehill.protocol.generated.Leaving;
+import org.bronzehill.protocol.generated.MemberUpdate;
+import org.bronzehill.protocol.generated.PeerStatus;
+import org.bronzehill.protocol.generated.Ping;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -20,13 +26,14 @@
     private static final Duration STEP = Duration.ofMillis(100);
 
     private VirtualScheduler scheduler;
+    private Membership members;
     private OrderClaims claims;
 
     @BeforeMethod
     public void create() {
         scheduler = new VirtualScheduler();
         InstanceRef self = new InstanceRef("i1", 1, "10.0.0.1", 7000, "a", "r");
-        Membership members = Membership.create(self, scheduler.time(), new Random(1));
+        members = Membership.create(self, scheduler.time(), new Random(1));
         claims = new OrderClaims(members, TestSettings.of("i1"), scheduler.time());
     }
 
@@ -49,6 +56,62 @@
         assertEquals(claims.ownClaims().size(), 2);
     }
 
+    /** Announces another instance, or a later start of it. */
+    private void join(String id, long incarnation) {
+        MemberUpdate update =
+                MemberUpdate.newBuilder()
+                        .setId(id)
+                        .setIncarnation(incarnation)
+                        .setHost("10.0.0.2")
+                        .setPort(7001)
+                        .setStatus(PeerStatus.PEER_STATUS_ALIVE)
+                        .build();
+        receive(
+                id,
+                incarnation,
+                Envelope.newBuilder().setPing(Ping.newBuilder().addUpdates(update)));
+    }
+
+    private void receive(String from, long incarnation, Envelope.Builder message) {
+        members.onMessage(
+                message.setFrom(from).setFromIncarnation(incarnation).build(), effect -> {});
+    }
+
+    /**
+     * All other instances restart while this one is suspended. When it resumes, it has received
+     * their departures but nothing from their successors yet. Guards against claims on the engines
+     * of live instances, which then load adapters for two holders.
+     */
+    @Test
+    public void resumedInstanceHearsTheOthersBeforeItClaims() {
+        join("i2", 1);
+        claims.onPeerClaims("i2", 1, Map.of("e1", 5L, "e2", 6L), Long.MAX_VALUE / 2);
+        run(Duration.ofSeconds(4));
+        assertEquals(claims.ownClaims().size(), 0);
+        scheduler.advance(Duration.ofSeconds(4));
+        claims.onProcessPause();
+        receive("i2", 1, Envelope.newBuilder().setLeaving(Leaving.getDefaultInstance()));
+        claims.onPeerClaims("i2", 2, Map.of(), scheduler.time().nanoTime());
+        run(Duration.ofMillis(900));
+        assertEquals(claims.ownClaims().size(), 0);
+        join("i2", 2);
+        long lifetime = Duration.ofMillis(2500).toNanos();
+        claims.onPeerClaims(
+                "i2", 3, Map.of("e1", 7L, "e2", 8L), scheduler.time().nanoTime() + lifetime);
+        run(Duration.ofSeconds(2));
+        assertEquals(claims.ownClaims().size(), 0);
+    }
+
+    /** Guards against engines that stay without orders after a pause of the last instance. */
+    @Test
+    public void resumedInstanceClaimsAgainWhenItHearsNobody() {
+        run(Duration.ofSeconds(4));
+        claims.onProcessPause();
+        assertEquals(claims.ownClaims().size(), 0);
+        run(Duration.ofSeconds(5));
+        assertEquals(claims.ownClaims().size(), 2);
+    }
+
     @Test
     public void versionGrowsWithEachChangeOfTheClaims() {
         long before = claims.version();
