Give an adapter's slot to the next adapter when its use ends

Claim holders learn of uses with the shares of load, up to 100 ms late, and kept each adapter for 500 ms after its last known use. Ruled out: the weight store; 8 loads run at full speed and 4 are in progress in the mean. Change: an instance reports to the claim holder at once when it begins or ceases to use an adapter, the holder keeps an unused one for 25 ms only, and the end of a use starts the order that waits for a slot.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadCoordinator.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadCoordinator.java
@@ -109,9 +109,9 @@
         controller.loader(call.upstream().id()).forEach(loader -> loader.onAdapterMissing(adapter));
     }
 
-    /** Records that requests of another instance use an adapter. */
-    void onPeerUsage(String upstream, AdapterRef adapter) {
-        controller.loader(upstream).forEach(loader -> loader.onUse(adapter));
+    /** Records that the requests of an instance have begun or ceased to use an adapter. */
+    void onUseChanged(String upstream, AdapterRef adapter) {
+        controller.loader(upstream).forEach(loader -> loader.onUseChanged(adapter));
     }
 
     /** Ends the waits at an upstream that was removed, replaced or misaddressed. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
@@ -31,10 +31,10 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(60);
 
     /**
-     * Minimum time that an adapter stays loaded after its load and after each use, so that the
-     * requests waiting for the load reach it.
+     * Minimum time that an adapter stays loaded after its load and after each use. Instances report
+     * a use when they assign a request, so this covers the time that such a report takes.
      */
-    private static final Duration MIN_RESIDENCE = Duration.ofMillis(500);
+    private static final Duration MIN_RESIDENCE = Duration.ofMillis(25);
 
     /**
      * Time after this instance has taken over an engine during which reports might not yet show
@@ -147,11 +147,14 @@
         }
     }
 
-    /** Records that a request uses the adapter, which postpones its eviction. */
-    void onUse(AdapterRef adapter) {
+    /** Records that requests of an instance have begun or ceased to use the adapter. */
+    void onUseChanged(AdapterRef adapter) {
         AdapterSlot slot = adapterSlots.get(adapter);
         if (slot != null) {
             slot.usedAt = time.nanoTime();
+            if (queue.size() > 0) {
+                scheduler.after(MIN_RESIDENCE, this::sendNextOrder);
+            }
         }
     }
 
@@ -179,7 +182,8 @@
     private void merge(AdapterRef adapter, int version, Phase phase, long now) {
         AdapterSlot slot = adapterSlots.get(adapter);
         if (slot == null) {
-            if (phase == Phase.LOADING || !recentlyRemoved(adapter, now)) {
+            // A report that is older than the removal may list the adapter as loading, too.
+            if (!recentlyRemoved(adapter, now)) {
                 adapterSlots.put(
                         adapter, new AdapterSlot(version, phase, now - MAX_REPORT_LAG.toNanos()));
             }
@@ -322,18 +326,16 @@
         for (Map.Entry<AdapterRef, AdapterSlot> e : adapterSlots.entrySet()) {
             AdapterSlot slot = e.getValue();
             if (slot.phase == Phase.RESIDENT
-                    && slot.usedAt - oldest < 0
+                    && slot.usedAt - oldest <= 0
                     && !upstream.isUsed(e.getKey())
                     && !queue.contains(e.getKey())) {
                 victim = e.getKey();
                 oldest = slot.usedAt;
             }
         }
-        if (victim == null) {
-            delayNextOrder();
-            return;
+        if (victim != null) {
+            sendUnload(victim, adapterSlots.get(victim));
         }
-        sendUnload(victim, adapterSlots.get(victim));
     }
 
     private void sendLoad(AdapterRef adapter, AdapterSlot slot) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterUsageExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterUsageExchange.java
@@ -27,8 +27,8 @@
     private long repeatedAt;
 
     /**
-     * @param listener receives the upstream and the adapter of each use by requests of other
-     *     instances
+     * @param listener receives the upstream and the adapter when requests of another instance begin
+     *     or cease to use it
      */
     AdapterUsageExchange(
             UpstreamTable upstreams,
@@ -42,6 +42,24 @@
         this.repeatedAt = time.nanoTime();
     }
 
+    /**
+     * Sends the current uses to the claim holder of the upstream at once. The holder gives the
+     * adapter's slot to another adapter as soon as no request uses it, and keeps one that a request
+     * on its way to the engine will use.
+     */
+    void sendUses(UpstreamState upstream, Effects out) {
+        claims.peerClaim(upstream.id())
+                .forEach(
+                        c -> {
+                            AdapterUses uses =
+                                    usesByClaimHolder()
+                                            .getOrDefault(
+                                                    c.instance(), AdapterUses.getDefaultInstance());
+                            Envelope.Builder message = Envelope.newBuilder().setAdapterUses(uses);
+                            out.add(new Effect.SendPeer(c.instance(), message, false));
+                        });
+    }
+
     /** Sends changed uses, and repeats all of them at intervals. */
     void onTick(Effects out) {
         long now = time.nanoTime();
@@ -102,7 +120,7 @@
         }
         for (UpstreamState u : upstreams.all()) {
             if (!named.contains(u)) {
-                u.setPeerUses(from, Set.of(), validUntil);
+                setPeerUses(from, u, Set.of(), validUntil);
             }
         }
     }
@@ -110,7 +128,11 @@
     private void applyPeerUses(String from, UpstreamState u, UpstreamLoad load, long validUntil) {
         Set<AdapterRef> adapters = new HashSet<>();
         load.getAdaptersList().forEach(k -> AdapterRef.parse(k).forEach(adapters::add));
-        u.setPeerUses(from, adapters, validUntil);
-        adapters.forEach(a -> listener.accept(u.id(), a));
+        setPeerUses(from, u, adapters, validUntil);
+    }
+
+    private void setPeerUses(
+            String from, UpstreamState u, Set<AdapterRef> adapters, long validUntil) {
+        u.setPeerUses(from, adapters, validUntil).forEach(a -> listener.accept(u.id(), a));
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -151,7 +151,9 @@
 
     private void reserve(UpstreamState chosen) {
         upstream = chosen;
-        upstream.addRequest(request);
+        if (upstream.addRequest(request)) {
+            forwarder.onAdapterUseChanged(upstream, request.adapter().get());
+        }
     }
 
     private void release() {
@@ -162,7 +164,9 @@
             }
             UpstreamState released = upstream;
             upstream = null;
-            released.removeRequest(request);
+            if (released.removeRequest(request)) {
+                forwarder.onAdapterUseChanged(released, request.adapter().get());
+            }
             forwarder.dispatchQueued(request.service());
         }
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -101,7 +101,7 @@
                         controller,
                         time,
                         storeState,
-                        loadCoordinator::onPeerUsage);
+                        loadCoordinator::onUseChanged);
     }
 
     /** Creates a forwarder without configuration or upstreams. */
@@ -196,6 +196,11 @@
         return upstreams.get(upstream).totalRequests();
     }
 
+    /** Returns whether a request of any instance is known to use the adapter at an upstream. */
+    boolean usesAdapter(String upstream, AdapterRef adapter) {
+        return upstreams.get(upstream).isUsed(adapter);
+    }
+
     Option<String> claimHolder(String upstream) {
         return controller.claims().holder(upstream);
     }
@@ -385,6 +390,12 @@
         }
     }
 
+    /** Records that requests of this instance have begun or ceased to use an adapter. */
+    void onAdapterUseChanged(UpstreamState upstream, AdapterRef adapter) {
+        loadCoordinator.onUseChanged(upstream.id(), adapter);
+        loadExchange.onAdapterUseChanged(upstream, out);
+    }
+
     void awaitAdapter(ForwardCall call) {
         loadCoordinator.awaitAdapter(call, requiredVersion(call.request()).getOrElse(0));
         armCallTick();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadExchange.java
@@ -64,8 +64,8 @@
     private long nextAt;
 
     /**
-     * @param useListener receives the upstream and the adapter of each use by requests of other
-     *     instances
+     * @param useListener receives the upstream and the adapter when requests of another instance
+     *     begin or cease to use it
      */
     LoadExchange(
             Membership membership,
@@ -297,6 +297,13 @@
         }
     }
 
+    /**
+     * Reports the adapters in use at an engine to its claim holder, if that is another instance.
+     */
+    void onAdapterUseChanged(UpstreamState upstream, Effects out) {
+        usageExchange.sendUses(upstream, out);
+    }
+
     /** Applies the adapter uses of another instance. */
     void onAdapterUses(String from, AdapterUses message) {
         long validUntil = time.nanoTime() + Duration.ofMillis(message.getValidMs()).toNanos();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -109,18 +109,25 @@
         }
     }
 
-    /** Counts a request that was assigned to the upstream. */
-    void addRequest(ForwardRequest request) {
+    /**
+     * Counts a request that was assigned to the upstream. Returns whether it is the first one of
+     * this instance that uses its adapter.
+     */
+    boolean addRequest(ForwardRequest request) {
         requests++;
         tokens += request.tokens();
-        request.adapter().forEach(a -> ownUses.merge(a, 1, Integer::sum));
+        return request.adapter().exists(a -> ownUses.merge(a, 1, Integer::sum) == 1);
     }
 
-    /** Removes a request that is no longer assigned to the upstream. */
-    void removeRequest(ForwardRequest request) {
+    /**
+     * Removes a request that is no longer assigned to the upstream. Returns whether it was the last
+     * one of this instance that used its adapter.
+     */
+    boolean removeRequest(ForwardRequest request) {
         requests--;
         tokens -= request.tokens();
-        request.adapter().forEach(a -> ownUses.computeIfPresent(a, (k, n) -> n > 1 ? n - 1 : null));
+        return request.adapter()
+                .exists(a -> ownUses.computeIfPresent(a, (k, n) -> n > 1 ? n - 1 : null) == null);
     }
 
     /** Records that a prompt has been sent to the upstream. */
@@ -177,13 +184,24 @@
         return peerLoads.getOrDefault(peer, PeerLoad.NONE);
     }
 
-    /** Records which adapters the requests of another instance use. */
-    void setPeerUses(String peer, Set<AdapterRef> adapters, long validUntil) {
-        if (adapters.isEmpty()) {
-            peerUses.remove(peer);
-        } else {
-            peerUses.put(peer, new PeerUsage(adapters, validUntil));
+    /**
+     * Records which adapters the requests of another instance use. Returns those that its requests
+     * have begun or ceased to use.
+     */
+    Set<AdapterRef> setPeerUses(String peer, Set<AdapterRef> adapters, long validUntil) {
+        PeerUsage previous =
+                adapters.isEmpty()
+                        ? peerUses.remove(peer)
+                        : peerUses.put(peer, new PeerUsage(adapters, validUntil));
+        Set<AdapterRef> changed = new HashSet<>(adapters);
+        if (previous != null) {
+            for (AdapterRef a : previous.adapters()) {
+                if (!changed.remove(a)) {
+                    changed.add(a);
+                }
+            }
         }
+        return changed;
     }
 
     /** Returns the number of requests of all instances that were assigned to the upstream. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -73,6 +73,47 @@
         assertTrue(rig.engines().startedLoads().size() >= 12);
     }
 
+    /**
+     * Adapters are loaded and evicted in quick succession, so that reports still list adapters as
+     * loading that have been evicted since. Guards against orders that load those again into slots
+     * that other adapters have taken.
+     */
+    @Test
+    public void outdatedReportsAddNoLoads() {
+        ForwardRig rig = new ForwardRig(1, 3, Duration.ofMillis(100), 8);
+        rig.engines().setReportLag(Duration.ofMillis(300));
+        List<FakeTransport> open = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            open.add(openStream(rig, i));
+            rig.scheduler().advance(Duration.ofMillis(70));
+            open.removeIf(
+                    t -> {
+                        finish(t);
+                        return t.call().hasEnded();
+                    });
+        }
+        assertTrue(rig.engines().maxUsedSlots() <= 3, "used slots " + rig.engines().maxUsedSlots());
+    }
+
+    /**
+     * Requests for more adapters than the engine has slots arrive faster than the weight store
+     * delivers. Guards against slots that stay occupied after their requests have ended.
+     */
+    @Test
+    public void slotOfEndedRequestServesTheNextAdapter() {
+        ForwardRig rig = new ForwardRig(1, 2, LOAD, 8);
+        rig.setTarget(Duration.ofSeconds(1));
+        FakeTransport first = openStream(rig, 1);
+        openStream(rig, 2);
+        rig.scheduler().advance(Duration.ofMillis(600));
+        FakeTransport next = openStream(rig, 3);
+        rig.scheduler().advance(Duration.ofMillis(200));
+        finish(first);
+        // A tenth of the target of one second may pass in addition to the load.
+        rig.scheduler().advance(LOAD.plusMillis(100));
+        assertEquals(next.attempts().size(), 1);
+    }
+
     /** Guards against the eviction of an adapter that requests still use. */
     @Test
     public void adapterInUseIsNotEvicted() {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -33,6 +33,7 @@
     private AdapterRef unloading;
     private int maxUsedSlots;
     private OrderReply forcedReply;
+    private Duration reportLag = Duration.ZERO;
 
     FakeEngines(VirtualScheduler scheduler, Duration loadTime, int atFullSpeed) {
         this.scheduler = scheduler;
@@ -74,6 +75,11 @@
         forcedReply = reply;
     }
 
+    /** Sets the age of the contents of further reports when they arrive. */
+    void setReportLag(Duration lag) {
+        reportLag = lag;
+    }
+
     List<Order> orders() {
         return orders;
     }
@@ -162,9 +168,9 @@
                     listed.remove(unloading);
                     Map<AdapterRef, Integer> loadingAdapters = new HashMap<>();
                     loading(upstream.id()).keySet().forEach(a -> loadingAdapters.put(a, 1));
-                    reply.accept(
-                            Option.of(
-                                    new InventoryReport(0, Set.of("m"), listed, loadingAdapters)));
+                    InventoryReport report =
+                            new InventoryReport(0, Set.of("m"), listed, loadingAdapters);
+                    scheduler.after(reportLag, () -> reply.accept(Option.of(report)));
                 });
     }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -114,16 +114,25 @@
 
         /** Opens a call to the plain upstream. The call runs until its transport ends it. */
         FakeTransport call() {
+            return call(RequestKind.IDEMPOTENT, ForwardRig.PLAIN, Option.none());
+        }
+
+        /** Opens a streamed call to the engines. The call runs until its transport ends it. */
+        FakeTransport stream(AdapterRef adapter) {
+            return call(RequestKind.STREAM, ForwardRig.ENGINES, Option.of(adapter));
+        }
+
+        private FakeTransport call(RequestKind kind, String service, Option<AdapterRef> adapter) {
             Route route =
                     new Route(
                             "r",
                             "h",
                             "/x/",
-                            RequestKind.IDEMPOTENT,
+                            kind,
                             CALL_LIMIT,
                             CALL_LIMIT,
                             1,
-                            List.of(new ServiceShare(ForwardRig.PLAIN, 1)),
+                            List.of(new ServiceShare(service, 1)),
                             1,
                             CALL_LIMIT);
             FakeTransport transport = new FakeTransport();
@@ -134,7 +143,7 @@
                             route.serviceAt(0),
                             scheduler.time().nanoTime(),
                             CALL_LIMIT,
-                            Option.none(),
+                            adapter,
                             0,
                             0,
                             new byte[] {(byte) sequence}),
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -121,6 +121,29 @@
         assertEquals(rig.views("p1"), Set.of(0));
     }
 
+    /**
+     * Guards against a claim holder that evicts an adapter on its way to being used, or keeps one
+     * whose requests have ended, because it learns of a use only with the next load share.
+     */
+    @Test
+    public void claimHolderLearnsOfAdapterUsesAtOnce() {
+        FleetRig rig = new FleetRig(9, 3, 1);
+        rig.run(Duration.ofSeconds(6));
+        String holder = rig.holders("e1").get(0);
+        FleetRig.Node holding =
+                rig.up().stream().filter(n -> n.ref.id().equals(holder)).findFirst().get();
+        FleetRig.Node caller = rig.up().stream().filter(n -> n != holding).findFirst().get();
+        rig.clearReceived();
+        FakeTransport stream = caller.stream(ForwardRig.adapter(1));
+        rig.runPartitioned(Duration.ofMillis(2));
+        assertEquals(holding.receivedOf(Envelope.BodyCase.ADAPTER_USES), 1);
+        assertTrue(holding.forwarder.usesAdapter("e1", ForwardRig.adapter(1)));
+        stream.call().onCallerDisconnected();
+        rig.runPartitioned(Duration.ofMillis(2));
+        assertEquals(holding.receivedOf(Envelope.BodyCase.ADAPTER_USES), 2);
+        assertFalse(holding.forwarder.usesAdapter("e1", ForwardRig.adapter(1)));
+    }
+
     @Test
     public void crashedCollectorIsReplaced() {
         FleetRig rig = new FleetRig(60, 5, 10);
