Predict waits for adapters and refuse prompts that engines cannot read in time

Ruled out: the store (260 ms a load). Change: claim holders report idle slots less pending loads, and AdapterWaitModel predicts slot wait and load from learned times; the choice and the refusal use it. Cause: a claim holder ordered nothing for 1.5 s after a takeover, since the previous holder's orders might be missing from the report. Engines count their orders, so the first order now names the count of the report and is refused if another came after it. Cause: on engines with half the reading pace and 16 places (own site) the first events came 0.5 to 1.3 s after sending; all were late. Engines with unread prompts for more than half a target get no more of them; streams wait for half a target at most. A queued call without an engine holds up no other.

startReadsNoReportOfEnginesBeforeClaims measured the time of the first claim with its fixed 900 ms; it now checks each instance for reports before its claim.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.bronzehill.core.time.TimeSource;
@@ -43,6 +44,12 @@
      */
     static final Duration TAKEOVER_REPORT_LAG = Duration.ofMillis(1500);
 
+    /**
+     * Time after this instance has taken over an engine during which the other instances might not
+     * yet have reported to it which adapters they use there.
+     */
+    private static final Duration TAKEOVER_USES_LAG = Duration.ofMillis(500);
+
     /**
      * Largest age of a report. Changes made here within this time take precedence over the report.
      */
@@ -61,6 +68,8 @@
     private final AdapterLoadTime loadTime;
     private Option<EngineSpec> engineSpec = Option.none();
     private final long takenOverAt;
+    private boolean earlierOrdersKnown;
+    private Option<Long> reportedOrders = Option.none();
     private AdapterRef pendingUnload;
     private boolean orderInFlight;
     private boolean unreachable;
@@ -152,6 +161,7 @@
         AdapterSlot slot = adapterSlots.get(adapter);
         if (slot != null) {
             slot.usedAt = time.nanoTime();
+            publishIdleSlots();
             if (queue.size() > 0) {
                 scheduler.after(MIN_RESIDENCE, this::sendNextOrder);
             }
@@ -165,6 +175,7 @@
     void onReport(InventoryReport report) {
         long now = time.nanoTime();
         unreachable = false;
+        reportedOrders = report.acceptedOrders();
         upstream.setModels(report.models());
         report.adapters().forEach((a, v) -> merge(a, v, Phase.RESIDENT, now));
         report.loading().forEach((a, v) -> merge(a, v, Phase.LOADING, now));
@@ -206,6 +217,7 @@
     /** Sends the next order, if one is due. */
     void onTick(Option<EngineSpec> spec) {
         engineSpec = spec;
+        publishIdleSlots();
         sendNextOrder();
     }
 
@@ -281,9 +293,32 @@
      * ordered and which no report shows yet.
      */
     private int slotsForUnreportedLoads() {
-        return time.nanoTime() - takenOverAt < TAKEOVER_REPORT_LAG.toNanos()
-                ? 2 * MAX_PARALLEL_LOADS
-                : 0;
+        if (time.nanoTime() - takenOverAt >= TAKEOVER_REPORT_LAG.toNanos()) {
+            return 0;
+        }
+        // An adapter that waits to be unloaded occupies a slot, but reports no longer list it.
+        return earlierOrdersKnown || reportedOrders.isDefined() ? 1 : 2 * MAX_PARALLEL_LOADS;
+    }
+
+    /**
+     * Returns the order, on condition that the engine has accepted no orders after the latest
+     * report if the previous claim holder may have sent some. An engine that has refuses the order.
+     */
+    private Order order(Order.Operation operation, AdapterRef adapter, int version) {
+        Option<Long> expected = earlierOrdersKnown ? Option.none() : reportedOrders;
+        return new Order(operation, adapter, version, fencing.getAsLong(), expected);
+    }
+
+    /** Returns whether the engine refused the order because it has accepted others meanwhile. */
+    private boolean updateEarlierOrders(Order order, OrderReply reply) {
+        if (order.expectedOrders().isEmpty()) {
+            return false;
+        }
+        earlierOrdersKnown |= reply == OrderReply.ACCEPTED || reply == OrderReply.ALREADY;
+        if (reply == OrderReply.BUSY) {
+            reportedOrders = Option.none();
+        }
+        return reply == OrderReply.BUSY;
     }
 
     private int loadsInProgress() {
@@ -316,7 +351,7 @@
             sendUnload(pendingUnload, adapterSlots.get(pendingUnload));
             return;
         }
-        if (now - takenOverAt < TAKEOVER_REPORT_LAG.toNanos()) {
+        if (now - takenOverAt < TAKEOVER_USES_LAG.toNanos()) {
             // Other instances may not have reported yet which adapters they use here.
             delayNextOrder();
             return;
@@ -339,7 +374,7 @@
     }
 
     private void sendLoad(AdapterRef adapter, AdapterSlot slot) {
-        Order order = new Order(Order.Operation.LOAD, adapter, slot.version, fencing.getAsLong());
+        Order order = order(Order.Operation.LOAD, adapter, slot.version);
         orderInFlight = true;
         transport.order(
                 upstream.upstreamRecord(), order, r -> onLoadReply(adapter, slot, order, r));
@@ -354,6 +389,13 @@
         orderInFlight = false;
         unreachable = false;
         log(order, reply);
+        if (updateEarlierOrders(order, reply)) {
+            // Callers repeat the request for the load, which is ordered again after a new report.
+            adapterSlots.remove(adapter);
+            publishAdapters();
+            delayNextOrder();
+            return;
+        }
         long now = time.nanoTime();
         switch (reply) {
             case ALREADY -> {
@@ -386,7 +428,7 @@
         slot.phase = Phase.UNLOADING;
         slot.changedAt = time.nanoTime();
         publishAdapters();
-        Order order = new Order(Order.Operation.UNLOAD, adapter, 0, fencing.getAsLong());
+        Order order = order(Order.Operation.UNLOAD, adapter, 0);
         orderInFlight = true;
         transport.order(
                 upstream.upstreamRecord(),
@@ -395,6 +437,7 @@
                     orderInFlight = false;
                     unreachable = false;
                     log(order, reply);
+                    updateEarlierOrders(order, reply);
                     onUnloadReply(adapter, reply);
                 });
     }
@@ -455,6 +498,27 @@
                 queue.size());
     }
 
+    /**
+     * Publishes how many slots can be given to further adapters: those that are empty or whose
+     * adapter no request uses, less the loads that wait for a slot.
+     */
+    private void publishIdleSlots() {
+        for (ModelSpec model : engineSpec.map(EngineSpec::models).getOrElse(List.of())) {
+            if (upstream.holdsModel(model.name())) {
+                long occupied =
+                        adapterSlots.entrySet().stream()
+                                .filter(e -> isOccupied(e.getKey(), e.getValue()))
+                                .count();
+                int free = capacity(engineSpec.get(), model) - (int) occupied;
+                upstream.setIdleSlots(free - queue.size());
+            }
+        }
+    }
+
+    private boolean isOccupied(AdapterRef adapter, AdapterSlot slot) {
+        return slot.phase != Phase.RESIDENT || upstream.isUsed(adapter);
+    }
+
     /** Publishes the current adapters to {@link UpstreamState} for the choice of upstreams. */
     private void publishAdapters() {
         Map<AdapterRef, Integer> resident = new HashMap<>();
@@ -469,6 +533,7 @@
                 });
         queue.adapters().forEach(a -> loading.putIfAbsent(a, queue.version(a)));
         upstream.setAdapters(resident, loading);
+        publishIdleSlots();
     }
 
     /** Handles a request that the engine refused because it lacks the adapter. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -23,12 +23,9 @@
      */
     private static final int MAX_UNANSWERED_REQUESTS = 4;
 
-    /** Weight of one load in the moving average of the load time. */
-    private static final double AVERAGE_WEIGHT = 0.2;
-
     private final TimeSource time;
     private final Map<Key, Wait> waits = new HashMap<>();
-    private double averageLoadMs;
+    private final AdapterWaitModel model;
 
     record Key(String upstream, AdapterRef adapter) {}
 
@@ -36,12 +33,16 @@
     static final class Wait {
         private final List<ForwardCall> calls = new ArrayList<>();
         private final int version;
+        private final boolean reload;
+        private final boolean measurable;
         private final long since;
         private long requestedAt;
         private int unanswered;
 
-        private Wait(int version, long since) {
+        private Wait(int version, boolean reload, boolean measurable, long since) {
             this.version = version;
+            this.reload = reload;
+            this.measurable = measurable;
             this.since = since;
             this.requestedAt = since;
         }
@@ -72,16 +73,11 @@
     }
 
     /**
-     * @param expected load time assumed until a load has been measured
+     * @param model learns the load time from the waits
      */
-    AdapterWaits(TimeSource time, Duration expected) {
+    AdapterWaits(TimeSource time, AdapterWaitModel model) {
         this.time = time;
-        this.averageLoadMs = expected.toMillis();
-    }
-
-    /** Returns the expected time from the load request until the adapter is loaded. */
-    Duration expectedLoadTime() {
-        return Duration.ofMillis(Math.round(averageLoadMs));
+        this.model = model;
     }
 
     /** Adds a call. Returns the wait if this call is its first one. */
@@ -90,7 +86,9 @@
         Wait wait = waits.get(key);
         boolean first = wait == null;
         if (first) {
-            wait = new Wait(version, time.nanoTime());
+            UpstreamState u = call.upstream();
+            boolean measurable = u.idleSlots() >= 0 && !u.isReportedLoading(adapter);
+            wait = new Wait(version, u.heldRecently(adapter), measurable, time.nanoTime());
             waits.put(key, wait);
         }
         wait.calls.add(call);
@@ -120,8 +118,9 @@
     }
 
     private void updateAverage(Wait wait) {
-        double took = (time.nanoTime() - wait.since) / 1e6;
-        averageLoadMs = averageLoadMs * (1 - AVERAGE_WEIGHT) + took * AVERAGE_WEIGHT;
+        if (wait.measurable) {
+            model.onLoadWaited(Duration.ofNanos(time.nanoTime() - wait.since), wait.reload);
+        }
     }
 
     /**
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueue.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueue.java
@@ -45,12 +45,12 @@
     Duration expectedWait(ForwardCall call) {
         int ahead = calls.headSet(call, false).size();
         double perSecond = Math.max(completionRate.perSecond(), MIN_RATE_PER_SECOND);
-        return Duration.ofNanos((long) ((ahead + 1) / perSecond * 1e9));
+        return Duration.ofNanos((long) (ahead / perSecond * 1e9));
     }
 
-    /** Returns whether the call would still wait at its deadline for sending. */
+    /** Returns whether the call would still wait when it may no longer do so. */
     boolean willMissDeadline(ForwardCall call) {
-        return time.nanoTime() + expectedWait(call).toNanos() - call.sendDeadlineNanos() > 0;
+        return time.nanoTime() + expectedWait(call).toNanos() - call.queueDeadlineNanos() > 0;
     }
 
     boolean isEmpty() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ClaimMessages.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ClaimMessages.java
@@ -20,9 +20,18 @@
         return OrderedUpstream.newBuilder().setUpstream(upstream).setFencing(fencing).build();
     }
 
+    /** Returns a claim with the number of idle slots, if that is known, but without inventory. */
+    static OrderedUpstream withIdleSlots(UpstreamState u, long fencing) {
+        OrderedUpstream.Builder b = claimOnly(u.id(), fencing).toBuilder();
+        if (u.knowsIdleSlots()) {
+            b.setStartedAtMs(u.upstreamRecord().startedAtMs()).setIdleSlots(u.idleSlots());
+        }
+        return b.build();
+    }
+
     /** Returns a claim with the complete inventory. */
     static OrderedUpstream complete(UpstreamState u, long fencing) {
-        OrderedUpstream.Builder b = claimOnly(u.id(), fencing).toBuilder();
+        OrderedUpstream.Builder b = withIdleSlots(u, fencing).toBuilder();
         b.setStartedAtMs(u.upstreamRecord().startedAtMs())
                 .addAllModels(u.models())
                 .setComplete(true);
@@ -40,12 +49,17 @@
     }
 
     /**
-     * Applies the inventory if the message is complete and describes the current incarnation of the
-     * engine.
+     * Applies the idle slots, and the inventory if the message is complete. Messages about another
+     * incarnation of the engine are ignored.
      */
     static void apply(UpstreamState u, OrderedUpstream ordered) {
-        if (!ordered.getComplete()
-                || u.upstreamRecord().startedAtMs() != ordered.getStartedAtMs()) {
+        if (u.upstreamRecord().startedAtMs() != ordered.getStartedAtMs()) {
+            return;
+        }
+        if (ordered.hasIdleSlots()) {
+            u.setIdleSlots(ordered.getIdleSlots());
+        }
+        if (!ordered.getComplete()) {
             return;
         }
         Map<AdapterRef, Integer> resident = new HashMap<>();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
@@ -155,7 +155,7 @@
         }
         long now = time.nanoTime();
         if (!engine.reportInFlight && now - engine.nextReportAt >= 0) {
-            readReport(engine);
+            readReport(engine, spec);
         }
         if (!engine.hasReport) {
             return;
@@ -166,7 +166,7 @@
         engine.loader.onTick(Option.of(spec));
     }
 
-    private void readReport(ControlledEngine engine) {
+    private void readReport(ControlledEngine engine, EngineSpec spec) {
         engine.reportInFlight = true;
         transport.readReport(
                 engine.upstream.upstreamRecord(),
@@ -183,6 +183,7 @@
                             s -> {
                                 engine.hasReport = true;
                                 engine.loader.onReport(s);
+                                engine.loader.onTick(Option.of(spec));
                             });
                 });
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -31,6 +31,12 @@
     /** Limit for waits and retries, as part of the time limit for the first event. */
     private static final double SEND_DEADLINE_FRACTION = 0.9;
 
+    /**
+     * Limit for the wait of a stream for a place at an upstream, as part of its target. The rest of
+     * the target is for the prompts that are read before and for its own.
+     */
+    private static final double QUEUE_DEADLINE_FRACTION = 0.5;
+
     private enum State {
         DISPATCHING,
         QUEUED,
@@ -53,6 +59,7 @@
     private long lastProgressAt;
     private long firstByteAt;
     private long longestGapNanos;
+    private long unreadTokensWhenSent;
     private int attempts;
     private int notRunAttempts;
     private boolean answerBegun;
@@ -84,6 +91,22 @@
         return request.arrivedNanos() + (long) (limit * SEND_DEADLINE_FRACTION);
     }
 
+    /**
+     * Returns the monotonic time until which the call may wait for a place at an upstream. A stream
+     * that would be sent later would miss its target, and delay others that can still meet theirs.
+     */
+    long queueDeadlineNanos() {
+        if (answerBegun || !request.route().kind().isStream()) {
+            return sendDeadlineNanos();
+        }
+        long limit = (long) (request.route().target().toNanos() * QUEUE_DEADLINE_FRACTION);
+        return request.arrivedNanos() + limit;
+    }
+
+    boolean hasAnswerBegun() {
+        return answerBegun;
+    }
+
     Set<String> excluded() {
         return excluded;
     }
@@ -96,6 +119,10 @@
         return state == State.ENDED;
     }
 
+    boolean isQueued() {
+        return state == State.QUEUED;
+    }
+
     boolean isAwaitingAdapter() {
         return state == State.AWAITING_ADAPTER;
     }
@@ -133,7 +160,7 @@
             reserve(choice.get().upstream());
             state = State.AWAITING_ADAPTER;
             upstream.beginAdapterWait(request.adapter().get());
-            log("wait-adapter");
+            log("wait-adapter", "expected-ms-" + choice.get().adapterWait().toMillis());
             forwarder.awaitAdapter(this);
         }
     }
@@ -162,6 +189,9 @@
             if (state == State.AWAITING_ADAPTER) {
                 upstream.endAdapterWait(request.adapter().get());
             }
+            if (state == State.SENT && request.adapter().exists(a -> !a.isBase())) {
+                forwarder.onAdapterUseEnded(Duration.ofNanos(forwarder.now() - sentAt));
+            }
             UpstreamState released = upstream;
             upstream = null;
             if (released.removeRequest(request)) {
@@ -249,7 +279,9 @@
                         forwarder.requiredVersion(request),
                         request.route().priority());
         promptPending = true;
+        forwarder.onSent(this);
         upstream.beginPrompt(request.promptTokens());
+        unreadTokensWhenSent = upstream.totalUnreadTokens();
         armStallTimer(forwarder.stallTimeout(request, answerBegun));
         transport.send(attempt);
     }
@@ -283,7 +315,7 @@
         if (!answerBegun) {
             answerBegun = true;
             firstByteAt = forwarder.now();
-            forwarder.onFirstByte(this, firstByteAt - sentAt);
+            forwarder.onFirstByte(this, firstByteAt - sentAt, unreadTokensWhenSent);
         } else {
             longestGapNanos = Math.max(longestGapNanos, forwarder.now() - lastProgressAt);
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -38,6 +38,9 @@
      */
     private static final Duration WAITING_CALL_TICK = Duration.ofMillis(25);
 
+    /** Number of queued calls without an upstream after which the others are not tried. */
+    private static final int MAX_FAILED_CHOICES = 8;
+
     private final ForwardSettings settings;
     private final TimeSource time;
     private final Scheduler scheduler;
@@ -58,7 +61,8 @@
     private final Map<String, CallQueue> queues = new HashMap<>();
     private final StallTimeouts stallTimeouts = new StallTimeouts();
     private final Map<AdapterRef, Integer> adapterVersions = new HashMap<>();
-    private final PrefillTime prefillTime = new PrefillTime();
+    private final PromptReadTime promptReadTime = new PromptReadTime();
+    private final AdapterWaitModel waitModel = new AdapterWaitModel(INITIAL_LOAD_TIME);
     private final Set<ForwardCall> openCalls = new HashSet<>();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private Map<UpstreamState, EngineSpec> engines = Map.of();
@@ -79,7 +83,7 @@
         this.upstreams = new UpstreamTable(time, settings.storeRecoveryGrace());
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
-        this.waits = new AdapterWaits(time, INITIAL_LOAD_TIME);
+        this.waits = new AdapterWaits(time, waitModel);
         this.loadCoordinator =
                 new AdapterLoadCoordinator(settings.instance(), upstreams, waits, out, time);
         this.crashDetector = new CrashDetector(crashes, time, out);
@@ -242,9 +246,11 @@
                         r,
                         configuration.service(r.service()).flatMap(ServiceSpec::engine),
                         requiredVersion(r).getOrElse(0),
-                        waits.expectedLoadTime(),
+                        waitModel,
                         UpstreamChooser.preferredUpstream(r, serving),
-                        prefillTime.msPerToken(),
+                        promptReadTime,
+                        call.hasAnswerBegun(),
+                        Duration.ofNanos(now() - r.arrivedNanos()),
                         call.excluded());
         Option<UpstreamChooser.Choice> choice = chooser.choose(inputs, serving);
         if (choice.isEmpty() && !call.excluded().isEmpty()) {
@@ -307,14 +313,23 @@
         queue(call.request().service()).remove(call);
     }
 
-    /** Sends queued calls of a service for which there is capacity now. */
+    /**
+     * Sends queued calls of a service for which there is capacity now. A call without an upstream
+     * does not hold up those behind it, whose adapters or prompts may fit elsewhere.
+     */
     void dispatchQueued(String service) {
+        int withoutUpstream = 0;
         for (ForwardCall call : queue(service).inDispatchOrder()) {
+            if (!call.isQueued()) {
+                // The dispatch of an earlier call has also sent or refused this one.
+                continue;
+            }
             Option<UpstreamChooser.Choice> choice = choose(call);
-            if (choice.isEmpty()) {
+            if (choice.isDefined()) {
+                call.dispatch(choice);
+            } else if (++withoutUpstream == MAX_FAILED_CHOICES) {
                 return;
             }
-            call.dispatch(choice);
         }
     }
 
@@ -336,9 +351,18 @@
         return stallTimeouts.timeout(request.route(), answerBegun);
     }
 
-    void onFirstByte(ForwardCall call, long nanos) {
+    /**
+     * @param unreadTokens prompt tokens that the upstream had not read when the request was sent
+     */
+    void onFirstByte(ForwardCall call, long nanos, long unreadTokens) {
         stallTimeouts.onFirstByte(call.request().route(), nanos);
-        prefillTime.onFirstByte(call.request().promptTokens(), nanos);
+        promptReadTime.onFirstByte(unreadTokens, Duration.ofNanos(nanos));
+    }
+
+    void onSent(ForwardCall call) {
+        if (call.request().promptTokens() > 0) {
+            promptReadTime.onPrompt(call.request().promptTokens());
+        }
     }
 
     void onOutcome(ForwardCall call, boolean succeeded) {
@@ -390,6 +414,11 @@
         }
     }
 
+    /** Records for how long a request has used an adapter. */
+    void onAdapterUseEnded(Duration took) {
+        waitModel.onUseEnded(took);
+    }
+
     /** Records that requests of this instance have begun or ceased to use an adapter. */
     void onAdapterUseChanged(UpstreamState upstream, AdapterRef adapter) {
         loadCoordinator.onUseChanged(upstream.id(), adapter);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
@@ -1,5 +1,6 @@
 package org.bronzehill.core.forward;
 
+import io.vavr.control.Option;
 import java.util.Map;
 import java.util.Set;
 
@@ -10,16 +11,28 @@
  * @param models base models that it holds
  * @param adapters adapters that it holds, with their versions
  * @param loading adapters that it is loading, with their versions
+ * @param acceptedOrders number of orders that it had accepted since its start; empty if the report
+ *     does not state it
  */
 public record InventoryReport(
         long startedAtMs,
         Set<String> models,
         Map<AdapterRef, Integer> adapters,
-        Map<AdapterRef, Integer> loading) {
+        Map<AdapterRef, Integer> loading,
+        Option<Long> acceptedOrders) {
 
     public InventoryReport {
         models = Set.copyOf(models);
         adapters = Map.copyOf(adapters);
         loading = Map.copyOf(loading);
     }
+
+    /** Creates a report that does not state the number of accepted orders. */
+    public InventoryReport(
+            long startedAtMs,
+            Set<String> models,
+            Map<AdapterRef, Integer> adapters,
+            Map<AdapterRef, Integer> loading) {
+        this(startedAtMs, models, adapters, loading, Option.none());
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadExchange.java
@@ -179,7 +179,13 @@
     private static LoadShare withoutInventory(LoadShare share) {
         LoadShare.Builder b = share.toBuilder();
         b.getOrderedBuilderList()
-                .forEach(o -> o.clearPlaces().clearModels().clearComplete().clearStartedAtMs());
+                .forEach(
+                        o ->
+                                o.clearPlaces()
+                                        .clearModels()
+                                        .clearComplete()
+                                        .clearStartedAtMs()
+                                        .clearIdleSlots());
         return b.build();
     }
 
@@ -253,7 +259,7 @@
         boolean changed = known == null || known != u.inventoryVersion();
         return changed || fullInventory
                 ? ClaimMessages.complete(u, fencing)
-                : ClaimMessages.claimOnly(id, fencing);
+                : ClaimMessages.withIdleSlots(u, fencing);
     }
 
     /** Adds the adapters in use at the engines on which the peer holds the claim. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderClaims.java
@@ -37,6 +37,12 @@
      */
     private static final Duration DISCOVERY_TIME = Duration.ofMillis(1000);
 
+    /**
+     * Time after a start before claims are made once every known instance has sent its claims: two
+     * announcements to the seeds, so that all live instances are known.
+     */
+    private static final Duration MIN_DISCOVERY_TIME = Duration.ofMillis(400);
+
     /**
      * Time after a start before claims are made while no other instance is known. When all
      * instances start together on small machines, the seeds answer after one or two seconds.
@@ -72,6 +78,7 @@
     private final Map<String, OwnClaim> ownClaims = new HashMap<>();
     private final Map<String, Claim> peerClaims = new HashMap<>();
     private final Map<String, Long> peerClaimsVersions = new HashMap<>();
+    private final Set<String> heardSinceStart = new HashSet<>();
     private final Map<String, Long> highestFencing = new HashMap<>();
     private final Map<String, Long> unclaimedSince = new HashMap<>();
     private final Map<String, Long> noClaimBefore = new HashMap<>();
@@ -102,6 +109,7 @@
             return;
         }
         peerClaimsVersions.put(peer, claimsVersion);
+        heardSinceStart.add(peer);
         if (claimsVersion > known) {
             // The same version may be relayed by an instance that does not know all upstreams yet
             // and omits the claims on the others. Claims that it omits are therefore kept.
@@ -151,20 +159,32 @@
             started = true;
             startedAt = now;
         }
-        Duration discovery = live.size() > 1 ? DISCOVERY_TIME : DISCOVERY_TIME_ALONE;
-        if (now - startedAt < discovery.toNanos() || membership.leaving()) {
-            return;
-        }
+        boolean discovering = now - startedAt < discoveryTime(live).toNanos();
         for (String u : upstreams) {
             if (ownClaims.containsKey(u) || peerClaims.containsKey(u)) {
                 unclaimedSince.remove(u);
             } else {
                 unclaimedSince.putIfAbsent(u, now);
-                tryClaim(u, now);
+                if (!discovering && !membership.leaving()) {
+                    tryClaim(u, now);
+                }
             }
         }
     }
 
+    private Duration discoveryTime(Set<String> live) {
+        if (live.size() <= 1) {
+            return DISCOVERY_TIME_ALONE;
+        }
+        boolean allHeard =
+                live.stream()
+                        .allMatch(
+                                id ->
+                                        id.equals(settings.instance())
+                                                || heardSinceStart.contains(id));
+        return allHeard ? MIN_DISCOVERY_TIME : DISCOVERY_TIME;
+    }
+
     private void tryClaim(String upstream, long now) {
         if (now - unclaimedSince.get(upstream) < MIN_UNCLAIMED_TIME.toNanos()
                 || now - noClaimBefore.getOrDefault(upstream, now) < 0) {
@@ -219,6 +239,7 @@
     void onProcessPause() {
         releaseAll("process-pause");
         started = false;
+        heardSinceStart.clear();
     }
 
     /** Releases all claims before a stop. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -42,6 +42,21 @@
     /** Cost of the round trip to another data centre; keeps traffic local at equal load. */
     private static final double REMOTE_COST_MS = 40;
 
+    /**
+     * Part of a request's target that an engine may need to read the prompts before it. The rest is
+     * for the prompt of the request and for its wait at this instance.
+     */
+    private static final double MAX_BACKLOG_FRACTION = 0.5;
+
+    /**
+     * Part of a request's target that an engine may always need to read the prompts before it. An
+     * engine with so little to do may as well serve a request that will be late.
+     */
+    private static final double MIN_BACKLOG_FRACTION = 0.25;
+
+    /** Part of a request's target that is kept for what the prediction does not include. */
+    private static final double TARGET_MARGIN = 0.1;
+
     /** Largest random part of the cost; below the cost of another data centre. */
     private static final double MAX_JITTER_MS = 6;
 
@@ -65,9 +80,11 @@
             ForwardRequest request,
             Option<EngineSpec> engine,
             int adapterVersion,
-            Duration expectedLoadTime,
+            AdapterWaitModel waitModel,
             String preferredUpstream,
-            double msPerPromptToken,
+            PromptReadTime promptReadTime,
+            boolean answerBegun,
+            Duration age,
             Set<String> excluded) {}
 
     /**
@@ -100,7 +117,7 @@
                 continue;
             }
             Choice c = evaluate(inputs, u);
-            if (!c.adapterReady() && u.areAdapterWaitsPaused()) {
+            if (!c.adapterReady() && !canLoad(inputs, u)) {
                 continue;
             }
             if (best == null || c.costMs() < best.costMs()) {
@@ -110,11 +127,18 @@
         return Option.of(best);
     }
 
+    /**
+     * Returns whether a request may wait for its adapter here: not before the base model is loaded.
+     */
+    private static boolean canLoad(ChoiceInputs inputs, UpstreamState u) {
+        return !u.areAdapterWaitsPaused() && u.holdsModel(inputs.request().adapter().get().model());
+    }
+
     private Choice evaluate(ChoiceInputs inputs, UpstreamState u) {
         boolean ready = isReady(inputs, u);
         double cost = utilization(inputs, u) * FULL_BATCH_COST_MS;
         cost += u.health().failureRate() * FAILURE_COST_MS;
-        cost += u.totalUnreadTokens() * inputs.msPerPromptToken();
+        cost += inputs.promptReadTime().expectedMs(u.totalUnreadTokens());
         cost += random.nextDouble() * MAX_JITTER_MS;
         if (!u.upstreamRecord().dataCentre().equals(dataCentre)) {
             cost += REMOTE_COST_MS;
@@ -140,21 +164,9 @@
     }
 
     private static double expectedAdapterWaitMs(ChoiceInputs inputs, UpstreamState u) {
-        double load = inputs.expectedLoadTime().toMillis();
-        AdapterRef adapter = inputs.request().adapter().get();
-        if (!u.holdsModel(adapter.model())) {
-            // The base model's weights must be loaded first, as at an engine that has just started.
-            return 4 * load;
-        }
-        if (u.isLoadingOrAwaited(adapter)) {
-            return load / 2;
-        }
-        if (u.heldRecently(adapter)) {
-            return load * AdapterLoadTime.RELOAD_FRACTION;
-        }
-        // The average load time already includes a typical number of concurrent loads, so each load
-        // in progress adds only a part of its time.
-        return load * (1 + (double) u.loadingCount() / (2 * AdapterLoader.MAX_PARALLEL_LOADS));
+        return inputs.waitModel()
+                .expectedWaitMs(
+                        u, inputs.request().adapter().get(), inputs.engine().get().maxAdapters());
     }
 
     private static double loadCostMs(ChoiceInputs inputs, UpstreamState u) {
@@ -194,6 +206,27 @@
         }
         EngineSpec e = inputs.engine().get();
         return u.requestsExceptOwnWaiting() < e.slots()
-                && u.totalTokens() + inputs.request().tokens() <= e.memoryTokens();
+                && u.totalTokens() + inputs.request().tokens() <= e.memoryTokens()
+                && (inputs.answerBegun() || readsSoon(inputs, u));
+    }
+
+    /**
+     * Returns whether the engine reads the prompts that were sent before soon enough. The less of
+     * its target a request has left, the less busy an engine must be to get it, since a request
+     * that will be late anyway must not delay others that can still meet their targets. The average
+     * prompt stands for that of the request, so that large ones are not refused more often.
+     */
+    private static boolean readsSoon(ChoiceInputs inputs, UpstreamState u) {
+        double targetMs = inputs.request().route().target().toMillis();
+        double spareMs =
+                targetMs * (1 - TARGET_MARGIN)
+                        - inputs.age().toMillis()
+                        - inputs.promptReadTime().averagePromptMs()
+                        - (isReady(inputs, u) ? 0 : expectedAdapterWaitMs(inputs, u));
+        double limitMs =
+                Math.max(
+                        targetMs * MIN_BACKLOG_FRACTION,
+                        Math.min(targetMs * MAX_BACKLOG_FRACTION, spareMs));
+        return inputs.promptReadTime().expectedMs(u.totalUnreadTokens()) <= limitMs;
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -36,6 +36,7 @@
     private long inventoryFencing;
     private final Map<AdapterRef, Integer> awaited = new HashMap<>();
     private int waitingRequests;
+    private int idleSlots = Integer.MAX_VALUE;
     private boolean misaddressed;
     private long adapterWaitsPausedUntil;
     private int requests;
@@ -343,8 +344,33 @@
         return time.nanoTime() - adapterWaitsPausedUntil < 0;
     }
 
+    /**
+     * Sets the number of adapter slots that can be given to further adapters, less the loads that
+     * wait for a slot.
+     */
+    void setIdleSlots(int idle) {
+        idleSlots = idle;
+    }
+
+    /**
+     * Returns the number of adapter slots that can be given to further adapters, less the loads
+     * that wait for a slot. It is large until the claim holder has reported it.
+     */
+    int idleSlots() {
+        return idleSlots;
+    }
+
+    /** Returns whether the number of idle slots is known. */
+    boolean knowsIdleSlots() {
+        return idleSlots != Integer.MAX_VALUE;
+    }
+
     /** Records that a request waits for an adapter here. */
     void beginAdapterWait(AdapterRef adapter) {
+        if (knowsIdleSlots() && !isLoadingOrAwaited(adapter)) {
+            // The next report of the claim holder includes this load.
+            idleSlots--;
+        }
         awaited.merge(adapter, 1, Integer::sum);
         waitingRequests++;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -28,6 +28,11 @@
         return rig.open(RequestKind.RESUMABLE_STREAM, 2, Option.of(ForwardRig.adapter(adapter)));
     }
 
+    /** Opens a stream that no other engine continues when it is silent. */
+    private static FakeTransport openOnce(ForwardRig rig, int adapter) {
+        return rig.open(RequestKind.STREAM, 1, Option.of(ForwardRig.adapter(adapter)));
+    }
+
     /** Ends a stream that has been sent, so that its adapter is no longer in use. */
     private static void finish(FakeTransport t) {
         if (!t.attempts().isEmpty()) {
@@ -322,7 +327,25 @@
         VirtualScheduler scheduler = new VirtualScheduler();
         FakeEngines engines = new FakeEngines(scheduler, LOAD, 32);
         UpstreamRecord engine = ForwardRig.engine("e1", false);
-        UpstreamState state = new UpstreamState(engine, scheduler.time());
+        AdapterLoader desk = loader(engine, engines, scheduler);
+        // The report is older than the four orders of the previous claim holder.
+        desk.onReport(new InventoryReport(1, Set.of("m"), Map.of(), Map.of()));
+        for (int i = 0; i < 4; i++) {
+            Order order = new Order(Order.Operation.LOAD, ForwardRig.adapter(50 + i), 0, 6);
+            engines.order(engine, order, r -> {});
+        }
+        for (int tick = 0; tick < 40; tick++) {
+            for (int i = 0; i < 12; i++) {
+                requestLoad(desk, i);
+            }
+            desk.onTick(Option.of(specWithSlots(12)));
+            scheduler.advance(Duration.ofMillis(25));
+        }
+        assertTrue(engines.maxUsedSlots() <= 12, "used slots " + engines.maxUsedSlots());
+    }
+
+    private static AdapterLoader loader(
+            UpstreamRecord engine, FakeEngines engines, VirtualScheduler scheduler) {
         AdapterLoader.Listener listener =
                 new AdapterLoader.Listener() {
                     @Override
@@ -340,26 +363,92 @@
                     @Override
                     public void onFenced(UpstreamState u) {}
                 };
-        AdapterLoader desk =
-                new AdapterLoader(
-                        state, engines, scheduler.time(), scheduler, () -> 7L, LOAD, listener);
-        // The report is older than the four orders of the previous claim holder.
-        desk.onReport(new InventoryReport(1, Set.of("m"), Map.of(), Map.of()));
-        for (int i = 0; i < 4; i++) {
-            Order order = new Order(Order.Operation.LOAD, ForwardRig.adapter(50 + i), 0, 6);
-            engines.order(engine, order, r -> {});
-        }
-        EngineSpec spec =
-                new EngineSpec(8, 100_000, 1000, 12, 4, List.of(new ModelSpec("m", 500, 1)));
-        for (int tick = 0; tick < 40; tick++) {
-            for (int i = 0; i < 12; i++) {
-                desk.requestLoad(
-                        ForwardRig.adapter(i), 0, new AdapterLoadQueue.LoadDemand("i1", 1, 0));
+        UpstreamState state = new UpstreamState(engine, scheduler.time());
+        return new AdapterLoader(
+                state, engines, scheduler.time(), scheduler, () -> 7L, LOAD, listener);
+    }
+
+    private static EngineSpec specWithSlots(int slots) {
+        return new EngineSpec(8, 100_000, 1000, slots, 4, List.of(new ModelSpec("m", 500, 1)));
+    }
+
+    private static void requestLoad(AdapterLoader loader, int adapter) {
+        loader.requestLoad(
+                ForwardRig.adapter(adapter), 0, new AdapterLoadQueue.LoadDemand("i1", 1, 0));
+    }
+
+    /**
+     * All instances were lost and an engine is taken over. Guards against callers that wait until
+     * the orders of the previous claim holder can no longer be missing from a report, although the
+     * engine counts the orders that it has accepted.
+     */
+    @Test
+    public void takenOverEngineThatCountsOrdersLoadsAtOnce() {
+        VirtualScheduler scheduler = new VirtualScheduler();
+        FakeEngines engines = new FakeEngines(scheduler, LOAD, 32);
+        engines.countOrders();
+        UpstreamRecord engine = ForwardRig.engine("e1", false);
+        AdapterLoader loader = loader(engine, engines, scheduler);
+        engines.readReport(engine, report -> loader.onReport(report.get()));
+        scheduler.advance(Duration.ofMillis(10));
+        loader.onTick(Option.of(specWithSlots(6)));
+        requestLoad(loader, 1);
+        scheduler.advance(Duration.ofMillis(10));
+        assertEquals(engines.startedLoads(), List.of("e1 m/a1"));
+    }
+
+    /**
+     * The previous claim holder still sends orders after the report that the new one has read, as
+     * after a pause of either. Guards against loads by two counts of the free slots.
+     */
+    @Test
+    public void ordersAfterTheReportStopTheNewClaimHolder() {
+        VirtualScheduler scheduler = new VirtualScheduler();
+        FakeEngines engines = new FakeEngines(scheduler, LOAD, 32);
+        engines.countOrders();
+        engines.setReportLag(Duration.ofMillis(300));
+        UpstreamRecord engine = ForwardRig.engine("e1", false);
+        AdapterLoader loader = loader(engine, engines, scheduler);
+        for (int i = 0; i < 20; i++) {
+            engines.readReport(engine, report -> loader.onReport(report.get()));
+            if (i < 5) {
+                AdapterRef previous = ForwardRig.adapter(50 + i);
+                engines.order(engine, new Order(Order.Operation.LOAD, previous, 0, 6), r -> {});
+            }
+            for (int step = 0; step < 4; step++) {
+                loader.onTick(Option.of(specWithSlots(6)));
+                for (int a = 0; a < 6; a++) {
+                    requestLoad(loader, a);
+                }
+                scheduler.advance(Duration.ofMillis(75));
             }
-            desk.onTick(Option.of(spec));
-            scheduler.advance(Duration.ofMillis(25));
         }
-        assertTrue(engines.maxUsedSlots() <= 12, "used slots " + engines.maxUsedSlots());
+        assertTrue(engines.maxUsedSlots() <= 6, "used slots " + engines.maxUsedSlots());
+    }
+
+    /**
+     * Few slots of several engines are idle, and the adapter's engine has none. Guards against
+     * requests that wait for a slot there while another engine has an idle one.
+     */
+    @Test
+    public void requestGoesWhereASlotIsIdle() {
+        ForwardRig rig = new ForwardRig(2, 3, LOAD, 8);
+        rig.setTarget(Duration.ofSeconds(1));
+        List<FakeTransport> running = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            running.add(openOnce(rig, i));
+            rig.scheduler().advance(Duration.ofMillis(400));
+            running.get(i).call().onProgress();
+        }
+        for (int i = 5; i < 25; i++) {
+            FakeTransport next = openOnce(rig, i);
+            rig.scheduler().advance(LOAD.plusMillis(100));
+            assertEquals(next.attempts().size(), 1, "request " + i);
+            next.call().onProgress();
+            running.add(next);
+            finish(running.remove(i % running.size()));
+            rig.scheduler().advance(Duration.ofMillis(100));
+        }
     }
 
     /**
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -34,6 +34,9 @@
     private int maxUsedSlots;
     private OrderReply forcedReply;
     private Duration reportLag = Duration.ZERO;
+    private final Map<String, Long> acceptedOrders = new HashMap<>();
+    private final Map<String, Long> highestFencing = new HashMap<>();
+    private boolean countsOrders;
 
     FakeEngines(VirtualScheduler scheduler, Duration loadTime, int atFullSpeed) {
         this.scheduler = scheduler;
@@ -75,6 +78,11 @@
         forcedReply = reply;
     }
 
+    /** Makes the engines count orders, state the number in reports and check it on orders. */
+    void countOrders() {
+        countsOrders = true;
+    }
+
     /** Sets the age of the contents of further reports when they arrive. */
     void setReportLag(Duration lag) {
         reportLag = lag;
@@ -116,6 +124,21 @@
             return OrderReply.UNREACHABLE;
         }
         AdapterRef target = order.target();
+        if (order.fencing() < highestFencing.merge(engine, order.fencing(), Math::max)) {
+            return OrderReply.FENCED;
+        }
+        long accepted = acceptedOrders.getOrDefault(engine, 0L);
+        if (countsOrders && order.expectedOrders().exists(expected -> expected != accepted)) {
+            return OrderReply.BUSY;
+        }
+        OrderReply reply = carryOut(engine, order, target);
+        if (reply == OrderReply.ACCEPTED || reply == OrderReply.ALREADY) {
+            acceptedOrders.put(engine, accepted + 1);
+        }
+        return reply;
+    }
+
+    private OrderReply carryOut(String engine, Order order, AdapterRef target) {
         if (order.operation() == Order.Operation.UNLOAD) {
             return unload(engine, target);
         }
@@ -169,7 +192,15 @@
                     Map<AdapterRef, Integer> loadingAdapters = new HashMap<>();
                     loading(upstream.id()).keySet().forEach(a -> loadingAdapters.put(a, 1));
                     InventoryReport report =
-                            new InventoryReport(0, Set.of("m"), listed, loadingAdapters);
+                            new InventoryReport(
+                                    0,
+                                    Set.of("m"),
+                                    listed,
+                                    loadingAdapters,
+                                    countsOrders
+                                            ? Option.of(
+                                                    acceptedOrders.getOrDefault(upstream.id(), 0L))
+                                            : Option.none());
                     scheduler.after(reportLag, () -> reply.accept(Option.of(report)));
                 });
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -37,8 +37,14 @@
     @Test
     public void startReadsNoReportOfEnginesBeforeClaims() {
         FleetRig rig = new FleetRig(40, 4, 20);
-        rig.run(Duration.ofMillis(900));
-        assertEquals(rig.up().stream().mapToInt(n -> n.reports).sum(), 0);
+        for (int i = 0; i < 18; i++) {
+            rig.run(Duration.ofMillis(50));
+            for (FleetRig.Node n : rig.up()) {
+                boolean holdsClaim =
+                        rig.engineIds().stream().anyMatch(n.forwarder::maySendOrdersTo);
+                assertTrue(holdsClaim || n.reports == 0, n.ref.id() + " has read a report");
+            }
+        }
     }
 
     @Test
