--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadCoordinator.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadCoordinator.java
@@ -62,7 +62,7 @@
     }
 
     private void requestLoad(String upstream, AdapterRef adapter, AdapterWaits.Wait wait) {
-        AdapterLoadQueue.LoadDemand demand = wait.demand(self);
+        AdapterLoadQueue.LoadDemand demand = waits.demand(wait, self);
         Option<AdapterLoader> loader = controller.loader(upstream);
         if (loader.isDefined()) {
             waits.onAcknowledged(upstream, adapter);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadQueue.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadQueue.java
@@ -33,7 +33,8 @@
      *
      * @param instance instance that received the requests
      * @param calls number of requests
-     * @param latestTargetNanos monotonic time at which the target of the last of them passes
+     * @param latestTargetNanos monotonic time by which the last of them must be sent to meet its
+     *     target
      */
     record LoadDemand(String instance, int calls, long latestTargetNanos) {}
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaitModel.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaitModel.java
@@ -17,6 +17,7 @@
     private double loadMs;
     private double reloadMs;
     private double useMs = INITIAL_USE_TIME.toMillis();
+    private double firstEventMs;
 
     /**
      * @param initialLoadTime load time assumed until a load has been measured
@@ -44,6 +45,16 @@
         useMs = average(useMs, took);
     }
 
+    /** Updates the time from sending a request that uses an adapter to its first event. */
+    void onFirstEvent(Duration took) {
+        firstEventMs = average(firstEventMs, took);
+    }
+
+    /** Returns the expected time from sending a request that uses an adapter to its first event. */
+    Duration expectedFirstEventTime() {
+        return Duration.ofNanos((long) (firstEventMs * 1e6));
+    }
+
     private static double average(double current, Duration measured) {
         return current * (1 - AVERAGE_WEIGHT) + measured.toNanos() / 1e6 * AVERAGE_WEIGHT;
     }
@@ -69,6 +80,18 @@
         return slotWait + loadMs * (1 + concurrent);
     }
 
+    /**
+     * Returns how much longer the loads that wait for a slot at the engine would wait in total if
+     * another adapter took a slot there.
+     *
+     * @param slots number of adapter slots of the engine
+     */
+    double delayToOthersMs(UpstreamState u, AdapterRef adapter, int slots) {
+        int waiting = u.knowsIdleSlots() ? Math.max(0, -u.idleSlots()) : 0;
+        double occupied = useMs + (u.heldRecently(adapter) ? reloadMs : loadMs);
+        return waiting * occupied / Math.max(1, slots);
+    }
+
     /** Returns the expected time until the slots have been given to the loads that wait for one. */
     private double expectedSlotWaitMs(UpstreamState u, int slots) {
         int idle = u.idleSlots();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -56,10 +56,12 @@
         }
 
         /**
-         * Returns the number of waiting calls and the latest time at which one of them can still
-         * meet its target.
+         * Returns the number of waiting calls and the latest time at which one of them can be sent
+         * and still meet its target.
+         *
+         * @param firstEventTime expected time from sending a call to its first event
          */
-        AdapterLoadQueue.LoadDemand demand(String instance) {
+        private AdapterLoadQueue.LoadDemand demand(String instance, Duration firstEventTime) {
             int count = 0;
             long latest = Long.MIN_VALUE;
             for (ForwardCall call : calls) {
@@ -68,7 +70,8 @@
                     latest = Math.max(latest, call.request().targetDeadlineNanos());
                 }
             }
-            return new AdapterLoadQueue.LoadDemand(instance, count, latest);
+            return new AdapterLoadQueue.LoadDemand(
+                    instance, count, latest - firstEventTime.toNanos());
         }
     }
 
@@ -95,6 +98,11 @@
         return first ? Option.of(wait) : Option.none();
     }
 
+    /** Returns the demand of the calls of this instance that wait for one load. */
+    AdapterLoadQueue.LoadDemand demand(Wait wait, String instance) {
+        return wait.demand(instance, model.expectedFirstEventTime());
+    }
+
     /** Ends a wait because the adapter is loaded. Returns the calls to be sent. */
     List<ForwardCall> removeLoaded(String upstream, AdapterRef adapter, int version) {
         Key key = new Key(upstream, adapter);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -357,6 +357,9 @@
     void onFirstByte(ForwardCall call, long nanos, long unreadTokens) {
         stallTimeouts.onFirstByte(call.request().route(), nanos);
         promptReadTime.onFirstByte(unreadTokens, Duration.ofNanos(nanos));
+        if (call.request().adapter().exists(a -> !a.isBase())) {
+            waitModel.onFirstEvent(Duration.ofNanos(nanos));
+        }
     }
 
     void onSent(ForwardCall call) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -28,8 +28,8 @@
     private static final double FAILURE_COST_MS = 2500;
 
     /**
-     * Cost of a load to other requests, apart from the wait: it uses bandwidth of the weight store
-     * and the slot of another adapter.
+     * Cost of a load to other requests, apart from the waits for slots: it uses bandwidth of the
+     * weight store and evicts another adapter.
      */
     private static final double LOAD_COST_MS = 400;
 
@@ -170,13 +170,17 @@
     }
 
     private static double loadCostMs(ChoiceInputs inputs, UpstreamState u) {
-        if (u.isLoadingOrAwaited(inputs.request().adapter().get())) {
+        AdapterRef adapter = inputs.request().adapter().get();
+        if (u.isLoadingOrAwaited(adapter)) {
             return 0;
         }
-        if (u.heldRecently(inputs.request().adapter().get())) {
-            return LOAD_COST_MS * AdapterLoadTime.RELOAD_FRACTION;
+        double delayToOthers =
+                inputs.waitModel().delayToOthersMs(u, adapter, inputs.engine().get().maxAdapters());
+        if (u.heldRecently(adapter)) {
+            return delayToOthers + LOAD_COST_MS * AdapterLoadTime.RELOAD_FRACTION;
         }
-        return LOAD_COST_MS
+        return delayToOthers
+                + LOAD_COST_MS
                 - (u.id().equals(inputs.preferredUpstream()) ? PREFERRED_DISCOUNT_MS : 0);
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
@@ -16,6 +16,7 @@
     private Option<Duration> retryAfter = Option.none();
     private ResultCode abortedWith;
     private Runnable onFirstSend = () -> {};
+    private Runnable onRefused = () -> {};
 
     @Override
     public void onOpened(ForwardCall opened) {
@@ -39,6 +40,7 @@
     public void answerError(ResultCode code, Option<Duration> after) {
         refusedWith = code;
         retryAfter = after;
+        onRefused.run();
     }
 
     @Override
@@ -50,6 +52,10 @@
         onFirstSend = action;
     }
 
+    void onRefused(Runnable action) {
+        onRefused = action;
+    }
+
     ForwardCall call() {
         return call;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -136,8 +136,14 @@
     }
 
     FakeTransport open(RequestKind kind, int attempts, Option<AdapterRef> adapter) {
-        Route route = route(kind, attempts, target);
         FakeTransport transport = new FakeTransport();
+        open(kind, attempts, adapter, transport);
+        return transport;
+    }
+
+    /** Opens a call whose transport has been prepared by the test. */
+    void open(RequestKind kind, int attempts, Option<AdapterRef> adapter, FakeTransport transport) {
+        Route route = route(kind, attempts, target);
         ForwardRequest request =
                 new ForwardRequest(
                         "q" + sequence++,
@@ -150,7 +156,6 @@
                         kind.isStream() ? 200 : 0,
                         new byte[] {(byte) (sequence >> 8), (byte) sequence});
         forwarder.open(request, transport);
-        return transport;
     }
 
     static AdapterRef adapter(int number) {
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadPlayer.java
@@ -0,0 +1,136 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.IntSupplier;
+
+/**
+ * Plays a load of streams on a {@link ForwardRig} whose engines read prompts one after the other,
+ * and counts the streams that begin within their target.
+ */
+final class LoadPlayer {
+
+    private static final Duration TARGET = Duration.ofMillis(800);
+
+    /** Size of a prompt of {@link ForwardRig}. */
+    private static final int PROMPT_TOKENS = 500;
+
+    private final ForwardRig rig;
+    private final Duration readTime;
+    private final Duration outputTime;
+    private final Random random = new Random(7);
+    private final Map<String, Long> readingUntil = new HashMap<>();
+    private final Counts counts = new Counts();
+
+    /** Outcomes of the streams that have been played. */
+    static final class Counts {
+        int offered;
+        int inTime;
+        int late;
+        int refused;
+        int refusedLate;
+
+        @Override
+        public String toString() {
+            return "offered %d, in time %d, late %d, refused %d, of these after a wait %d"
+                    .formatted(offered, inTime, late, refused, refusedLate);
+        }
+    }
+
+    /**
+     * @param tokensPerMs reading pace of an engine
+     * @param outputTime time from the first event of a stream to its last
+     */
+    LoadPlayer(ForwardRig rig, double tokensPerMs, Duration outputTime) {
+        this.rig = rig;
+        this.readTime = Duration.ofNanos((long) (PROMPT_TOKENS / tokensPerMs * 1e6));
+        this.outputTime = outputTime;
+        rig.setTarget(TARGET);
+    }
+
+    /**
+     * Plays streams that arrive at random times.
+     *
+     * @param perSecond mean arrival rate
+     * @param adapter chooses the adapter of each stream by its number; 0 for the base model
+     */
+    Counts play(double perSecond, Duration time, IntSupplier adapter) {
+        long end = rig.scheduler().time().nanoTime() + time.toNanos();
+        while (rig.scheduler().time().nanoTime() - end < 0) {
+            open(adapter.getAsInt());
+            double gap = -Math.log(1 - random.nextDouble()) / perSecond;
+            rig.scheduler().advance(Duration.ofNanos((long) (gap * 1e9)));
+        }
+        rig.scheduler().advance(Duration.ofSeconds(4));
+        return counts;
+    }
+
+    /** Returns adapters of which few get most of the streams, as with Zipf's law. */
+    IntSupplier skewedAdapters(int number) {
+        double[] cumulative = new double[number];
+        double total = 0;
+        for (int i = 0; i < number; i++) {
+            total += 1 / Math.pow(i + 1, 1.2);
+            cumulative[i] = total;
+        }
+        double all = total;
+        return () -> {
+            double point = random.nextDouble() * all;
+            int i = 0;
+            while (cumulative[i] < point) {
+                i++;
+            }
+            return i + 1;
+        };
+    }
+
+    private void open(int adapter) {
+        counts.offered++;
+        AdapterRef ref = adapter == 0 ? new AdapterRef("m", "") : ForwardRig.adapter(adapter);
+        long arrived = rig.scheduler().time().nanoTime();
+        FakeTransport t = new FakeTransport();
+        t.onFirstSend(() -> read(t, arrived));
+        t.onRefused(
+                () -> {
+                    counts.refused++;
+                    if (rig.scheduler().time().nanoTime() - arrived > 0) {
+                        counts.refusedLate++;
+                    }
+                });
+        rig.open(RequestKind.STREAM, 1, Option.of(ref), t);
+    }
+
+    private void read(FakeTransport t, long arrived) {
+        // The attempt is added to the transport after this hook, so the engine is looked up later.
+        rig.scheduler()
+                .after(
+                        Duration.ZERO,
+                        () -> {
+                            String engine = t.last().upstream().id();
+                            long now = rig.scheduler().time().nanoTime();
+                            long begin = Math.max(now, readingUntil.getOrDefault(engine, now));
+                            long done = begin + readTime.toNanos();
+                            readingUntil.put(engine, done);
+                            rig.scheduler()
+                                    .after(
+                                            Duration.ofNanos(done - now),
+                                            () -> answer(t, done - arrived));
+                        });
+    }
+
+    private void answer(FakeTransport t, long nanosToFirstEvent) {
+        if (t.call().hasEnded()) {
+            return;
+        }
+        if (nanosToFirstEvent <= TARGET.toNanos()) {
+            counts.inTime++;
+        } else {
+            counts.late++;
+        }
+        t.call().onProgress();
+        rig.scheduler().after(outputTime, () -> t.call().onComplete(200));
+    }
+}
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
@@ -0,0 +1,105 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.bronzehill.core.time.ManualTimeSource;
+import org.testng.annotations.Test;
+
+/** Tests the choice of an engine by what is known of its adapters and its load. */
+public class UpstreamChooserTest {
+
+    private static final AdapterRef ADAPTER = ForwardRig.adapter(1);
+
+    private final ManualTimeSource time =
+            ManualTimeSource.startingAt(Instant.parse("2026-12-04T06:00:00Z"));
+    private final PromptReadTime readTime = new PromptReadTime();
+    private final AdapterWaitModel waitModel = new AdapterWaitModel(Duration.ofMillis(250));
+
+    private UpstreamState engine(String id, Set<String> models) {
+        UpstreamRecord listed = ForwardRig.engine(id, false);
+        UpstreamState u = new UpstreamState(listed, time);
+        u.setModels(models);
+        return u;
+    }
+
+    private Option<UpstreamChooser.Choice> choose(Duration age, UpstreamState... engines) {
+        Route route = ForwardRig.route(RequestKind.STREAM, 1);
+        ForwardRequest request =
+                new ForwardRequest(
+                        "q",
+                        route,
+                        route.serviceAt(0),
+                        time.nanoTime(),
+                        Duration.ofSeconds(8),
+                        Option.of(ADAPTER),
+                        500,
+                        200,
+                        new byte[] {1});
+        EngineSpec spec =
+                new EngineSpec(8, 100_000, 1000, 6, 4, List.of(new ModelSpec("m", 500, 1)));
+        UpstreamChooser.ChoiceInputs inputs =
+                new UpstreamChooser.ChoiceInputs(
+                        request, Option.of(spec), 0, waitModel, "", readTime, false, age, Set.of());
+        return new UpstreamChooser("a", new Random(1)).choose(inputs, List.of(engines));
+    }
+
+    private static String idOf(Option<UpstreamChooser.Choice> choice) {
+        return choice.get().upstream().id();
+    }
+
+    /**
+     * Guards against requests that are assigned to an engine without weights, which rejects the
+     * load of their adapter, and are assigned to it again at once.
+     */
+    @Test
+    public void engineWithoutBaseModelGetsNoRequests() {
+        assertTrue(choose(Duration.ZERO, engine("e1", Set.of())).isEmpty());
+        assertEquals(
+                idOf(choose(Duration.ZERO, engine("e1", Set.of()), engine("e2", Set.of("m")))),
+                "e2");
+    }
+
+    /** Guards against further loads at an engine whose slots others wait for. */
+    @Test
+    public void engineWithIdleSlotIsPreferred() {
+        UpstreamState full = engine("e1", Set.of("m"));
+        full.setIdleSlots(-3);
+        UpstreamState free = engine("e2", Set.of("m"));
+        free.setIdleSlots(1);
+        assertEquals(idOf(choose(Duration.ZERO, full, free)), "e2");
+        full.setIdleSlots(1);
+        free.setIdleSlots(-3);
+        assertEquals(idOf(choose(Duration.ZERO, full, free)), "e1");
+    }
+
+    /** Guards against another copy of an adapter while the slots are scarce. */
+    @Test
+    public void copyIsSharedWhenLoadsWaitForSlots() {
+        UpstreamState holding = engine("e1", Set.of("m"));
+        holding.setAdapters(Map.of(ADAPTER, 1), Map.of());
+        holding.beginPrompt(1500);
+        UpstreamState other = engine("e2", Set.of("m"));
+        other.setIdleSlots(-3);
+        assertEquals(idOf(choose(Duration.ZERO, holding, other)), "e1");
+    }
+
+    /** Guards against a request that is late anyway and delays others at a busy engine. */
+    @Test
+    public void requestWithLittleTimeLeftGetsOnlyAnIdleEngine() {
+        UpstreamState busy = engine("e1", Set.of("m"));
+        busy.setAdapters(Map.of(ADAPTER, 1), Map.of());
+        busy.beginPrompt(1500);
+        assertTrue(choose(Duration.ZERO, busy).isDefined());
+        assertTrue(choose(Duration.ofMillis(190), busy).isEmpty());
+        busy.endPrompt(1500);
+        assertTrue(choose(Duration.ofMillis(190), busy).isDefined());
+    }
+}
