--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsStartTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/OrderClaimsStartTest.java
@@ -102,6 +102,31 @@
         assertEquals(claims.ownClaims().size(), 0);
     }
 
+    /**
+     * All instances have been lost and start again. Guards against engines that stay without orders
+     * although every known instance has sent its claims.
+     */
+    @Test
+    public void instanceThatHasHeardAllOthersClaimsSoon() {
+        join("i2", 1);
+        claims.onPeerClaims("i2", 1, Map.of(), Long.MAX_VALUE / 2);
+        run(Duration.ofMillis(300));
+        assertEquals(claims.ownClaims().size(), 0);
+        run(Duration.ofMillis(500));
+        int early = claims.ownClaims().size();
+        assertTrue(early > 0);
+        run(Duration.ofSeconds(3));
+        assertEquals(claims.ownClaims().size(), early);
+    }
+
+    /** Guards against claims on the engines of a known instance whose claims have not arrived. */
+    @Test
+    public void instanceThatHasNotHeardAllOthersWaits() {
+        join("i2", 1);
+        run(Duration.ofMillis(900));
+        assertEquals(claims.ownClaims().size(), 0);
+    }
+
     /** Guards against engines that stay without orders after a pause of the last instance. */
     @Test
     public void resumedInstanceClaimsAgainWhenItHearsNobody() {
