Leave waits for adapters out of the backlog limit, and split three large classes

Ruled out: the shorter discovery. Change: the wait does not shrink the limit, as the engine reads other prompts in the meantime.

All tests of core and platform pass.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.bronzehill.core.forward.AdapterSlot.Phase;
 import org.bronzehill.core.time.TimeSource;
 import org.jboss.logging.Logger;
 
@@ -37,19 +38,6 @@
      */
     private static final Duration MIN_RESIDENCE = Duration.ofMillis(25);
 
-    /**
-     * Time after this instance has taken over an engine during which reports might not yet show
-     * loads ordered by the previous claim holder: the lag of a report and the interval between two
-     * reports.
-     */
-    static final Duration TAKEOVER_REPORT_LAG = Duration.ofMillis(1500);
-
-    /**
-     * Time after this instance has taken over an engine during which the other instances might not
-     * yet have reported to it which adapters they use there.
-     */
-    private static final Duration TAKEOVER_USES_LAG = Duration.ofMillis(500);
-
     /**
      * Largest age of a report. Changes made here within this time take precedence over the report.
      */
@@ -67,9 +55,7 @@
     private final RecentAdapters recentAdapters = new RecentAdapters();
     private final AdapterLoadTime loadTime;
     private Option<EngineSpec> engineSpec = Option.none();
-    private final long takenOverAt;
-    private boolean earlierOrdersKnown;
-    private Option<Long> reportedOrders = Option.none();
+    private final EngineTakeover takeover;
     private AdapterRef pendingUnload;
     private boolean orderInFlight;
     private boolean unreachable;
@@ -93,30 +79,6 @@
         void onFenced(UpstreamState upstream);
     }
 
-    private enum Phase {
-        LOADING,
-        RESIDENT,
-        UNLOADING
-    }
-
-    /** State of an adapter that occupies one of the engine's adapter slots. */
-    private static final class AdapterSlot {
-        private int version;
-        private Phase phase;
-        private long changedAt;
-        private long usedAt;
-        private long nextCheckAt;
-        private boolean reload;
-
-        private AdapterSlot(int version, Phase phase, long now) {
-            this.version = version;
-            this.phase = phase;
-            this.changedAt = now;
-            this.usedAt = now;
-            this.nextCheckAt = now;
-        }
-    }
-
     /**
      * @param fencing supplies the fencing number for orders; negative if no orders may be sent now
      * @param expectedLoadTime load time assumed until a load has been measured
@@ -138,7 +100,7 @@
         this.queue = new AdapterLoadQueue(time);
         this.loadTime = new AdapterLoadTime(expectedLoadTime, MAX_PARALLEL_LOADS);
         this.nextOrderAt = time.nanoTime();
-        this.takenOverAt = nextOrderAt;
+        this.takeover = new EngineTakeover(time, MAX_PARALLEL_LOADS);
     }
 
     /** Queues an adapter that requests wait for, and sends an order if that is possible now. */
@@ -175,7 +137,7 @@
     void onReport(InventoryReport report) {
         long now = time.nanoTime();
         unreachable = false;
-        reportedOrders = report.acceptedOrders();
+        takeover.onReport(report);
         upstream.setModels(report.models());
         report.adapters().forEach((a, v) -> merge(a, v, Phase.RESIDENT, now));
         report.loading().forEach((a, v) -> merge(a, v, Phase.LOADING, now));
@@ -266,7 +228,7 @@
         AdapterSlot existing = adapterSlots.get(adapter);
         if (existing == null
                 && adapterSlots.size()
-                        >= capacity(engineSpec, model.get()) - slotsForUnreportedLoads()) {
+                        >= capacity(engineSpec, model.get()) - takeover.reservedSlots()) {
             evictLeastRecentlyUsed();
             return;
         }
@@ -288,37 +250,9 @@
         scheduler.after(delay, this::sendNextOrder);
     }
 
-    /**
-     * Returns the number of slots kept free for loads which the previous claim holder may have
-     * ordered and which no report shows yet.
-     */
-    private int slotsForUnreportedLoads() {
-        if (time.nanoTime() - takenOverAt >= TAKEOVER_REPORT_LAG.toNanos()) {
-            return 0;
-        }
-        // An adapter that waits to be unloaded occupies a slot, but reports no longer list it.
-        return earlierOrdersKnown || reportedOrders.isDefined() ? 1 : 2 * MAX_PARALLEL_LOADS;
-    }
-
-    /**
-     * Returns the order, on condition that the engine has accepted no orders after the latest
-     * report if the previous claim holder may have sent some. An engine that has refuses the order.
-     */
     private Order order(Order.Operation operation, AdapterRef adapter, int version) {
-        Option<Long> expected = earlierOrdersKnown ? Option.none() : reportedOrders;
-        return new Order(operation, adapter, version, fencing.getAsLong(), expected);
-    }
-
-    /** Returns whether the engine refused the order because it has accepted others meanwhile. */
-    private boolean updateEarlierOrders(Order order, OrderReply reply) {
-        if (order.expectedOrders().isEmpty()) {
-            return false;
-        }
-        earlierOrdersKnown |= reply == OrderReply.ACCEPTED || reply == OrderReply.ALREADY;
-        if (reply == OrderReply.BUSY) {
-            reportedOrders = Option.none();
-        }
-        return reply == OrderReply.BUSY;
+        long number = fencing.getAsLong();
+        return new Order(operation, adapter, version, number, takeover.expectedOrders());
     }
 
     private int loadsInProgress() {
@@ -351,8 +285,7 @@
             sendUnload(pendingUnload, adapterSlots.get(pendingUnload));
             return;
         }
-        if (now - takenOverAt < TAKEOVER_USES_LAG.toNanos()) {
-            // Other instances may not have reported yet which adapters they use here.
+        if (!takeover.areUsesKnown()) {
             delayNextOrder();
             return;
         }
@@ -389,7 +322,7 @@
         orderInFlight = false;
         unreachable = false;
         log(order, reply);
-        if (updateEarlierOrders(order, reply)) {
+        if (takeover.onReply(order, reply)) {
             // Callers repeat the request for the load, which is ordered again after a new report.
             adapterSlots.remove(adapter);
             publishAdapters();
@@ -437,7 +370,7 @@
                     orderInFlight = false;
                     unreachable = false;
                     log(order, reply);
-                    updateEarlierOrders(order, reply);
+                    takeover.onReply(order, reply);
                     onUnloadReply(adapter, reply);
                 });
     }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
@@ -0,0 +1,77 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.core.time.TimeSource;
+
+/** Calls that wait at this instance for a place at an upstream, by service. */
+final class CallQueues {
+
+    /** Number of queued calls without an upstream after which the others are not tried. */
+    private static final int MAX_FAILED_CHOICES = 8;
+
+    private final TimeSource time;
+    private final Function<ForwardCall, Option<UpstreamChooser.Choice>> chooser;
+    private final Map<String, CallQueue> queues = new HashMap<>();
+
+    /**
+     * @param chooser chooses the upstream of a call; empty if none can take it now
+     */
+    CallQueues(TimeSource time, Function<ForwardCall, Option<UpstreamChooser.Choice>> chooser) {
+        this.time = time;
+        this.chooser = chooser;
+    }
+
+    /** Returns the queue for the service of a call. */
+    CallQueue of(ForwardCall call) {
+        return of(call.request().service());
+    }
+
+    private CallQueue of(String service) {
+        return queues.computeIfAbsent(service, s -> new CallQueue(time));
+    }
+
+    /**
+     * Sends queued calls of a service for which there is capacity now. A call without an upstream
+     * does not hold up those behind it, whose adapters or prompts may fit elsewhere.
+     */
+    void dispatch(String service) {
+        int withoutUpstream = 0;
+        for (ForwardCall call : of(service).inDispatchOrder()) {
+            if (!call.isQueued()) {
+                // The dispatch of an earlier call has also sent or refused this one.
+                continue;
+            }
+            Option<UpstreamChooser.Choice> choice = chooser.apply(call);
+            if (choice.isDefined()) {
+                call.dispatch(choice);
+            } else if (++withoutUpstream == MAX_FAILED_CHOICES) {
+                return;
+            }
+        }
+    }
+
+    /** Sends the queued calls of all services for which there is capacity now. */
+    void dispatchAll() {
+        List.copyOf(queues.keySet()).forEach(this::dispatch);
+    }
+
+    /** Refuses the calls that would still wait when they may no longer do so. */
+    void refuseOverdue() {
+        for (CallQueue queue : queues.values()) {
+            for (ForwardCall call : queue.inDispatchOrder()) {
+                if (queue.willMissDeadline(call)) {
+                    call.refuseWaiting(ResultCode.QUEUE_FULL);
+                }
+            }
+        }
+    }
+
+    boolean isEmpty() {
+        return queues.values().stream().allMatch(CallQueue::isEmpty);
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
@@ -176,7 +176,7 @@
                             engine.loader.isUnreachable()
                                     || engine.upstream.models().isEmpty()
                                     || time.nanoTime() - engine.takenOverAt
-                                            < AdapterLoader.TAKEOVER_REPORT_LAG.toNanos();
+                                            < EngineTakeover.REPORT_LAG.toNanos();
                     Duration interval = soon ? SHORT_REPORT_INTERVAL : REPORT_INTERVAL;
                     engine.nextReportAt = time.nanoTime() + interval.toNanos();
                     report.forEach(
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -28,15 +28,6 @@
     /** Number of attempts not run by their upstreams up to which the call is dispatched again. */
     private static final int MAX_NOT_RUN_ATTEMPTS = 4;
 
-    /** Limit for waits and retries, as part of the time limit for the first event. */
-    private static final double SEND_DEADLINE_FRACTION = 0.9;
-
-    /**
-     * Limit for the wait of a stream for a place at an upstream, as part of its target. The rest of
-     * the target is for the prompts that are read before and for its own.
-     */
-    private static final double QUEUE_DEADLINE_FRACTION = 0.5;
-
     private enum State {
         DISPATCHING,
         QUEUED,
@@ -83,23 +74,12 @@
 
     /** Returns the monotonic time limit for waits and retries; the request may be sent later. */
     long sendDeadlineNanos() {
-        if (answerBegun) {
-            return request.deadlineNanos();
-        }
-        long limit = request.firstEventDeadlineNanos() - request.arrivedNanos();
-        return request.arrivedNanos() + (long) (limit * SEND_DEADLINE_FRACTION);
+        return WaitLimits.sendDeadlineNanos(request, answerBegun);
     }
 
-    /**
-     * Returns the monotonic time until which the call may wait for a place at an upstream. A stream
-     * that would be sent later would miss its target, and delay others that can still meet theirs.
-     */
+    /** Returns the monotonic time until which the call may wait for a place at an upstream. */
     long queueDeadlineNanos() {
-        if (answerBegun || !request.route().kind().isStream()) {
-            return sendDeadlineNanos();
-        }
-        long limit = (long) (request.route().target().toNanos() * QUEUE_DEADLINE_FRACTION);
-        return request.arrivedNanos() + limit;
+        return WaitLimits.queueDeadlineNanos(request, answerBegun);
     }
 
     boolean hasAnswerBegun() {
@@ -499,9 +479,7 @@
     private String describe(String decision, String reason) {
         StringBuilder line = new StringBuilder(160);
         line.append("request=").append(request.id()).append(" decision=").append(decision);
-        if (!reason.isEmpty()) {
-            line.append(" reason=").append(reason);
-        }
+        line.append(reason.isEmpty() ? "" : " reason=" + reason);
         line.append(" route=").append(request.route().name());
         line.append(" age-ms=").append((forwarder.now() - request.arrivedNanos()) / 1_000_000);
         line.append(" attempt=").append(attempts).append(" turned-away=").append(notRunAttempts);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -26,25 +26,15 @@
     /** Adapter load time assumed until a load has been measured. */
     private static final Duration INITIAL_LOAD_TIME = Duration.ofMillis(300);
 
-    /** Largest part of a caller's remaining time that is returned as its retry delay. */
-    private static final double MAX_RETRY_AFTER_FRACTION = 0.3;
-
-    /** Shortest retry delay before it is limited by the time left and reduced randomly. */
-    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(50);
-
     /**
      * Interval at which waiting calls are checked: a fifth of the shortest targets, which are about
      * 120 ms.
      */
     private static final Duration WAITING_CALL_TICK = Duration.ofMillis(25);
 
-    /** Number of queued calls without an upstream after which the others are not tried. */
-    private static final int MAX_FAILED_CHOICES = 8;
-
     private final ForwardSettings settings;
     private final TimeSource time;
     private final Scheduler scheduler;
-    private final RandomGenerator random;
     private final Membership membership;
     private final Effects out;
     private final ForwardListener listener;
@@ -58,7 +48,8 @@
     private final EngineController controller;
     private final LoadExchange loadExchange;
     private final SharedStoreState storeState;
-    private final Map<String, CallQueue> queues = new HashMap<>();
+    private final CallQueues queues;
+    private final RetryDelay retryDelay;
     private final StallTimeouts stallTimeouts = new StallTimeouts();
     private final Map<AdapterRef, Integer> adapterVersions = new HashMap<>();
     private final PromptReadTime promptReadTime = new PromptReadTime();
@@ -75,7 +66,8 @@
         this.settings = settings;
         this.time = ports.time();
         this.scheduler = ports.scheduler();
-        this.random = random;
+        this.queues = new CallQueues(time, this::choose);
+        this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
         this.listener = ports.listener();
@@ -270,14 +262,14 @@
         if (upstreams.available(call.request().service()).isEmpty()) {
             return Option.of(ResultCode.NO_UPSTREAM);
         }
-        return queue(call.request().service()).willMissDeadline(call)
+        return queues.of(call).willMissDeadline(call)
                 ? Option.of(ResultCode.QUEUE_FULL)
                 : Option.none();
     }
 
     /** Returns the delay after which the caller should retry; empty if no time is left for it. */
     Option<Duration> retryAfter(ForwardCall call) {
-        return retryAfter(call, queue(call.request().service()).expectedWait(call));
+        return retryDelay.after(call.request(), queues.of(call).expectedWait(call));
     }
 
     /**
@@ -286,51 +278,21 @@
      * wait makes the delay the longest allowed one before its random reduction.
      */
     Option<Duration> retryAfterMissedLoad(ForwardCall call) {
-        return retryAfter(call, call.request().route().timeout());
-    }
-
-    private Option<Duration> retryAfter(ForwardCall call, Duration expectedWait) {
-        long left = call.request().deadlineNanos() - now();
-        if (left <= 0) {
-            return Option.none();
-        }
-        long max = (long) (left * MAX_RETRY_AFTER_FRACTION);
-        long wait = Math.min(max, Math.max(expectedWait.toNanos(), MIN_RETRY_AFTER.toNanos()));
-        // Spreads the retries, so that they do not arrive as another burst.
-        return Option.of(Duration.ofNanos((long) (wait * (0.5 + random.nextDouble() / 2))));
-    }
-
-    private CallQueue queue(String service) {
-        return queues.computeIfAbsent(service, s -> new CallQueue(time));
+        return retryDelay.after(call.request(), call.request().route().timeout());
     }
 
     void enterQueue(ForwardCall call) {
-        queue(call.request().service()).add(call);
+        queues.of(call).add(call);
         armCallTick();
     }
 
     void leaveQueue(ForwardCall call) {
-        queue(call.request().service()).remove(call);
+        queues.of(call).remove(call);
     }
 
-    /**
-     * Sends queued calls of a service for which there is capacity now. A call without an upstream
-     * does not hold up those behind it, whose adapters or prompts may fit elsewhere.
-     */
+    /** Sends queued calls of a service for which there is capacity now. */
     void dispatchQueued(String service) {
-        int withoutUpstream = 0;
-        for (ForwardCall call : queue(service).inDispatchOrder()) {
-            if (!call.isQueued()) {
-                // The dispatch of an earlier call has also sent or refused this one.
-                continue;
-            }
-            Option<UpstreamChooser.Choice> choice = choose(call);
-            if (choice.isDefined()) {
-                call.dispatch(choice);
-            } else if (++withoutUpstream == MAX_FAILED_CHOICES) {
-                return;
-            }
-        }
+        queues.dispatch(service);
     }
 
     boolean tryTakeRetry(ForwardRequest request) {
@@ -380,7 +342,7 @@
     }
 
     void onCompleted(ForwardCall call, int status) {
-        queue(call.request().service()).completionRate().onCompleted();
+        queues.of(call).completionRate().onCompleted();
         if (status < 500) {
             crashDetector.onCompleted(call.request());
         }
@@ -475,7 +437,7 @@
         }
         controller.onTick(engines, !openCalls.isEmpty());
         loadExchange.onTick(out);
-        queues.keySet().forEach(this::dispatchQueued);
+        queues.dispatchAll();
     }
 
     /** Schedules the next check of waiting calls, which repeats while there are any. */
@@ -489,19 +451,9 @@
     private void onCallTick() {
         callTickArmed = false;
         loadCoordinator.onTick();
-        boolean waiting = loadCoordinator.isWaiting();
-        for (CallQueue queue : queues.values()) {
-            for (ForwardCall call : queue.inDispatchOrder()) {
-                if (queue.willMissDeadline(call)) {
-                    call.refuseWaiting(ResultCode.QUEUE_FULL);
-                }
-            }
-        }
-        for (String service : List.copyOf(queues.keySet())) {
-            dispatchQueued(service);
-            waiting |= !queue(service).isEmpty();
-        }
-        if (waiting) {
+        queues.refuseOverdue();
+        queues.dispatchAll();
+        if (loadCoordinator.isWaiting() || !queues.isEmpty()) {
             armCallTick();
         }
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -218,15 +218,15 @@
      * Returns whether the engine reads the prompts that were sent before soon enough. The less of
      * its target a request has left, the less busy an engine must be to get it, since a request
      * that will be late anyway must not delay others that can still meet their targets. The average
-     * prompt stands for that of the request, so that large ones are not refused more often.
+     * prompt stands for that of the request, so that large ones are not refused more often. A wait
+     * for an adapter does not count, since the engine reads other prompts in the meantime.
      */
     private static boolean readsSoon(ChoiceInputs inputs, UpstreamState u) {
         double targetMs = inputs.request().route().target().toMillis();
         double spareMs =
                 targetMs * (1 - TARGET_MARGIN)
                         - inputs.age().toMillis()
-                        - inputs.promptReadTime().averagePromptMs()
-                        - (isReady(inputs, u) ? 0 : expectedAdapterWaitMs(inputs, u));
+                        - inputs.promptReadTime().averagePromptMs();
         double limitMs =
                 Math.max(
                         targetMs * MIN_BACKLOG_FRACTION,
