--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
@@ -16,6 +16,7 @@
     private Option<Duration> retryAfter = Option.none();
     private ResultCode abortedWith;
     private Runnable onFirstSend = () -> {};
+    private Runnable onSend = () -> {};
     private Runnable onRefused = () -> {};
 
     @Override
@@ -29,6 +30,7 @@
             onFirstSend.run();
         }
         attempts.add(attempt);
+        onSend.run();
     }
 
     @Override
@@ -48,6 +50,11 @@
         abortedWith = code;
     }
 
+    /** Sets the action that follows each sent attempt. */
+    void onSend(Runnable action) {
+        onSend = action;
+    }
+
     void onFirstSend(Runnable action) {
         onFirstSend = action;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadPlayer.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadPlayer.java
@@ -3,8 +3,10 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.IntSupplier;
 
 /**
@@ -23,7 +25,10 @@
     private final Duration outputTime;
     private final Random random = new Random(7);
     private final Map<String, Long> readingUntil = new HashMap<>();
-    private final Counts counts = new Counts();
+    private final Map<FakeTransport, String> running = new HashMap<>();
+    private final Set<String> crashed = new HashSet<>();
+    private Counts counts = new Counts();
+    private int retries;
 
     /** Outcomes of the streams that have been played. */
     static final class Counts {
@@ -52,20 +57,47 @@
     }
 
     /**
-     * Plays streams that arrive at random times.
+     * Plays streams that arrive at random times, and waits until they have ended.
      *
      * @param perSecond mean arrival rate
      * @param adapter chooses the adapter of each stream by its number; 0 for the base model
      */
     Counts play(double perSecond, Duration time, IntSupplier adapter) {
+        begin(perSecond, time, adapter);
+        rig.scheduler().advance(Duration.ofSeconds(4));
+        return counts;
+    }
+
+    /**
+     * Plays streams without waiting for their end. Counts from zero for the streams of this call.
+     */
+    Counts begin(double perSecond, Duration time, IntSupplier adapter) {
+        counts = new Counts();
+        Counts begun = counts;
         long end = rig.scheduler().time().nanoTime() + time.toNanos();
         while (rig.scheduler().time().nanoTime() - end < 0) {
-            open(adapter.getAsInt());
+            open(adapter.getAsInt(), begun, retries);
             double gap = -Math.log(1 - random.nextDouble()) / perSecond;
             rig.scheduler().advance(Duration.ofNanos((long) (gap * 1e9)));
         }
-        rig.scheduler().advance(Duration.ofSeconds(4));
-        return counts;
+        return begun;
+    }
+
+    /** Makes callers send each refused request again at once, up to the given number of times. */
+    void retryRefused(int times) {
+        retries = times;
+    }
+
+    /** Crashes an engine, with the streams that run there. */
+    void crash(String engine) {
+        rig.engines().crash(engine);
+        crashed.add(engine);
+        for (Map.Entry<FakeTransport, String> e : Map.copyOf(running).entrySet()) {
+            if (e.getValue().equals(engine)) {
+                running.remove(e.getKey());
+                e.getKey().call().onConnectionLost("reset");
+            }
+        }
     }
 
     /** Returns adapters of which few get most of the streams, as with Zipf's law. */
@@ -87,48 +119,48 @@
         };
     }
 
-    private void open(int adapter) {
-        counts.offered++;
+    private void open(int adapter, Counts counted, int retriesLeft) {
+        counted.offered++;
         AdapterRef ref = adapter == 0 ? new AdapterRef("m", "") : ForwardRig.adapter(adapter);
         long arrived = rig.scheduler().time().nanoTime();
         FakeTransport t = new FakeTransport();
-        t.onFirstSend(() -> read(t, arrived));
+        t.onSend(() -> rig.scheduler().after(Duration.ZERO, () -> read(t, arrived, counted)));
         t.onRefused(
                 () -> {
-                    counts.refused++;
+                    counted.refused++;
                     if (rig.scheduler().time().nanoTime() - arrived > 0) {
-                        counts.refusedLate++;
+                        counted.refusedLate++;
+                    }
+                    if (retriesLeft > 0) {
+                        Runnable retry = () -> open(adapter, counted, retriesLeft - 1);
+                        rig.scheduler().after(Duration.ZERO, retry);
                     }
                 });
         rig.open(RequestKind.STREAM, 1, Option.of(ref), t);
     }
 
-    private void read(FakeTransport t, long arrived) {
-        // The attempt is added to the transport after this hook, so the engine is looked up later.
+    private void read(FakeTransport t, long arrived, Counts counted) {
+        String engine = t.last().upstream().id();
+        if (crashed.contains(engine)) {
+            t.call().onUnreachable("connect-failed");
+            return;
+        }
+        running.put(t, engine);
+        long now = rig.scheduler().time().nanoTime();
+        long done = Math.max(now, readingUntil.getOrDefault(engine, now)) + readTime.toNanos();
+        readingUntil.put(engine, done);
         rig.scheduler()
-                .after(
-                        Duration.ZERO,
-                        () -> {
-                            String engine = t.last().upstream().id();
-                            long now = rig.scheduler().time().nanoTime();
-                            long begin = Math.max(now, readingUntil.getOrDefault(engine, now));
-                            long done = begin + readTime.toNanos();
-                            readingUntil.put(engine, done);
-                            rig.scheduler()
-                                    .after(
-                                            Duration.ofNanos(done - now),
-                                            () -> answer(t, done - arrived));
-                        });
+                .after(Duration.ofNanos(done - now), () -> answer(t, done - arrived, counted));
     }
 
-    private void answer(FakeTransport t, long nanosToFirstEvent) {
-        if (t.call().hasEnded()) {
+    private void answer(FakeTransport t, long nanosToFirstEvent, Counts counted) {
+        if (running.remove(t) == null || t.call().hasEnded()) {
             return;
         }
         if (nanosToFirstEvent <= TARGET.toNanos()) {
-            counts.inTime++;
+            counted.inTime++;
         } else {
-            counts.late++;
+            counted.late++;
         }
         t.call().onProgress();
         rig.scheduler().after(outputTime, () -> t.call().onComplete(200));
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/OverloadTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/OverloadTest.java
@@ -93,4 +93,66 @@
             }
         }
     }
+
+    /** Sudden changes of the demand and of the engines. */
+    public static class Changes {
+
+        private static final Duration STEADY = Duration.ofSeconds(10);
+
+        /**
+         * Twice the time in which the weight store delivers an adapter for each slot: 24 slots, 8
+         * loads at a time of 250 ms each.
+         */
+        private static final Duration RECOVERY = Duration.ofMillis(1500);
+
+        /**
+         * All requests move to other adapters at once. Guards against slots that stay with adapters
+         * that nobody requests any more.
+         */
+        @Test
+        public void movedDemandIsServedAgainSoon() {
+            ForwardRig rig = new ForwardRig(4, 6, LOAD_TIME, 8);
+            LoadPlayer player = new LoadPlayer(rig, 25, Duration.ofMillis(300));
+            IntSupplier adapters = player.skewedAdapters(200);
+            player.begin(25, STEADY, adapters);
+            LoadPlayer.Counts before = player.begin(25, STEADY, adapters);
+            IntSupplier moved = () -> adapters.getAsInt() + 200;
+            player.begin(25, RECOVERY, moved);
+            LoadPlayer.Counts after = player.play(25, STEADY, moved);
+            assertTrue(
+                    after.inTime * before.offered >= 0.9 * before.inTime * after.offered,
+                    "before: " + before + "; after: " + after);
+        }
+
+        /**
+         * Half of the engines are lost while the load is at the capacity of all. Guards against
+         * requests that wait for lost engines, and against late streams at the others.
+         */
+        @Test
+        public void remainingEnginesStayProductive() {
+            ForwardRig rig = new ForwardRig(4, 6, LOAD_TIME, 8);
+            LoadPlayer player = new LoadPlayer(rig, 5, Duration.ofMillis(100));
+            player.begin(40, STEADY, () -> 0);
+            player.crash("e1");
+            player.crash("e2");
+            player.begin(40, RECOVERY, () -> 0);
+            LoadPlayer.Counts after = player.play(40, STEADY, () -> 0);
+            double capacity = 20 * STEADY.toSeconds();
+            assertTrue(after.inTime >= MIN_GOODPUT * capacity, after.toString());
+        }
+
+        /**
+         * Callers send each refused request again at once, several times. Guards against retries
+         * that displace requests which can still be served in time.
+         */
+        @Test
+        public void impatientRetriesDoNotReduceTheGoodput() {
+            ForwardRig rig = new ForwardRig(4, 6, LOAD_TIME, 8);
+            LoadPlayer player = new LoadPlayer(rig, 5, Duration.ofMillis(100));
+            player.retryRefused(3);
+            LoadPlayer.Counts counts = player.play(80, Duration.ofSeconds(20), () -> 0);
+            double capacity = 40 * 20;
+            assertTrue(counts.inTime >= MIN_GOODPUT * capacity, counts.toString());
+        }
+    }
 }
