Limit the age and the size of reported idle slots

Cause: found while reading for malformed messages and lost processes. A count near the least integer overflowed to a negative wait, which made a full engine look free; and the last count of a lost claim holder stayed in use, reduced by each further wait here, so that its engines looked ever fuller until another holder reported. Change: IdleSlots clamps the count and forgets it after 2.5 s.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
@@ -443,7 +443,7 @@
                                 .filter(e -> isOccupied(e.getKey(), e.getValue()))
                                 .count();
                 int free = capacity(engineSpec.get(), model) - (int) occupied;
-                upstream.setIdleSlots(free - queue.size());
+                upstream.idleSlots().set(free - queue.size());
             }
         }
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaitModel.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaitModel.java
@@ -87,14 +87,13 @@
      * @param slots number of adapter slots of the engine
      */
     double delayToOthersMs(UpstreamState u, AdapterRef adapter, int slots) {
-        int waiting = u.knowsIdleSlots() ? Math.max(0, -u.idleSlots()) : 0;
         double occupied = useMs + (u.heldRecently(adapter) ? reloadMs : loadMs);
-        return waiting * occupied / Math.max(1, slots);
+        return u.idleSlots().waitingLoads() * occupied / Math.max(1, slots);
     }
 
     /** Returns the expected time until the slots have been given to the loads that wait for one. */
     private double expectedSlotWaitMs(UpstreamState u, int slots) {
-        int idle = u.idleSlots();
+        int idle = u.idleSlots().count();
         return idle > 0 ? 0 : (1 - idle) * useMs / Math.max(1, slots);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterWaits.java
@@ -90,7 +90,7 @@
         boolean first = wait == null;
         if (first) {
             UpstreamState u = call.upstream();
-            boolean measurable = u.idleSlots() >= 0 && !u.isReportedLoading(adapter);
+            boolean measurable = u.idleSlots().count() >= 0 && !u.isReportedLoading(adapter);
             wait = new Wait(version, u.heldRecently(adapter), measurable, time.nanoTime());
             waits.put(key, wait);
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ClaimMessages.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ClaimMessages.java
@@ -23,8 +23,8 @@
     /** Returns a claim with the number of idle slots, if that is known, but without inventory. */
     static OrderedUpstream withIdleSlots(UpstreamState u, long fencing) {
         OrderedUpstream.Builder b = claimOnly(u.id(), fencing).toBuilder();
-        if (u.knowsIdleSlots()) {
-            b.setStartedAtMs(u.upstreamRecord().startedAtMs()).setIdleSlots(u.idleSlots());
+        if (u.idleSlots().isKnown()) {
+            b.setStartedAtMs(u.upstreamRecord().startedAtMs()).setIdleSlots(u.idleSlots().count());
         }
         return b.build();
     }
@@ -57,7 +57,7 @@
             return;
         }
         if (ordered.hasIdleSlots()) {
-            u.setIdleSlots(ordered.getIdleSlots());
+            u.idleSlots().set(ordered.getIdleSlots());
         }
         if (!ordered.getComplete()) {
             return;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -36,7 +36,7 @@
     private long inventoryFencing;
     private final Map<AdapterRef, Integer> awaited = new HashMap<>();
     private int waitingRequests;
-    private int idleSlots = Integer.MAX_VALUE;
+    private final IdleSlots idleSlots;
     private boolean misaddressed;
     private long adapterWaitsPausedUntil;
     private int requests;
@@ -72,6 +72,7 @@
         this.time = time;
         this.nameHash = RendezvousHash.nameHash(upstreamRecord.id());
         this.health = new OutcomeHealth(time);
+        this.idleSlots = new IdleSlots(time);
         this.adapterWaitsPausedUntil = time.nanoTime();
         models.addAll(upstreamRecord.models());
         resident.putAll(upstreamRecord.adapters());
@@ -344,32 +345,15 @@
         return time.nanoTime() - adapterWaitsPausedUntil < 0;
     }
 
-    /**
-     * Sets the number of adapter slots that can be given to further adapters, less the loads that
-     * wait for a slot.
-     */
-    void setIdleSlots(int idle) {
-        idleSlots = idle;
-    }
-
-    /**
-     * Returns the number of adapter slots that can be given to further adapters, less the loads
-     * that wait for a slot. It is large until the claim holder has reported it.
-     */
-    int idleSlots() {
+    /** Returns the adapter slots that can be given to further adapters. */
+    IdleSlots idleSlots() {
         return idleSlots;
     }
 
-    /** Returns whether the number of idle slots is known. */
-    boolean knowsIdleSlots() {
-        return idleSlots != Integer.MAX_VALUE;
-    }
-
     /** Records that a request waits for an adapter here. */
     void beginAdapterWait(AdapterRef adapter) {
-        if (knowsIdleSlots() && !isLoadingOrAwaited(adapter)) {
-            // The next report of the claim holder includes this load.
-            idleSlots--;
+        if (!isLoadingOrAwaited(adapter)) {
+            idleSlots.take();
         }
         awaited.merge(adapter, 1, Integer::sum);
         waitingRequests++;
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Option;
@@ -71,15 +72,35 @@
     @Test
     public void engineWithIdleSlotIsPreferred() {
         UpstreamState full = engine("e1", Set.of("m"));
-        full.setIdleSlots(-3);
+        full.idleSlots().set(-3);
         UpstreamState free = engine("e2", Set.of("m"));
-        free.setIdleSlots(1);
+        free.idleSlots().set(1);
         assertEquals(idOf(choose(Duration.ZERO, full, free)), "e2");
-        full.setIdleSlots(1);
-        free.setIdleSlots(-3);
+        full.idleSlots().set(1);
+        free.idleSlots().set(-3);
         assertEquals(idOf(choose(Duration.ZERO, full, free)), "e1");
     }
 
+    /** Guards against engines that count as full long after their claim holder was lost. */
+    @Test
+    public void outdatedNumberOfIdleSlotsIsIgnored() {
+        UpstreamState u = engine("e1", Set.of("m"));
+        u.idleSlots().set(-50);
+        assertEquals(u.idleSlots().count(), -50);
+        time.advance(Duration.ofSeconds(3));
+        assertFalse(u.idleSlots().isKnown());
+        assertEquals(waitModel.expectedWaitMs(u, ADAPTER, 6), 250, 1);
+    }
+
+    /** Guards against a malformed message that makes an engine look free by an overflow. */
+    @Test
+    public void implausibleNumberOfIdleSlotsIsLimited() {
+        UpstreamState u = engine("e1", Set.of("m"));
+        u.idleSlots().set(Integer.MIN_VALUE);
+        assertTrue(waitModel.expectedWaitMs(u, ADAPTER, 6) > 250);
+        assertTrue(waitModel.delayToOthersMs(u, ADAPTER, 6) > 0);
+    }
+
     /** Guards against another copy of an adapter while the slots are scarce. */
     @Test
     public void copyIsSharedWhenLoadsWaitForSlots() {
@@ -87,7 +108,7 @@
         holding.setAdapters(Map.of(ADAPTER, 1), Map.of());
         holding.beginPrompt(1500);
         UpstreamState other = engine("e2", Set.of("m"));
-        other.setIdleSlots(-3);
+        other.idleSlots().set(-3);
         assertEquals(idOf(choose(Duration.ZERO, holding, other)), "e1");
     }
 
