Do not cut slow streams within the pauses that their callers accept

Cause: looked for after the operators' report of slow but sound streams that were cut. A resumable stream was continued elsewhere after 1.2 s of silence whatever its route allows; with allowed pauses of one second callers wait for eight. Ruled out: streams that send a byte now and then; only complete events count as progress. Change: two fifths of the time after which callers abandon the stream, 1.2 s at least.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimeouts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimeouts.java
@@ -17,17 +17,25 @@
     /** Multiple of the average latency after which an answer counts as stalled. */
     private static final int LATENCY_MULTIPLE = 5;
 
-    /** Time without an event after which a resumable stream is continued by another upstream. */
-    private static final Duration STREAM_EVENT_TIMEOUT = Duration.ofMillis(1200);
+    /** Minimum time without an event before a resumable stream is continued by another upstream. */
+    private static final Duration MIN_EVENT_TIMEOUT = Duration.ofMillis(1200);
+
+    /**
+     * Time without an event before a resumable stream is continued by another upstream, as part of
+     * the time after which callers abandon it. Slow streams with long pauses are thus not cut, and
+     * the other upstream has time for an event before the caller gives up.
+     */
+    private static final double EVENT_TIMEOUT_FRACTION = 0.4;
 
     private final Map<String, AverageLatency> latencies = new HashMap<>();
 
     Duration timeout(Route route, boolean answerBegun) {
         if (route.kind().isStream()) {
+            long scaled = (long) (route.eventTimeout().toNanos() * EVENT_TIMEOUT_FRACTION);
+            Duration events = Collections.max(List.of(MIN_EVENT_TIMEOUT, Duration.ofNanos(scaled)));
             return answerBegun
-                    ? STREAM_EVENT_TIMEOUT
-                    : Collections.max(
-                            List.of(route.target().multipliedBy(2), STREAM_EVENT_TIMEOUT));
+                    ? events
+                    : Collections.max(List.of(route.target().multipliedBy(2), events));
         }
         return Collections.max(
                 List.of(
