Build the reported adapter uses for one claim holder only

From reading the change: each begin and end of a use built the messages for all claim holders and sent one of them. The table is now built for the holder that gets it, and the envelope stands once. Behaviour and assertions are unchanged.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterUsageExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterUsageExchange.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.time.TimeSource;
@@ -19,6 +20,8 @@
  */
 final class AdapterUsageExchange {
 
+    private static final AdapterUses NO_USES = AdapterUses.getDefaultInstance();
+
     private final UpstreamTable upstreams;
     private final OrderClaims claims;
     private final TimeSource time;
@@ -49,50 +52,50 @@
      */
     void sendUses(UpstreamState upstream, Effects out) {
         claims.peerClaim(upstream.id())
+                .map(Claim::instance)
                 .forEach(
-                        c -> {
-                            AdapterUses uses =
-                                    usesByClaimHolder()
-                                            .getOrDefault(
-                                                    c.instance(), AdapterUses.getDefaultInstance());
-                            Envelope.Builder message = Envelope.newBuilder().setAdapterUses(uses);
-                            out.add(new Effect.SendPeer(c.instance(), message, false));
+                        holder -> {
+                            Map<String, AdapterUses> uses = usesByClaimHolder(holder::equals);
+                            send(holder, uses.getOrDefault(holder, NO_USES), out);
                         });
     }
 
+    private static void send(String holder, AdapterUses uses, Effects out) {
+        out.add(new Effect.SendPeer(holder, Envelope.newBuilder().setAdapterUses(uses), false));
+    }
+
     /** Sends changed uses, and repeats all of them at intervals. */
     void onTick(Effects out) {
         long now = time.nanoTime();
         boolean repeat = now - repeatedAt >= LoadExchange.REPEAT_INTERVAL.toNanos();
         repeatedAt = repeat ? now : repeatedAt;
-        Map<String, AdapterUses> current = usesByClaimHolder();
+        Map<String, AdapterUses> current = usesByClaimHolder(holder -> true);
         Set<String> receivers = new HashSet<>(current.keySet());
         receivers.addAll(lastSent.keySet());
         for (String r : receivers) {
-            AdapterUses uses = current.getOrDefault(r, AdapterUses.getDefaultInstance());
+            AdapterUses uses = current.getOrDefault(r, NO_USES);
             if (repeat || !uses.equals(lastSent.get(r))) {
-                Envelope.Builder envelope = Envelope.newBuilder().setAdapterUses(uses);
-                out.add(new Effect.SendPeer(r, envelope, false));
+                send(r, uses, out);
             }
         }
         lastSent.clear();
         lastSent.putAll(current);
     }
 
-    private Map<String, AdapterUses> usesByClaimHolder() {
+    /** Returns the uses at the engines of each claim holder that the filter accepts. */
+    private Map<String, AdapterUses> usesByClaimHolder(Predicate<String> filter) {
         Map<String, AdapterUses.Builder> found = new HashMap<>();
         for (UpstreamState u : upstreams.all()) {
             if (u.ownAdapters().isEmpty()) {
                 continue;
             }
-            UpstreamLoad.Builder load = UpstreamLoad.newBuilder().setUpstreamHash(u.shortHash());
-            u.ownAdapters().forEach(a -> load.addAdapters(a.key()));
             claims.peerClaim(u.id())
+                    .map(Claim::instance)
+                    .filter(filter)
                     .forEach(
-                            c ->
-                                    found.computeIfAbsent(
-                                                    c.instance(), i -> AdapterUses.newBuilder())
-                                            .addLoads(load));
+                            holder ->
+                                    found.computeIfAbsent(holder, i -> AdapterUses.newBuilder())
+                                            .addLoads(usesAt(u)));
         }
         Map<String, AdapterUses> built = new HashMap<>();
         int validMs = (int) LoadExchange.lifetime(LoadExchange.REPEAT_INTERVAL).toMillis();
@@ -100,6 +103,12 @@
         return built;
     }
 
+    private static UpstreamLoad usesAt(UpstreamState u) {
+        UpstreamLoad.Builder load = UpstreamLoad.newBuilder().setUpstreamHash(u.shortHash());
+        u.ownAdapters().forEach(a -> load.addAdapters(a.key()));
+        return load.build();
+    }
+
     /**
      * Applies the uses that another instance reports in a load share or in {@link AdapterUses}. At
      * an upstream for which {@code loads} lists adapters, they replace the earlier uses of that
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -338,7 +338,7 @@
             for (int i = 0; i < 12; i++) {
                 requestLoad(desk, i);
             }
-            desk.onTick(Option.of(specWithSlots(12)));
+            desk.onTick(Option.of(ForwardRig.spec(12)));
             scheduler.advance(Duration.ofMillis(25));
         }
         assertTrue(engines.maxUsedSlots() <= 12, "used slots " + engines.maxUsedSlots());
@@ -368,10 +368,6 @@
                 state, engines, scheduler.time(), scheduler, () -> 7L, LOAD, listener);
     }
 
-    private static EngineSpec specWithSlots(int slots) {
-        return new EngineSpec(8, 100_000, 1000, slots, 4, List.of(new ModelSpec("m", 500, 1)));
-    }
-
     private static void requestLoad(AdapterLoader loader, int adapter) {
         loader.requestLoad(
                 ForwardRig.adapter(adapter), 0, new AdapterLoadQueue.LoadDemand("i1", 1, 0));
@@ -391,7 +387,7 @@
         AdapterLoader loader = loader(engine, engines, scheduler);
         engines.readReport(engine, report -> loader.onReport(report.get()));
         scheduler.advance(Duration.ofMillis(10));
-        loader.onTick(Option.of(specWithSlots(6)));
+        loader.onTick(Option.of(ForwardRig.spec(6)));
         requestLoad(loader, 1);
         scheduler.advance(Duration.ofMillis(10));
         assertEquals(engines.startedLoads(), List.of("e1 m/a1"));
@@ -416,7 +412,7 @@
                 engines.order(engine, new Order(Order.Operation.LOAD, previous, 0, 6), r -> {});
             }
             for (int step = 0; step < 4; step++) {
-                loader.onTick(Option.of(specWithSlots(6)));
+                loader.onTick(Option.of(ForwardRig.spec(6)));
                 for (int a = 0; a < 6; a++) {
                     requestLoad(loader, a);
                 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -157,7 +157,7 @@
      * @param dataCentres number of data centres over which the instances are spread in turn
      */
     FleetRig(int size, int dataCentres, int engineCount) {
-        spec = new EngineSpec(8, 100_000, 1000, 6, 4, List.of(new ModelSpec("m", 500, 1)));
+        spec = ForwardRig.spec(6);
         engines = new FakeEngines(scheduler, Duration.ofMillis(250), 40);
         for (int i = 1; i <= engineCount; i++) {
             engineIds.add("e" + i);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -34,7 +34,7 @@
     private int joined;
 
     ForwardRig(int engineCount, int places, Duration loadTime, int atFullSpeed) {
-        spec = new EngineSpec(8, 100_000, 1000, places, 4, List.of(new ModelSpec("m", 500, 1)));
+        spec = spec(places);
         engines = new FakeEngines(scheduler, loadTime, atFullSpeed);
         InstanceRef self = new InstanceRef("i1", 1, "10.0.0.1", 7000, "a", "r");
         ForwardSettings settings = TestSettings.of("i1");
@@ -158,6 +158,11 @@
         forwarder.open(request, transport);
     }
 
+    /** Returns the capacity of an engine with the given number of adapter slots. */
+    static EngineSpec spec(int slots) {
+        return new EngineSpec(8, 100_000, 1000, slots, 4, List.of(new ModelSpec("m", 500, 1)));
+    }
+
     static AdapterRef adapter(int number) {
         return new AdapterRef("m", "a" + number);
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
@@ -44,11 +44,17 @@
                         500,
                         200,
                         new byte[] {1});
-        EngineSpec spec =
-                new EngineSpec(8, 100_000, 1000, 6, 4, List.of(new ModelSpec("m", 500, 1)));
         UpstreamChooser.ChoiceInputs inputs =
                 new UpstreamChooser.ChoiceInputs(
-                        request, Option.of(spec), 0, waitModel, "", readTime, false, age, Set.of());
+                        request,
+                        Option.of(ForwardRig.spec(6)),
+                        0,
+                        waitModel,
+                        "",
+                        readTime,
+                        false,
+                        age,
+                        Set.of());
         return new UpstreamChooser("a", new Random(1)).choose(inputs, List.of(engines));
     }
 
