Name the number of accepted orders in every order to an engine

Cause: the claim holder decides by its own list of what an engine holds, and only the first order after a takeover was tied to the report that the list came from. If the engine refused that order, because another instance had sent orders or because the order's own lost first copy had been accepted, the holder forgot the adapter, forgot the number, and sent the next order unconditionally; 1.5 s after the takeover it kept no slot free either. Later orders were never conditional, so a report that lay unread or an order that arrived after it had been given up had the same effect. Class: a decision on a stale copy, carried out without a check that the copy still holds.

Change: AcceptedOrders tracks the number of orders that the engine has accepted; each order names it (the platform's compare-and-set), and after a refusal none is sent until a report has stated the number anew, which is read at once. The number also tells whether a report is current, so its age need not be guessed; the guess remains for engines that state no number. AdapterInventory (split off AdapterLoader) applies reports. While an unload waits for its requests only its order is repeated: the engine refuses all others. The load of weights names the number too, and its effect is read from a report.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadQueue.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoadQueue.java
@@ -71,9 +71,8 @@
      * @param expectedLoadTime expected time of a load
      */
     Option<AdapterRef> next(Duration expectedLoadTime) {
-        long now = time.nanoTime();
-        pending.values().removeIf(load -> now - load.requestedAt > REQUEST_LIFETIME.toNanos());
-        long loadedAt = now + expectedLoadTime.toNanos();
+        removeExpired();
+        long loadedAt = time.nanoTime() + expectedLoadTime.toNanos();
         Comparator<Map.Entry<AdapterRef, PendingLoad>> order =
                 Comparator.<Map.Entry<AdapterRef, PendingLoad>, Boolean>comparing(
                                 e -> !e.getValue().canMeetTarget(loadedAt))
@@ -82,6 +81,12 @@
         return Option.ofOptional(pending.entrySet().stream().min(order).map(Map.Entry::getKey));
     }
 
+    /** Removes loads for which no request waits any longer. */
+    void removeExpired() {
+        long now = time.nanoTime();
+        pending.values().removeIf(load -> now - load.requestedAt > REQUEST_LIFETIME.toNanos());
+    }
+
     /** Returns the lowest version of the adapter that serves all requests waiting for it. */
     int version(AdapterRef adapter) {
         return pending.get(adapter).version;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.bronzehill.core.forward.AcceptedOrders.ReportState;
 import org.bronzehill.core.forward.AdapterSlot.Phase;
 import org.bronzehill.core.time.TimeSource;
 import org.jboss.logging.Logger;
@@ -38,24 +39,19 @@
      */
     private static final Duration MIN_RESIDENCE = Duration.ofMillis(25);
 
-    /**
-     * Largest age of a report. Changes made here within this time take precedence over the report.
-     */
-    private static final Duration MAX_REPORT_LAG = Duration.ofMillis(1000);
-
     private final UpstreamState upstream;
     private final OrderTransport transport;
     private final TimeSource time;
     private final Scheduler scheduler;
     private final LongSupplier fencing;
     private final Listener listener;
-    private final Map<AdapterRef, AdapterSlot> adapterSlots = new HashMap<>();
-    private final Map<AdapterRef, Long> removedAt = new HashMap<>();
+    private final AdapterInventory inventory;
     private final AdapterLoadQueue queue;
     private final RecentAdapters recentAdapters = new RecentAdapters();
     private final AdapterLoadTime loadTime;
     private Option<EngineSpec> engineSpec = Option.none();
     private final EngineTakeover takeover;
+    private final AcceptedOrders acceptedOrders = new AcceptedOrders();
     private AdapterRef pendingUnload;
     private boolean orderInFlight;
     private boolean unreachable;
@@ -97,6 +93,7 @@
         this.scheduler = scheduler;
         this.fencing = fencing;
         this.listener = listener;
+        this.inventory = new AdapterInventory(time);
         this.queue = new AdapterLoadQueue(time);
         this.loadTime = new AdapterLoadTime(expectedLoadTime, MAX_PARALLEL_LOADS);
         this.nextOrderAt = time.nanoTime();
@@ -105,7 +102,7 @@
 
     /** Queues an adapter that requests wait for, and sends an order if that is possible now. */
     void requestLoad(AdapterRef adapter, int version, AdapterLoadQueue.LoadDemand demand) {
-        AdapterSlot slot = adapterSlots.get(adapter);
+        AdapterSlot slot = inventory.get(adapter);
         if (unreachable) {
             listener.onUnreachable(upstream);
         } else if (slot != null && slot.phase == Phase.RESIDENT && slot.version >= version) {
@@ -120,7 +117,7 @@
 
     /** Records that requests of an instance have begun or ceased to use the adapter. */
     void onUseChanged(AdapterRef adapter) {
-        AdapterSlot slot = adapterSlots.get(adapter);
+        AdapterSlot slot = inventory.get(adapter);
         if (slot != null) {
             slot.usedAt = time.nanoTime();
             publishIdleSlots();
@@ -130,55 +127,18 @@
         }
     }
 
-    /**
-     * Updates the slots from a report, except those that have changed within {@link
-     * #MAX_REPORT_LAG}.
-     */
+    /** Updates the slots from a report. */
     void onReport(InventoryReport report) {
-        long now = time.nanoTime();
         unreachable = false;
-        takeover.onReport(report);
         upstream.setModels(report.models());
-        report.adapters().forEach((a, v) -> merge(a, v, Phase.RESIDENT, now));
-        report.loading().forEach((a, v) -> merge(a, v, Phase.LOADING, now));
-        adapterSlots
-                .entrySet()
-                .removeIf(
-                        e ->
-                                changedBeforeReport(e.getValue(), now)
-                                        && e.getValue().phase != Phase.UNLOADING
-                                        && !report.adapters().containsKey(e.getKey())
-                                        && !report.loading().containsKey(e.getKey()));
+        ReportState state = acceptedOrders.onReport(report.acceptedOrders(), orderInFlight);
+        inventory.apply(report, state);
         publishAdapters();
     }
 
-    private void merge(AdapterRef adapter, int version, Phase phase, long now) {
-        AdapterSlot slot = adapterSlots.get(adapter);
-        if (slot == null) {
-            // A report that is older than the removal may list the adapter as loading, too.
-            if (!recentlyRemoved(adapter, now)) {
-                adapterSlots.put(
-                        adapter, new AdapterSlot(version, phase, now - MAX_REPORT_LAG.toNanos()));
-            }
-        } else if (changedBeforeReport(slot, now) && slot.phase != Phase.UNLOADING) {
-            slot.version = version;
-            slot.phase = phase;
-        }
-    }
-
-    private boolean recentlyRemoved(AdapterRef adapter, long now) {
-        removedAt.values().removeIf(at -> now - at > MAX_REPORT_LAG.toNanos());
-        return removedAt.containsKey(adapter);
-    }
-
-    /** Returns whether the last change of the slot is older than any report received now. */
-    private static boolean changedBeforeReport(AdapterSlot slot, long now) {
-        return now - slot.changedAt >= MAX_REPORT_LAG.toNanos();
-    }
-
     /** Returns the number of adapter slots that are known or taken to be occupied. */
     int occupiedSlots() {
-        return adapterSlots.size();
+        return inventory.size();
     }
 
     /** Sends the next order, if one is due. */
@@ -191,14 +151,27 @@
     private void sendNextOrder() {
         if (orderInFlight
                 || engineSpec.isEmpty()
+                || acceptedOrders.isUnknown()
                 || fencing.getAsLong() < 0
                 || time.nanoTime() - nextOrderAt < 0) {
             return;
         }
-        if (checkLoadIfDue()) {
-            return;
+        if (pendingUnload != null) {
+            repeatPendingUnload();
+        } else if (!checkLoadIfDue()) {
+            startNextLoad(engineSpec.get());
+        }
+    }
+
+    /**
+     * Sends the order of the pending unload again, if further orders are due. An engine refuses
+     * other orders until the requests that use the adapter have ended.
+     */
+    private void repeatPendingUnload() {
+        queue.removeExpired();
+        if (queue.size() > 0 || inventory.loadsInProgress() > 0) {
+            sendUnload(pendingUnload, inventory.get(pendingUnload));
         }
-        startNextLoad(engineSpec.get());
     }
 
     /**
@@ -207,7 +180,7 @@
      */
     private boolean checkLoadIfDue() {
         long now = time.nanoTime();
-        for (Map.Entry<AdapterRef, AdapterSlot> e : adapterSlots.entrySet()) {
+        for (Map.Entry<AdapterRef, AdapterSlot> e : inventory.slots().entrySet()) {
             AdapterSlot slot = e.getValue();
             if (slot.phase == Phase.LOADING && now - slot.nextCheckAt >= 0) {
                 scheduleCheck(slot, LOAD_CHECK_INTERVAL);
@@ -220,7 +193,7 @@
 
     private void startNextLoad(EngineSpec engineSpec) {
         Option<AdapterRef> next = queue.next(loadTime.expected(false));
-        if (next.isEmpty() || loadsInProgress() >= loadTime.maxParallelLoads()) {
+        if (next.isEmpty() || inventory.loadsInProgress() >= loadTime.maxParallelLoads()) {
             return;
         }
         AdapterRef adapter = next.get();
@@ -230,26 +203,26 @@
             listener.onLoadFailed(upstream, adapter);
             return;
         }
-        AdapterSlot existing = adapterSlots.get(adapter);
+        AdapterSlot existing = inventory.get(adapter);
         if (existing == null
-                && adapterSlots.size()
-                        >= capacity(engineSpec, model.get()) - takeover.reservedSlots()) {
+                && inventory.size() >= capacity(engineSpec, model.get()) - reservedSlots()) {
             evictLeastRecentlyUsed();
             return;
         }
         int version = queue.version(adapter);
         queue.remove(adapter);
-        if (adapter.equals(pendingUnload)) {
-            pendingUnload = null;
-        }
         long now = time.nanoTime();
         AdapterSlot slot = new AdapterSlot(version, Phase.LOADING, now);
         slot.reload = recentAdapters.contains(adapter);
-        adapterSlots.put(adapter, slot);
+        inventory.put(adapter, slot);
         scheduleCheck(slot, loadTime.firstCheckDelay(slot.reload));
         sendLoad(adapter, slot);
     }
 
+    private int reservedSlots() {
+        return takeover.reservedSlots(acceptedOrders.expected().isDefined());
+    }
+
     private void scheduleCheck(AdapterSlot slot, Duration delay) {
         slot.nextCheckAt = time.nanoTime() + delay.toNanos();
         scheduler.after(delay, this::sendNextOrder);
@@ -257,12 +230,7 @@
 
     private Order order(Order.Operation operation, AdapterRef adapter, int version) {
         long number = fencing.getAsLong();
-        return new Order(operation, adapter, version, number, takeover.expectedOrders());
-    }
-
-    private int loadsInProgress() {
-        return (int)
-                adapterSlots.values().stream().filter(slot -> slot.phase == Phase.LOADING).count();
+        return new Order(operation, adapter, version, number, acceptedOrders.expected());
     }
 
     /** Returns how many adapters fit next to the base model weights that the engine holds. */
@@ -281,34 +249,16 @@
     /**
      * Unloads the least recently used adapter, except those that are in use, requested, or within
      * {@link #MIN_RESIDENCE} of their last use. An engine that accepts the order unloads the
-     * adapter once the requests that use it have ended; until then the order is repeated, and no
-     * other adapter is unloaded.
+     * adapter once the requests that use it have ended.
      */
     private void evictLeastRecentlyUsed() {
-        long now = time.nanoTime();
-        if (pendingUnload != null && adapterSlots.containsKey(pendingUnload)) {
-            sendUnload(pendingUnload, adapterSlots.get(pendingUnload));
-            return;
-        }
         if (!takeover.areUsesKnown()) {
             delayNextOrder();
             return;
         }
-        AdapterRef victim = null;
-        long oldest = now - MIN_RESIDENCE.toNanos();
-        for (Map.Entry<AdapterRef, AdapterSlot> e : adapterSlots.entrySet()) {
-            AdapterSlot slot = e.getValue();
-            if (slot.phase == Phase.RESIDENT
-                    && slot.usedAt - oldest <= 0
-                    && !upstream.isUsed(e.getKey())
-                    && !queue.contains(e.getKey())) {
-                victim = e.getKey();
-                oldest = slot.usedAt;
-            }
-        }
-        if (victim != null) {
-            sendUnload(victim, adapterSlots.get(victim));
-        }
+        inventory
+                .leastRecentlyUsed(a -> !upstream.isUsed(a) && !queue.contains(a), MIN_RESIDENCE)
+                .forEach(victim -> sendUnload(victim, inventory.get(victim)));
     }
 
     private void sendLoad(AdapterRef adapter, AdapterSlot slot) {
@@ -318,6 +268,21 @@
                 upstream.upstreamRecord(), order, r -> onLoadReply(adapter, slot, order, r));
     }
 
+    /** Returns whether a report must show what the engine holds before the next order. */
+    boolean needsReport() {
+        return acceptedOrders.isUnknown();
+    }
+
+    /** Returns the number of orders that the engine must have accepted before the next one. */
+    Option<Long> expectedOrders() {
+        return acceptedOrders.expected();
+    }
+
+    /** Records that an order which this object does not count was sent to the engine. */
+    void onOtherOrder() {
+        acceptedOrders.onMismatch();
+    }
+
     /** Returns whether the engine could not be reached for the last order. */
     boolean isUnreachable() {
         return unreachable;
@@ -327,16 +292,11 @@
         orderInFlight = false;
         unreachable = false;
         log(order, reply);
-        if (takeover.onReply(order, reply)) {
-            // Callers repeat the request for the load, which is ordered again after a new report.
-            adapterSlots.remove(adapter);
-            publishAdapters();
-            delayNextOrder();
-            return;
-        }
         long now = time.nanoTime();
         switch (reply) {
             case ALREADY -> {
+                // Engines do not count an order that changes nothing.
+                countOrder(slot, slot.unanswered);
                 if (slot.phase == Phase.LOADING) {
                     Duration took = Duration.ofNanos(now - slot.changedAt);
                     loadTime.onLoadCompleted(took, slot.reload);
@@ -348,13 +308,20 @@
                 publishAdapters();
                 listener.onResident(upstream, adapter, slot.version);
             }
-            case ACCEPTED -> publishAdapters();
-            case BUSY, UNKNOWN -> delayNextOrder();
+            case ACCEPTED -> {
+                countOrder(slot, true);
+                publishAdapters();
+            }
+            case BUSY -> onLoadRefused(adapter, slot);
+            case UNKNOWN -> {
+                slot.unanswered = true;
+                delayNextOrder();
+            }
             case UNREACHABLE -> onUnreachable();
             case FENCED -> listener.onFenced(upstream);
             case MISADDRESSED -> listener.onMisaddressed(upstream);
             default -> {
-                adapterSlots.remove(adapter);
+                inventory.remove(adapter);
                 publishAdapters();
                 listener.onLoadFailed(upstream, adapter);
             }
@@ -362,7 +329,30 @@
         sendNextOrder();
     }
 
+    /** Counts the order of a slot once, although it may be sent and answered several times. */
+    private void countOrder(AdapterSlot slot, boolean effective) {
+        if (!slot.counted && effective) {
+            acceptedOrders.onAccepted();
+        }
+        slot.counted = true;
+    }
+
+    /**
+     * Handles a load that the engine refused because it is busy, or has accepted orders that are
+     * not known here. Callers repeat the request for the load, which is ordered again once a report
+     * has shown what the engine holds.
+     */
+    private void onLoadRefused(AdapterRef adapter, AdapterSlot slot) {
+        acceptedOrders.onMismatch();
+        if (!slot.counted && !slot.unanswered && acceptedOrders.isUnknown()) {
+            inventory.remove(adapter);
+            publishAdapters();
+        }
+        delayNextOrder();
+    }
+
     private void sendUnload(AdapterRef adapter, AdapterSlot slot) {
+        slot.counted &= slot.phase == Phase.UNLOADING;
         slot.phase = Phase.UNLOADING;
         slot.changedAt = time.nanoTime();
         publishAdapters();
@@ -375,28 +365,30 @@
                     orderInFlight = false;
                     unreachable = false;
                     log(order, reply);
-                    takeover.onReply(order, reply);
-                    onUnloadReply(adapter, reply);
+                    onUnloadReply(adapter, slot, reply);
                 });
     }
 
-    private void onUnloadReply(AdapterRef adapter, OrderReply reply) {
-        long now = time.nanoTime();
+    private void onUnloadReply(AdapterRef adapter, AdapterSlot slot, OrderReply reply) {
         switch (reply) {
             case ALREADY -> {
-                adapterSlots.remove(adapter);
-                removedAt.put(adapter, now);
+                countOrder(slot, true);
+                inventory.onUnloaded(adapter);
                 pendingUnload = null;
             }
+            case ACCEPTED -> {
+                countOrder(slot, true);
+                pendingUnload = adapter;
+                delayNextOrder();
+            }
             case FENCED -> listener.onFenced(upstream);
             case UNREACHABLE -> {
-                adapterSlots.get(adapter).phase = Phase.RESIDENT;
+                cancelUnload(adapter, slot);
                 onUnreachable();
             }
             case BUSY -> {
-                if (!adapter.equals(pendingUnload)) {
-                    adapterSlots.get(adapter).phase = Phase.RESIDENT;
-                }
+                acceptedOrders.onMismatch();
+                cancelUnload(adapter, slot);
                 delayNextOrder();
             }
             default -> {
@@ -407,6 +399,13 @@
         sendNextOrder();
     }
 
+    /** Keeps an adapter whose unload was not accepted, unless an earlier order may have been. */
+    private void cancelUnload(AdapterRef adapter, AdapterSlot slot) {
+        if (!adapter.equals(pendingUnload)) {
+            slot.phase = Phase.RESIDENT;
+        }
+    }
+
     /** Drops all queued loads, so that the requests waiting for them are sent to other engines. */
     private void onUnreachable() {
         unreachable = true;
@@ -433,7 +432,7 @@
                 order.fencing(),
                 order.expectedOrders().map(String::valueOf).getOrElse("any"),
                 reply,
-                adapterSlots.size(),
+                inventory.size(),
                 queue.size());
     }
 
@@ -445,7 +444,7 @@
         for (ModelSpec model : engineSpec.map(EngineSpec::models).getOrElse(List.of())) {
             if (upstream.holdsModel(model.name())) {
                 long occupied =
-                        adapterSlots.entrySet().stream()
+                        inventory.slots().entrySet().stream()
                                 .filter(e -> isOccupied(e.getKey(), e.getValue()))
                                 .count();
                 int free = capacity(engineSpec.get(), model) - (int) occupied;
@@ -462,14 +461,16 @@
     private void publishAdapters() {
         Map<AdapterRef, Integer> resident = new HashMap<>();
         Map<AdapterRef, Integer> loading = new HashMap<>();
-        adapterSlots.forEach(
-                (a, slot) -> {
-                    if (slot.phase == Phase.RESIDENT) {
-                        resident.put(a, slot.version);
-                    } else if (slot.phase == Phase.LOADING) {
-                        loading.put(a, slot.version);
-                    }
-                });
+        inventory
+                .slots()
+                .forEach(
+                        (a, slot) -> {
+                            if (slot.phase == Phase.RESIDENT) {
+                                resident.put(a, slot.version);
+                            } else if (slot.phase == Phase.LOADING) {
+                                loading.put(a, slot.version);
+                            }
+                        });
         queue.adapters().forEach(a -> loading.putIfAbsent(a, queue.version(a)));
         upstream.setAdapters(resident, loading);
         publishIdleSlots();
@@ -477,11 +478,13 @@
 
     /** Handles a request that the engine refused because it lacks the adapter. */
     void onAdapterMissing(AdapterRef adapter) {
-        AdapterSlot slot = adapterSlots.get(adapter);
+        AdapterSlot slot = inventory.get(adapter);
         if (slot != null && slot.phase == Phase.RESIDENT) {
             // The engine may hold another version, so the slot is not free. The reply to the next
             // load order shows whether the engine holds the adapter.
             slot.phase = Phase.LOADING;
+            slot.counted = false;
+            slot.unanswered = false;
             slot.nextCheckAt = time.nanoTime();
             publishAdapters();
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterSlot.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterSlot.java
@@ -18,6 +18,12 @@
     /** Whether the engine had held the adapter recently when the load was ordered. */
     boolean reload;
 
+    /** Whether the known number of orders that the engine has accepted includes the last order. */
+    boolean counted;
+
+    /** Whether the last order had no answer, so that the engine may have accepted it. */
+    boolean unanswered;
+
     enum Phase {
         LOADING,
         RESIDENT,
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
@@ -32,6 +32,12 @@
      */
     private static final Duration SHORT_REPORT_INTERVAL = Duration.ofMillis(300);
 
+    /**
+     * Interval between reports of an engine that gets no orders until a report has shown what it
+     * holds. Contents of reports are some hundred ms old, so a shorter interval gains nothing.
+     */
+    private static final Duration RECOVERY_REPORT_INTERVAL = Duration.ofMillis(100);
+
     /** Interval between reports of an engine on which no instance holds a claim. */
     private static final Duration UNCLAIMED_REPORT_INTERVAL = Duration.ofMillis(1500);
 
@@ -51,6 +57,7 @@
         private final AdapterLoader loader;
         private final long takenOverAt;
         private long nextReportAt;
+        private long lastReportAt;
         private boolean reportInFlight;
         private boolean hasReport;
         private boolean weightLoadInFlight;
@@ -59,6 +66,7 @@
             this.upstream = upstream;
             this.loader = loader;
             this.nextReportAt = now;
+            this.lastReportAt = now;
             this.takenOverAt = now;
         }
     }
@@ -154,7 +162,7 @@
             return;
         }
         long now = time.nanoTime();
-        if (!engine.reportInFlight && now - engine.nextReportAt >= 0) {
+        if (!engine.reportInFlight && isReportDue(engine, now)) {
             readReport(engine, spec);
         }
         if (!engine.hasReport) {
@@ -166,6 +174,12 @@
         engine.loader.onTick(Option.of(spec));
     }
 
+    private static boolean isReportDue(ControlledEngine engine, long now) {
+        return now - engine.nextReportAt >= 0
+                || (engine.loader.needsReport()
+                        && now - engine.lastReportAt >= RECOVERY_REPORT_INTERVAL.toNanos());
+    }
+
     private void readReport(ControlledEngine engine, EngineSpec spec) {
         engine.reportInFlight = true;
         long askedAt = time.nanoTime();
@@ -179,7 +193,8 @@
                                     || time.nanoTime() - engine.takenOverAt
                                             < EngineTakeover.REPORT_LAG.toNanos();
                     Duration interval = soon ? SHORT_REPORT_INTERVAL : REPORT_INTERVAL;
-                    engine.nextReportAt = time.nanoTime() + interval.toNanos();
+                    engine.lastReportAt = time.nanoTime();
+                    engine.nextReportAt = engine.lastReportAt + interval.toNanos();
                     report.forEach(
                             s -> {
                                 engine.hasReport = true;
@@ -211,6 +226,7 @@
             ControlledEngine engine, EngineSpec spec, Map<UpstreamState, EngineSpec> engines) {
         long now = time.nanoTime();
         if (engine.weightLoadInFlight
+                || engine.loader.needsReport()
                 || engine.upstream.upstreamRecord().draining()
                 || now - nextWeightLoadAt < 0) {
             return;
@@ -232,12 +248,14 @@
                         Order.Operation.LOAD,
                         new AdapterRef(model.get().name(), ""),
                         0,
-                        claims.fencing(engine.upstream.id()).get());
+                        claims.fencing(engine.upstream.id()).get(),
+                        engine.loader.expectedOrders());
         transport.order(
                 engine.upstream.upstreamRecord(),
                 order,
                 reply -> {
                     engine.weightLoadInFlight = false;
+                    engine.loader.onOtherOrder();
                     engine.nextReportAt = time.nanoTime() + SHORT_REPORT_INTERVAL.toNanos();
                     LOG.infof(
                             "event=order upstream=%s operation=LOAD model=%s fencing=%d reply=%s",
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
@@ -27,6 +27,11 @@
         loading = Map.copyOf(loading);
     }
 
+    /** Returns whether the engine holds the adapter or is loading it. */
+    boolean lists(AdapterRef adapter) {
+        return adapters.containsKey(adapter) || loading.containsKey(adapter);
+    }
+
     /** Creates a report that does not state the number of accepted orders. */
     public InventoryReport(
             long startedAtMs,
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 /**
  * Fake engines that execute orders on virtual time and share one weight store. Loads run at full
@@ -21,6 +22,15 @@
 
     private static final Duration STEP = Duration.ofMillis(5);
 
+    /** Time after which a call without an answer is given up. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(600);
+
+    /** Longest time for which a fault holds up an order or a report. */
+    private static final Duration MAX_HOLD_UP = Duration.ofMillis(2500);
+
+    /** Probability of each kind of fault, for each call. */
+    private static final double FAULT_RATE = 0.06;
+
     private final VirtualScheduler scheduler;
     private final Duration loadTime;
     private final int fullSpeedLoads;
@@ -28,6 +38,7 @@
     private final Map<String, Map<AdapterRef, Double>> loading = new HashMap<>();
     private final List<String> startedLoads = new ArrayList<>();
     private final List<Order> orders = new ArrayList<>();
+    private final List<UpstreamRecord> addressees = new ArrayList<>();
     private final Set<AdapterRef> inUse = new HashSet<>();
     private final Set<String> down = new HashSet<>();
     private AdapterRef unloading;
@@ -37,6 +48,8 @@
     private final Map<String, Long> acceptedOrders = new HashMap<>();
     private final Map<String, Long> highestFencing = new HashMap<>();
     private boolean countsOrders;
+    private RandomGenerator faults;
+    private int repliesToLose;
 
     FakeEngines(VirtualScheduler scheduler, Duration loadTime, int atFullSpeed) {
         this.scheduler = scheduler;
@@ -88,10 +101,45 @@
         reportLag = lag;
     }
 
+    /**
+     * Makes further calls fail at random: orders are carried out although their reply is lost,
+     * orders arrive long after their sender has given them up, and reports arrive late.
+     */
+    void injectFaults(RandomGenerator random) {
+        faults = random;
+    }
+
+    /** Loses the replies to the given number of further orders, which are carried out. */
+    void loseReplies(int count) {
+        repliesToLose = count;
+    }
+
+    /** Restarts an engine, which then holds no adapters and has accepted no orders. */
+    void restart(String engine) {
+        resident(engine).clear();
+        loading(engine).clear();
+        acceptedOrders.remove(engine);
+        highestFencing.remove(engine);
+        unloading = null;
+    }
+
+    private boolean isFaulty() {
+        return faults != null && faults.nextDouble() < FAULT_RATE;
+    }
+
+    private Duration holdUp() {
+        return Duration.ofMillis(faults.nextInt((int) MAX_HOLD_UP.toMillis()));
+    }
+
     List<Order> orders() {
         return orders;
     }
 
+    /** Returns the records to which orders were sent, one for each order. */
+    List<UpstreamRecord> addressees() {
+        return addressees;
+    }
+
     /** Returns the loads that were started, as engine and adapter. */
     List<String> startedLoads() {
         return startedLoads;
@@ -104,6 +152,14 @@
 
     @Override
     public void order(UpstreamRecord upstream, Order order, Consumer<OrderReply> reply) {
+        addressees.add(upstream);
+        boolean lost = repliesToLose > 0 || isFaulty();
+        repliesToLose -= repliesToLose > 0 ? 1 : 0;
+        if (lost || isFaulty()) {
+            scheduler.after(lost ? ROUND_TRIP : holdUp(), () -> execute(upstream.id(), order));
+            scheduler.after(ANSWER_TIMEOUT, () -> reply.accept(OrderReply.UNKNOWN));
+            return;
+        }
         scheduler.after(
                 ROUND_TRIP,
                 () -> {
@@ -131,13 +187,24 @@
         if (countsOrders && order.expectedOrders().exists(expected -> expected != accepted)) {
             return OrderReply.BUSY;
         }
+        boolean effective = !isInEffect(engine, order);
         OrderReply reply = carryOut(engine, order, target);
-        if (reply == OrderReply.ACCEPTED || reply == OrderReply.ALREADY) {
+        if (effective && (reply == OrderReply.ACCEPTED || reply == OrderReply.ALREADY)) {
             acceptedOrders.put(engine, accepted + 1);
         }
         return reply;
     }
 
+    /** Returns whether the order would change nothing; engines do not count such orders. */
+    private boolean isInEffect(String engine, Order order) {
+        boolean held =
+                resident(engine).containsKey(order.target())
+                        || loading(engine).containsKey(order.target());
+        return order.operation() == Order.Operation.LOAD
+                ? held
+                : !held || order.target().equals(unloading);
+    }
+
     private OrderReply carryOut(String engine, Order order, AdapterRef target) {
         if (order.operation() == Order.Operation.UNLOAD) {
             return unload(engine, target);
@@ -201,7 +268,8 @@
                                             ? Option.of(
                                                     acceptedOrders.getOrDefault(upstream.id(), 0L))
                                             : Option.none());
-                    scheduler.after(reportLag, () -> reply.accept(Option.of(report)));
+                    Duration delay = isFaulty() ? reportLag.plus(holdUp()) : reportLag;
+                    scheduler.after(delay, () -> reply.accept(Option.of(report)));
                 });
     }
 }
