Stop the loader of an engine that this instance no longer controls

Cause: when an engine was listed anew under its identifier, or its record lapsed and came back, EngineController made a second AdapterLoader for it, but timers and replies of the first one went on under the same claim. Both sent orders, each with its own list of the slots; a late reply to the first one could also end the claim of the second. Class: a replaced object whose callbacks still act.

Change: the controller releases a loader when it drops it. A released loader sends no orders and ignores replies, but logs them.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.bronzehill.core.forward.AcceptedOrders.ReportState;
 import org.bronzehill.core.forward.AdapterSlot.Phase;
@@ -54,6 +55,7 @@
     private final AcceptedOrders acceptedOrders = new AcceptedOrders();
     private AdapterRef pendingUnload;
     private boolean orderInFlight;
+    private boolean released;
     private boolean unreachable;
     private long nextOrderAt;
 
@@ -149,7 +151,8 @@
     }
 
     private void sendNextOrder() {
-        if (orderInFlight
+        if (released
+                || orderInFlight
                 || engineSpec.isEmpty()
                 || acceptedOrders.isUnknown()
                 || fencing.getAsLong() < 0
@@ -263,24 +266,32 @@
 
     private void sendLoad(AdapterRef adapter, AdapterSlot slot) {
         Order order = order(Order.Operation.LOAD, adapter, slot.version);
-        orderInFlight = true;
-        transport.order(
-                upstream.upstreamRecord(), order, r -> onLoadReply(adapter, slot, order, r));
+        send(order, reply -> onLoadReply(adapter, slot, reply));
     }
 
-    /** Returns whether a report must show what the engine holds before the next order. */
-    boolean needsReport() {
-        return acceptedOrders.isUnknown();
+    private void send(Order order, Consumer<OrderReply> onReply) {
+        orderInFlight = true;
+        transport.order(
+                upstream.upstreamRecord(),
+                order,
+                reply -> {
+                    log(order, reply);
+                    if (!released) {
+                        orderInFlight = false;
+                        unreachable = false;
+                        onReply.accept(reply);
+                    }
+                });
     }
 
-    /** Returns the number of orders that the engine must have accepted before the next one. */
-    Option<Long> expectedOrders() {
-        return acceptedOrders.expected();
+    /** Stops all orders, because this instance no longer controls the engine. */
+    void release() {
+        released = true;
     }
 
-    /** Records that an order which this object does not count was sent to the engine. */
-    void onOtherOrder() {
-        acceptedOrders.onMismatch();
+    /** Returns what is known of the orders that the engine has accepted. */
+    AcceptedOrders acceptedOrders() {
+        return acceptedOrders;
     }
 
     /** Returns whether the engine could not be reached for the last order. */
@@ -288,10 +299,7 @@
         return unreachable;
     }
 
-    private void onLoadReply(AdapterRef adapter, AdapterSlot slot, Order order, OrderReply reply) {
-        orderInFlight = false;
-        unreachable = false;
-        log(order, reply);
+    private void onLoadReply(AdapterRef adapter, AdapterSlot slot, OrderReply reply) {
         long now = time.nanoTime();
         switch (reply) {
             case ALREADY -> {
@@ -357,16 +365,7 @@
         slot.changedAt = time.nanoTime();
         publishAdapters();
         Order order = order(Order.Operation.UNLOAD, adapter, 0);
-        orderInFlight = true;
-        transport.order(
-                upstream.upstreamRecord(),
-                order,
-                reply -> {
-                    orderInFlight = false;
-                    unreachable = false;
-                    log(order, reply);
-                    onUnloadReply(adapter, slot, reply);
-                });
+        send(order, reply -> onUnloadReply(adapter, slot, reply));
     }
 
     private void onUnloadReply(AdapterRef adapter, AdapterSlot slot, OrderReply reply) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
@@ -103,12 +104,12 @@
         Set<String> ids = new HashSet<>();
         engines.keySet().forEach(u -> ids.add(u.id()));
         claims.onTick(ids);
-        controlled
-                .values()
-                .removeIf(
+        List.copyOf(controlled.values()).stream()
+                .filter(
                         engine ->
                                 !claims.holds(engine.upstream.id())
-                                        || !engines.containsKey(engine.upstream));
+                                        || !engines.containsKey(engine.upstream))
+                .forEach(this::release);
         engines.forEach(
                 (u, spec) -> {
                     if (readUnclaimed && claims.holder(u.id()).isEmpty()) {
@@ -176,7 +177,7 @@
 
     private static boolean isReportDue(ControlledEngine engine, long now) {
         return now - engine.nextReportAt >= 0
-                || (engine.loader.needsReport()
+                || (engine.loader.acceptedOrders().isUnknown()
                         && now - engine.lastReportAt >= RECOVERY_REPORT_INTERVAL.toNanos());
     }
 
@@ -226,7 +227,7 @@
             ControlledEngine engine, EngineSpec spec, Map<UpstreamState, EngineSpec> engines) {
         long now = time.nanoTime();
         if (engine.weightLoadInFlight
-                || engine.loader.needsReport()
+                || engine.loader.acceptedOrders().isUnknown()
                 || engine.upstream.upstreamRecord().draining()
                 || now - nextWeightLoadAt < 0) {
             return;
@@ -249,13 +250,14 @@
                         new AdapterRef(model.get().name(), ""),
                         0,
                         claims.fencing(engine.upstream.id()).get(),
-                        engine.loader.expectedOrders());
+                        engine.loader.acceptedOrders().expected());
         transport.order(
                 engine.upstream.upstreamRecord(),
                 order,
                 reply -> {
                     engine.weightLoadInFlight = false;
-                    engine.loader.onOtherOrder();
+                    // The loader does not count this order.
+                    engine.loader.acceptedOrders().onMismatch();
                     engine.nextReportAt = time.nanoTime() + SHORT_REPORT_INTERVAL.toNanos();
                     LOG.infof(
                             "event=order upstream=%s operation=LOAD model=%s fencing=%d reply=%s",
@@ -285,7 +287,13 @@
     void release(UpstreamState upstream) {
         ControlledEngine engine = controlled.get(upstream.id());
         if (engine != null && engine.upstream == upstream) {
-            controlled.remove(upstream.id());
+            release(engine);
         }
     }
+
+    /** Stops the loader, whose timers and replies would go on beside those of its successor. */
+    private void release(ControlledEngine engine) {
+        engine.loader.release();
+        controlled.remove(engine.upstream.id());
+    }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -474,4 +474,31 @@
         rig.scheduler().advance(Duration.ofMillis(900));
         assertEquals(served.attempts().size(), 1);
     }
+
+    /**
+     * An engine restarts under its identifier while adapters are being loaded. Guards against two
+     * loaders for one engine, each with its own count of the slots.
+     */
+    @Test
+    public void loaderOfTheEarlierIncarnationSendsNoMoreOrders() {
+        ForwardRig rig = new ForwardRig(1, 4, LOAD, 8);
+        rig.engines().countOrders();
+        // Until the next report has stated the count.
+        rig.scheduler().advance(Duration.ofSeconds(3));
+        for (int i = 0; i < 3; i++) {
+            openStream(rig, i);
+        }
+        rig.scheduler().advance(Duration.ofMillis(200));
+        rig.engines().restart("e1");
+        rig.forwarder().onUpstream(ForwardRig.engine("e1", 200, false));
+        int sent = rig.engines().addressees().size();
+        rig.scheduler().advance(Duration.ofMillis(300));
+        openStream(rig, 9);
+        rig.scheduler().advance(Duration.ofSeconds(1));
+        List<UpstreamRecord> later = rig.engines().addressees();
+        assertTrue(later.size() > sent);
+        for (UpstreamRecord addressee : later.subList(sent, later.size())) {
+            assertEquals(addressee.startedAtMs(), 200);
+        }
+    }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -81,9 +81,13 @@
     }
 
     static UpstreamRecord engine(String id, boolean draining) {
+        return engine(id, 100, draining);
+    }
+
+    static UpstreamRecord engine(String id, long startedAtMs, boolean draining) {
         return new UpstreamRecord(
                 id,
-                100,
+                startedAtMs,
                 ENGINES,
                 "10.0.1." + id.substring(1),
                 80,
