--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.WeakHashMap;
@@ -32,6 +33,12 @@
      */
     private static final Duration SHORT_REPORT_INTERVAL = Duration.ofMillis(300);
 
+    /**
+     * Interval between reports of an engine that gets no orders until a report has shown what it
+     * holds. Contents of reports are some hundred ms old, so a shorter interval gains nothing.
+     */
+    private static final Duration RECOVERY_REPORT_INTERVAL = Duration.ofMillis(100);
+
     /** Interval between reports of an engine on which no instance holds a claim. */
     private static final Duration UNCLAIMED_REPORT_INTERVAL = Duration.ofMillis(1500);
 
@@ -51,6 +58,7 @@
         private final AdapterLoader loader;
         private final long takenOverAt;
         private long nextReportAt;
+        private long lastReportAt;
         private boolean reportInFlight;
         private boolean hasReport;
         private boolean weightLoadInFlight;
@@ -59,6 +67,7 @@
             this.upstream = upstream;
             this.loader = loader;
             this.nextReportAt = now;
+            this.lastReportAt = now;
             this.takenOverAt = now;
         }
     }
@@ -95,12 +104,12 @@
         Set<String> ids = new HashSet<>();
         engines.keySet().forEach(u -> ids.add(u.id()));
         claims.onTick(ids);
-        controlled
-                .values()
-                .removeIf(
+        List.copyOf(controlled.values()).stream()
+                .filter(
                         engine ->
                                 !claims.holds(engine.upstream.id())
-                                        || !engines.containsKey(engine.upstream));
+                                        || !engines.containsKey(engine.upstream))
+                .forEach(this::release);
         engines.forEach(
                 (u, spec) -> {
                     if (readUnclaimed && claims.holder(u.id()).isEmpty()) {
@@ -154,7 +163,7 @@
             return;
         }
         long now = time.nanoTime();
-        if (!engine.reportInFlight && now - engine.nextReportAt >= 0) {
+        if (!engine.reportInFlight && isReportDue(engine, now)) {
             readReport(engine, spec);
         }
         if (!engine.hasReport) {
@@ -166,6 +175,12 @@
         engine.loader.onTick(Option.of(spec));
     }
 
+    private static boolean isReportDue(ControlledEngine engine, long now) {
+        return now - engine.nextReportAt >= 0
+                || (engine.loader.acceptedOrders().isUnknown()
+                        && now - engine.lastReportAt >= RECOVERY_REPORT_INTERVAL.toNanos());
+    }
+
     private void readReport(ControlledEngine engine, EngineSpec spec) {
         engine.reportInFlight = true;
         long askedAt = time.nanoTime();
@@ -179,7 +194,8 @@
                                     || time.nanoTime() - engine.takenOverAt
                                             < EngineTakeover.REPORT_LAG.toNanos();
                     Duration interval = soon ? SHORT_REPORT_INTERVAL : REPORT_INTERVAL;
-                    engine.nextReportAt = time.nanoTime() + interval.toNanos();
+                    engine.lastReportAt = time.nanoTime();
+                    engine.nextReportAt = engine.lastReportAt + interval.toNanos();
                     report.forEach(
                             s -> {
                                 engine.hasReport = true;
@@ -211,6 +227,7 @@
             ControlledEngine engine, EngineSpec spec, Map<UpstreamState, EngineSpec> engines) {
         long now = time.nanoTime();
         if (engine.weightLoadInFlight
+                || engine.loader.acceptedOrders().isUnknown()
                 || engine.upstream.upstreamRecord().draining()
                 || now - nextWeightLoadAt < 0) {
             return;
@@ -232,12 +249,15 @@
                         Order.Operation.LOAD,
                         new AdapterRef(model.get().name(), ""),
                         0,
-                        claims.fencing(engine.upstream.id()).get());
+                        claims.fencing(engine.upstream.id()).get(),
+                        engine.loader.acceptedOrders().expected());
         transport.order(
                 engine.upstream.upstreamRecord(),
                 order,
                 reply -> {
                     engine.weightLoadInFlight = false;
+                    // The loader does not count this order.
+                    engine.loader.acceptedOrders().onMismatch();
                     engine.nextReportAt = time.nanoTime() + SHORT_REPORT_INTERVAL.toNanos();
                     LOG.infof(
                             "event=order upstream=%s operation=LOAD model=%s fencing=%d reply=%s",
@@ -267,7 +287,13 @@
     void release(UpstreamState upstream) {
         ControlledEngine engine = controlled.get(upstream.id());
         if (engine != null && engine.upstream == upstream) {
-            controlled.remove(upstream.id());
+            release(engine);
         }
     }
+
+    /** Stops the loader, whose timers and replies would go on beside those of its successor. */
+    private void release(ControlledEngine engine) {
+        engine.loader.release();
+        controlled.remove(engine.upstream.id());
+    }
 }
