Send changes of inventories in digests, within a bound, so that collectors keep their links free

Each digest held the complete inventory of every engine that had changed, for each instance of the data centre. With 200 loads and 200 unloads a second nearly all of 79 engines change between two digests: by sum 5 MB/s on a link of 10 Mbit/s. Class: a fan-out without a bound on its bytes.

Change: a digest carries what has changed in an inventory since it was last sent under the same claim, at most 2,400 bytes for each digest, least recently sent engines first. Complete inventories are repeated over 16 s, as messages may be lost, and go at once to an instance that begins to report.

Evidence: digestsOfChangingInventoriesLeaveRoomOnTheLink fails before (879,826 bytes a second of 625,000, half of 10 Mbit/s) and passes.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ClaimMessages.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ClaimMessages.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.bronzehill.protocol.generated.AdapterPlace;
 import org.bronzehill.protocol.generated.OrderedUpstream;
 
@@ -40,6 +41,32 @@
         return b.build();
     }
 
+    /** Returns a claim with the changes of the inventory since an earlier message about it. */
+    static OrderedUpstream changes(UpstreamState u, long fencing, SentInventory earlier) {
+        OrderedUpstream.Builder b = withIdleSlots(u, fencing).toBuilder();
+        b.setStartedAtMs(u.upstreamRecord().startedAtMs());
+        addChanged(u.adapters(false), earlier.resident(), false, b);
+        addChanged(u.adapters(true), earlier.loading(), true, b);
+        Stream.concat(earlier.resident().keySet().stream(), earlier.loading().keySet().stream())
+                .filter(a -> !u.adapters(false).containsKey(a) && !u.adapters(true).containsKey(a))
+                .distinct()
+                .forEach(a -> b.addRemoved(a.key()));
+        return b.build();
+    }
+
+    private static void addChanged(
+            Map<AdapterRef, Integer> now,
+            Map<AdapterRef, Integer> earlier,
+            boolean loading,
+            OrderedUpstream.Builder into) {
+        now.forEach(
+                (a, v) -> {
+                    if (!v.equals(earlier.get(a))) {
+                        into.addPlaces(toMessage(a, v, loading));
+                    }
+                });
+    }
+
     private static AdapterPlace toMessage(AdapterRef adapter, int version, boolean loading) {
         return AdapterPlace.newBuilder()
                 .setAdapter(adapter.key())
@@ -49,8 +76,8 @@
     }
 
     /**
-     * Applies the idle slots, and the inventory if the message is complete. Messages about another
-     * incarnation of the engine are ignored.
+     * Applies the idle slots and the inventory, or its changes if the complete inventory under the
+     * same claim is known. Messages about another incarnation of the engine are ignored.
      */
     static void apply(UpstreamState u, OrderedUpstream ordered) {
         if (u.upstreamRecord().startedAtMs() != ordered.getStartedAtMs()) {
@@ -59,16 +86,27 @@
         if (ordered.hasIdleSlots()) {
             u.idleSlots().set(ordered.getIdleSlots());
         }
-        if (!ordered.getComplete()) {
+        boolean complete = ordered.getComplete();
+        if (!complete && u.inventoryFencing() != ordered.getFencing()) {
             return;
         }
-        Map<AdapterRef, Integer> resident = new HashMap<>();
-        Map<AdapterRef, Integer> loading = new HashMap<>();
+        Map<AdapterRef, Integer> resident = new HashMap<>(complete ? Map.of() : u.adapters(false));
+        Map<AdapterRef, Integer> loading = new HashMap<>(complete ? Map.of() : u.adapters(true));
+        for (String removed : ordered.getRemovedList()) {
+            AdapterRef.parse(removed).forEach(resident::remove);
+            AdapterRef.parse(removed).forEach(loading::remove);
+        }
         for (AdapterPlace p : ordered.getPlacesList()) {
             AdapterRef.parse(p.getAdapter())
-                    .forEach(a -> (p.getLoading() ? loading : resident).put(a, p.getVersion()));
+                    .forEach(
+                            a -> {
+                                (p.getLoading() ? resident : loading).remove(a);
+                                (p.getLoading() ? loading : resident).put(a, p.getVersion());
+                            });
+        }
+        if (complete) {
+            u.setModels(Set.copyOf(ordered.getModelsList()));
         }
-        u.setModels(Set.copyOf(ordered.getModelsList()));
         u.setAdapters(resident, loading);
         u.setInventoryFencing(ordered.getFencing());
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -6,8 +6,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.node.Effect;
@@ -32,8 +34,18 @@
      */
     static final Duration REPEAT_INTERVAL = Duration.ofMillis(500);
 
-    /** Number of repetitions over which the inventories of all engines are sent again. */
-    private static final int INVENTORY_ROUNDS = 8;
+    /**
+     * Largest size of the inventories in a digest that is sent regularly. A collector sends 125
+     * digests a second in all, so this takes a quarter of a link of 10 Mbit/s, the narrowest on
+     * which instances run. Inventories that do not fit wait for the next digest.
+     */
+    static final int MAX_INVENTORY_BYTES = 2400;
+
+    /**
+     * Number of repetitions over which the inventories of all engines are sent again in full, for
+     * receivers that have missed changes.
+     */
+    private static final int INVENTORY_ROUNDS = 32;
 
     private final Membership membership;
     private final UpstreamTable upstreams;
@@ -48,15 +60,22 @@
     private final LastSent sentToCollectors = new LastSent();
     private long nextAt;
     private long repeatedAt;
-    private int inventoryRound;
 
     /** State last sent to the receivers of one kind of digest. */
     private static final class LastSent {
-        private final Map<String, Integer> inventoryVersions = new HashMap<>();
+        /** Inventories by engine; those that were sent least recently come first. */
+        private final Map<String, SentInventory> inventories = new LinkedHashMap<>();
+
+        private int nextRepeated;
         private List<UpstreamLoad> loads = List.of();
         private long newestRevision;
         private boolean storeResponding;
 
+        private void markSent(UpstreamState u, long fencing) {
+            inventories.remove(u.id());
+            inventories.put(u.id(), SentInventory.of(u, fencing));
+        }
+
         /** Updates the state of the store to be sent. Returns whether it has changed. */
         private boolean updateStoreState(SharedStoreState storeState) {
             boolean changed =
@@ -101,7 +120,7 @@
             sendParts(
                     List.of(from),
                     digest(loadsExcept(from)),
-                    dueInventories(new LastSent(), claimHolders(), false),
+                    allInventories(claimHolders()),
                     claimsOf(claimHolders()),
                     out);
         }
@@ -123,7 +142,6 @@
         boolean repeat = now - repeatedAt >= REPEAT_INTERVAL.toNanos();
         if (repeat) {
             repeatedAt = now;
-            inventoryRound = (inventoryRound + 1) % INVENTORY_ROUNDS;
             removeUnlisted();
         }
         sendToCollectors(repeat, out);
@@ -131,8 +149,8 @@
     }
 
     private void removeUnlisted() {
-        sentToReporters.inventoryVersions.keySet().removeIf(id -> upstreams.get(id) == null);
-        sentToCollectors.inventoryVersions.keySet().removeIf(id -> upstreams.get(id) == null);
+        sentToReporters.inventories.keySet().removeIf(id -> upstreams.get(id) == null);
+        sentToCollectors.inventories.keySet().removeIf(id -> upstreams.get(id) == null);
     }
 
     private void sendToCollectors(boolean repeat, Effects out) {
@@ -217,28 +235,71 @@
         }
     }
 
+    /** Returns the complete inventories of all engines whose claims the instances hold. */
+    private List<OrderedUpstream> allInventories(Set<String> holders) {
+        List<OrderedUpstream> found = new ArrayList<>();
+        for (UpstreamState u : upstreams.all()) {
+            claimWithInventory(u)
+                    .filter(c -> holders.contains(c.instance()))
+                    .forEach(c -> found.add(ClaimMessages.complete(u, c.fencing())));
+        }
+        return found;
+    }
+
     /**
-     * Returns the inventories that have changed since they were last sent, or that are due for
-     * repetition in this round.
+     * Returns what has changed in the inventories since they were last sent, and in repetitions
+     * some complete ones in turn. Inventories that exceed {@link #MAX_INVENTORY_BYTES} remain due.
      */
     private List<OrderedUpstream> dueInventories(
             LastSent lastSent, Set<String> holders, boolean repeat) {
         List<OrderedUpstream> found = new ArrayList<>();
-        int index = 0;
-        for (UpstreamState u : upstreams.all()) {
-            boolean due = repeat && index++ % INVENTORY_ROUNDS == inventoryRound;
-            Option<Claim> claim = claimWithInventory(u);
-            if (claim.isEmpty() || !holders.contains(claim.get().instance())) {
-                continue;
-            }
-            Integer sentVersion = lastSent.inventoryVersions.put(u.id(), u.inventoryVersion());
-            if (due || sentVersion == null || sentVersion != u.inventoryVersion()) {
+        List<UpstreamState> all = List.copyOf(upstreams.all());
+        int bytes = 0;
+        int repeated = repeat ? (all.size() + INVENTORY_ROUNDS - 1) / INVENTORY_ROUNDS : 0;
+        for (int i = 0; i < repeated; i++) {
+            UpstreamState u = all.get(lastSent.nextRepeated++ % all.size());
+            Option<Claim> claim = claimWithInventory(u).filter(c -> holders.contains(c.instance()));
+            if (claim.isDefined()) {
+                lastSent.markSent(u, claim.get().fencing());
                 found.add(ClaimMessages.complete(u, claim.get().fencing()));
+                bytes += found.get(found.size() - 1).getSerializedSize();
+            }
+        }
+        for (UpstreamState u : leastRecentlySentFirst(lastSent, all)) {
+            Option<Claim> claim = claimWithInventory(u).filter(c -> holders.contains(c.instance()));
+            if (claim.isDefined() && bytes < MAX_INVENTORY_BYTES) {
+                Option<OrderedUpstream> changes = changes(u, claim.get().fencing(), lastSent);
+                found.addAll(changes.toJavaList());
+                bytes += changes.map(OrderedUpstream::getSerializedSize).getOrElse(0);
             }
         }
         return found;
     }
 
+    /** Returns the inventory if it has changed, and marks it as sent. */
+    private static Option<OrderedUpstream> changes(
+            UpstreamState u, long fencing, LastSent lastSent) {
+        SentInventory sent = lastSent.inventories.get(u.id());
+        if (sent != null && sent.fencing() == fencing && sent.version() == u.inventoryVersion()) {
+            return Option.none();
+        }
+        boolean hasBase = sent != null && sent.isBaseFor(u, fencing);
+        lastSent.markSent(u, fencing);
+        return Option.of(
+                hasBase
+                        ? ClaimMessages.changes(u, fencing, sent)
+                        : ClaimMessages.complete(u, fencing));
+    }
+
+    /** Returns the engines in the order in which their inventories were sent. */
+    private List<UpstreamState> leastRecentlySentFirst(LastSent lastSent, List<UpstreamState> all) {
+        List<UpstreamState> ordered = new ArrayList<>(all);
+        ordered.removeIf(u -> lastSent.inventories.containsKey(u.id()));
+        lastSent.inventories.keySet().forEach(id -> ordered.add(upstreams.get(id)));
+        ordered.removeIf(Objects::isNull);
+        return ordered;
+    }
+
     /** Returns the claim on an engine if the holder of this claim has reported the inventory. */
     private Option<Claim> claimWithInventory(UpstreamState u) {
         return claims.claim(u.id())
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -47,6 +47,7 @@
         final Forwarder forwarder;
         final Map<String, Integer> received = new HashMap<>();
         int reports;
+        long sentBytes;
         int partition;
         boolean up = true;
 
@@ -157,7 +158,14 @@
      * @param dataCentres number of data centres over which the instances are spread in turn
      */
     FleetRig(int size, int dataCentres, int engineCount) {
-        spec = ForwardRig.spec(6);
+        this(size, dataCentres, engineCount, 6);
+    }
+
+    /**
+     * @param slots number of adapter slots of each engine
+     */
+    FleetRig(int size, int dataCentres, int engineCount, int slots) {
+        spec = ForwardRig.spec(slots);
         engines = new FakeEngines(scheduler, Duration.ofMillis(250), 40);
         for (int i = 1; i <= engineCount; i++) {
             engineIds.add("e" + i);
@@ -211,6 +219,7 @@
             throw new AssertionError(
                     whole.getBodyCase() + " of " + whole.getSerializedSize() + " bytes");
         }
+        from.sentBytes += whole.getSerializedSize();
         scheduler.after(
                 DELAY,
                 () -> {
@@ -249,6 +258,10 @@
                 .toList();
     }
 
+    FakeEngines engines() {
+        return engines;
+    }
+
     List<String> engineIds() {
         return engineIds;
     }
@@ -274,6 +287,7 @@
 
     void clearReceived() {
         nodes.values().forEach(n -> n.received.clear());
+        nodes.values().forEach(n -> n.sentBytes = 0);
     }
 
     /** Returns the distinct numbers of requests that live instances count at an upstream. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import org.bronzehill.protocol.generated.Envelope;
 import org.testng.annotations.Test;
@@ -24,6 +25,9 @@
     /** Time after which all instances know a change of load: one share and two digests. */
     private static final Duration PROPAGATION_TIME = Duration.ofMillis(900);
 
+    /** Narrowest link on which instances run: 10 Mbit/s. */
+    private static final long LINK_BYTES_PER_SECOND = 1_250_000;
+
     private static List<FleetRig.Node> collectorsThatReadTheStore(FleetRig rig) {
         rig.run(Duration.ofSeconds(4));
         rig.clearReceived();
@@ -327,4 +331,41 @@
         claims.onPeerClaims("n1", 9, java.util.Map.of(), Long.MAX_VALUE);
         assertTrue(claims.holder("e1").isEmpty());
     }
+
+    /**
+     * Adapters are loaded and unloaded at a high rate on all engines. Guards against collectors
+     * whose digests fill their links, so that their calls to the store and to engines come too
+     * late.
+     */
+    @Test
+    public void digestsOfChangingInventoriesLeaveRoomOnTheLink() {
+        FleetRig rig = new FleetRig(60, 2, 40, 14);
+        rig.engines().countOrders();
+        rig.run(Duration.ofSeconds(8));
+        List<FakeTransport> open = new ArrayList<>();
+        Random random = new Random(4);
+        for (int i = 0; i < 200; i++) {
+            if (i == 100) {
+                rig.clearReceived();
+            }
+            for (int k = 0; k < 10; k++) {
+                FleetRig.Node node = rig.up().get(random.nextInt(60));
+                open.add(node.stream(ForwardRig.adapter(random.nextInt(3000))));
+            }
+            rig.runPartitioned(Duration.ofMillis(50));
+            open.removeIf(FleetTest::finishIfSent);
+        }
+        for (FleetRig.Node collector : rig.collectors()) {
+            long perSecond = collector.sentBytes / 5;
+            assertTrue(perSecond <= LINK_BYTES_PER_SECOND / 2, perSecond + " bytes a second");
+        }
+    }
+
+    private static boolean finishIfSent(FakeTransport t) {
+        if (!t.attempts().isEmpty() && !t.call().hasEnded()) {
+            t.call().onProgress();
+            t.call().onComplete(200);
+        }
+        return t.call().hasEnded();
+    }
 }
