Find parts of prompts that crash engines, and refuse requests with them

Cause: a crash was counted for whole requests, by a checksum of target and body, and requests that share one part of their prompts and nothing else are all different. The core did not know the parts at all. Class: evidence kept under a key that the fault does not share.

CrashDetector reads the engine's report at once after such a loss: no further request might be sent there soon.

--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -0,0 +1,61 @@
+package org.bronzehill.core.forward;
+
+/** Builds the log line of a decision on a call. Fields appear in the order of the calls. */
+final class CallLogLine {
+
+    private final ForwardRequest request;
+    private final StringBuilder line = new StringBuilder(160);
+
+    private CallLogLine(ForwardRequest request) {
+        this.request = request;
+    }
+
+    /** Begins a line; an empty reason is left out. */
+    static CallLogLine of(ForwardRequest request, String decision, String reason) {
+        CallLogLine begun = new CallLogLine(request);
+        begun.line.append("request=").append(request.id()).append(" decision=").append(decision);
+        begun.line.append(reason.isEmpty() ? "" : " reason=" + reason);
+        begun.line.append(" route=").append(request.route().name());
+        return begun;
+    }
+
+    CallLogLine withAge(long now) {
+        return append("age-ms", (now - request.arrivedNanos()) / 1_000_000);
+    }
+
+    CallLogLine withAttempts(int attempts, int notRunAttempts) {
+        append("attempt", attempts);
+        return append("turned-away", notRunAttempts);
+    }
+
+    /** Adds the adapter and the upstream; {@code own} counts this instance's requests there. */
+    CallLogLine withUpstream(UpstreamState upstream) {
+        request.adapter().forEach(a -> line.append(" adapter=").append(a.key()));
+        if (upstream != null) {
+            line.append(" upstream=").append(upstream.id());
+            append("upstream-requests", upstream.totalRequests());
+            append("own", upstream.ownRequests());
+            append("failing", Math.round(upstream.health().failureRate() * 100));
+        }
+        return this;
+    }
+
+    CallLogLine withAnswer(long firstByteAt, long longestGapNanos) {
+        append("first-ms", (firstByteAt - request.arrivedNanos()) / 1_000_000);
+        return append("longest-gap-ms", longestGapNanos / 1_000_000);
+    }
+
+    CallLogLine withConfiguration(long version) {
+        return append("configuration", version);
+    }
+
+    private CallLogLine append(String name, long value) {
+        line.append(' ').append(name).append('=').append(value);
+        return this;
+    }
+
+    @Override
+    public String toString() {
+        return line.toString();
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
@@ -1,17 +1,24 @@
 package org.bronzehill.core.forward;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.bronzehill.core.crash.CrashRegistry;
+import org.bronzehill.core.crash.CrashingParts;
+import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.node.Effects;
 import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.Envelope;
 
 /**
- * Detects requests that crash the upstreams which run them: those whose connection was lost shortly
- * before the upstream was found to be down.
+ * Detects requests, and parts of their prompts, that crash the upstreams which run them: those
+ * whose connection was lost shortly before the upstream was found to be down.
  */
 final class CrashDetector {
 
@@ -19,30 +26,91 @@
     private static final Duration CRASH_WINDOW = Duration.ofSeconds(2);
 
     private final CrashRegistry registry;
+    private final CrashingParts parts;
+    private final OrderTransport transport;
     private final TimeSource time;
     private final Effects out;
     private final Map<String, List<LostConnection>> lostConnections = new HashMap<>();
 
-    private record LostConnection(byte[] fingerprint, long atNanos) {}
+    /**
+     * @param unproven parts of the prompt that may have caused the loss: none once the answer had
+     *     begun
+     */
+    private record LostConnection(
+            byte[] fingerprint, List<Long> unproven, long sentAt, long crash, long atNanos) {}
 
-    CrashDetector(CrashRegistry registry, TimeSource time, Effects out) {
+    private CrashDetector(
+            CrashRegistry registry,
+            CrashingParts parts,
+            OrderTransport transport,
+            TimeSource time,
+            Effects out) {
         this.registry = registry;
+        this.parts = parts;
+        this.transport = transport;
         this.time = time;
         this.out = out;
     }
 
+    /**
+     * @param peers ids of the other live instances
+     */
+    static CrashDetector create(
+            String self,
+            ForwardPorts ports,
+            Supplier<Collection<String>> peers,
+            RandomGenerator random) {
+        return new CrashDetector(
+                CrashRegistry.create(self, peers, ports.time()),
+                CrashingParts.create(ports.membership(), ports.time(), random),
+                ports.orders(),
+                ports.time(),
+                ports.out());
+    }
+
     /** Returns whether upstreams crashed several times while they ran the request. */
     boolean shouldRefuse(ForwardRequest request) {
-        return registry.refuses(request.fingerprint());
+        return registry.refuses(request.fingerprint()) || parts.blocks(request.sharedParts());
     }
 
-    /** Records the loss of a request's connection. */
-    void onConnectionLost(String upstream, ForwardRequest request) {
+    /** Returns whether a request that should be refused may be sent as a trial nevertheless. */
+    boolean tryTakeTrial(ForwardRequest request) {
+        return !registry.refuses(request.fingerprint())
+                && parts.tryTakeTrial(request.sharedParts());
+    }
+
+    /**
+     * Records the loss of a request's connection. If a part of the prompt may have crashed the
+     * upstream, its report is read to find out at once: no further request might be sent there for
+     * some time.
+     *
+     * @param sentAt monotonic time at which the request was sent
+     */
+    void onConnectionLost(
+            UpstreamRecord upstream, ForwardRequest request, long sentAt, boolean answerBegun) {
         List<LostConnection> lost =
-                lostConnections.computeIfAbsent(upstream, id -> new ArrayList<>());
+                lostConnections.computeIfAbsent(upstream.id(), id -> new ArrayList<>());
         long oldest = time.nanoTime() - CRASH_WINDOW.toNanos();
         lost.removeIf(connection -> connection.atNanos() - oldest < 0);
-        lost.add(new LostConnection(request.fingerprint(), time.nanoTime()));
+        List<Long> unproven = answerBegun ? List.of() : request.sharedParts();
+        long crash = RendezvousHash.nameHash(upstream.id() + "/" + upstream.startedAtMs());
+        lost.add(
+                new LostConnection(
+                        request.fingerprint(), unproven, sentAt, crash, time.nanoTime()));
+        if (parts.maySuspect(unproven, sentAt)) {
+            transport.readReport(upstream, report -> onReport(upstream, report));
+        }
+    }
+
+    private void onReport(UpstreamRecord upstream, Option<InventoryReport> report) {
+        if (!report.exists(r -> r.isOfIncarnation(upstream.startedAtMs()))) {
+            onUpstreamDown(upstream.id());
+        }
+    }
+
+    /** Records that a successful answer has begun. */
+    void onAnswerBegun(ForwardRequest request) {
+        parts.onAnswerBegun(request.sharedParts(), out);
     }
 
     /** Records that a request has run to completion. */
@@ -63,7 +131,29 @@
         List<byte[]> suspects = new ArrayList<>();
         lost.stream()
                 .filter(connection -> connection.atNanos() - oldest >= 0)
-                .forEach(connection -> suspects.add(connection.fingerprint()));
+                .forEach(
+                        connection -> {
+                            suspects.add(connection.fingerprint());
+                            parts.onCrash(
+                                    connection.crash(),
+                                    connection.unproven(),
+                                    connection.sentAt(),
+                                    out);
+                        });
         registry.recordCrash(suspects, out);
     }
+
+    /** Applies a message of another instance. */
+    void onMessage(Envelope envelope) {
+        if (envelope.hasPartCrashes()) {
+            parts.onMessage(envelope.getFrom(), envelope.getPartCrashes(), out);
+        } else {
+            registry.onMessage(envelope, out);
+        }
+    }
+
+    void onTick() {
+        registry.onTick(out);
+        parts.onTick(out);
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -52,6 +52,7 @@
     private long unreadTokensWhenSent;
     private int attempts;
     private int notRunAttempts;
+    private boolean trial;
     private boolean answerBegun;
     private boolean mayHaveRun;
     private boolean promptPending;
@@ -111,13 +112,15 @@
         deadlineTimer =
                 forwarder.after(
                         Duration.ofNanos(Math.max(0, left)).plus(DEADLINE_GRACE), this::onDeadline);
-        if (forwarder.crashesUpstreams(request)) {
-            refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
-            return;
-        }
+        trial = forwarder.crashDetector().tryTakeTrial(request);
         dispatch();
     }
 
+    /** Returns whether the call must be refused because requests like it crash upstreams. */
+    private boolean crashesUpstreams() {
+        return !trial && forwarder.crashDetector().shouldRefuse(request);
+    }
+
     private void dispatch() {
         dispatch(forwarder.choose(this));
     }
@@ -126,7 +129,9 @@
     void dispatch(Option<UpstreamChooser.Choice> choice) {
         forwarder.leaveQueue(this);
         state = State.DISPATCHING;
-        if (choice.isEmpty()) {
+        if (crashesUpstreams()) {
+            refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
+        } else if (choice.isEmpty()) {
             enqueueOrRefuse();
         } else if (choice.get().adapterReady()) {
             reserve(choice.get().upstream());
@@ -221,6 +226,9 @@
             log("upstream-leaving");
             release();
             dispatch();
+        } else if (crashesUpstreams()) {
+            // Instances have learned of the crashes while the request waited.
+            refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
         } else {
             sendNow();
         }
@@ -276,6 +284,11 @@
         }
     }
 
+    /** Records that an upstream has begun a successful answer to the request. */
+    public void onAnswerBegun() {
+        forwarder.crashDetector().onAnswerBegun(request);
+    }
+
     /** Records that the answer has begun, or that more of it was passed on to the caller. */
     public void onProgress() {
         endPrompt();
@@ -362,9 +375,11 @@
         mayHaveRun = true;
         log("connection-lost", reason);
         forwarder.onOutcome(this, false);
-        forwarder.onConnectionLost(this);
+        forwarder
+                .crashDetector()
+                .onConnectionLost(upstream.upstreamRecord(), request, sentAt, answerBegun);
         if (mayRunAgain()
-                && !forwarder.crashesUpstreams(request)
+                && !forwarder.crashDetector().shouldRefuse(request)
                 && forwarder.tryTakeRetry(request)) {
             retryElsewhere();
         } else {
@@ -471,30 +486,15 @@
 
     private void log(String decision, String reason) {
         if (LOG.isInfoEnabled()) {
-            LOG.info(describe(decision, reason));
-        }
-    }
-
-    /** Returns a log line; {@code own} counts this instance's requests at the upstream. */
-    private String describe(String decision, String reason) {
-        StringBuilder line = new StringBuilder(160);
-        line.append("request=").append(request.id()).append(" decision=").append(decision);
-        line.append(reason.isEmpty() ? "" : " reason=" + reason);
-        line.append(" route=").append(request.route().name());
-        line.append(" age-ms=").append((forwarder.now() - request.arrivedNanos()) / 1_000_000);
-        line.append(" attempt=").append(attempts).append(" turned-away=").append(notRunAttempts);
-        request.adapter().forEach(a -> line.append(" adapter=").append(a.key()));
-        if (upstream != null) {
-            line.append(" upstream=").append(upstream.id());
-            line.append(" upstream-requests=").append(upstream.totalRequests());
-            line.append(" own=").append(upstream.ownRequests());
-            line.append(" failing=").append(Math.round(upstream.health().failureRate() * 100));
-        }
-        if (answerBegun) {
-            line.append(" first-ms=").append((firstByteAt - request.arrivedNanos()) / 1_000_000);
-            line.append(" longest-gap-ms=").append(longestGapNanos / 1_000_000);
+            CallLogLine line =
+                    CallLogLine.of(request, decision, reason)
+                            .withAge(forwarder.now())
+                            .withAttempts(attempts, notRunAttempts)
+                            .withUpstream(upstream);
+            if (answerBegun) {
+                line.withAnswer(firstByteAt, longestGapNanos);
+            }
+            LOG.info(line.withConfiguration(forwarder.configurationVersion()));
         }
-        line.append(" configuration=").append(forwarder.configurationVersion());
-        return line.toString();
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.List;
 
 /**
  * Properties of a caller's request on which decisions depend.
@@ -13,6 +14,7 @@
  * @param promptTokens size of the prompt; 0 for a plain service
  * @param outputTokens largest number of tokens to generate; 0 for a plain service
  * @param fingerprint hash of path and body that identifies repeated requests
+ * @param sharedParts hashes of the parts of the prompt that other requests may have too
  */
 public record ForwardRequest(
         String id,
@@ -23,7 +25,12 @@
         Option<AdapterRef> adapter,
         long promptTokens,
         long outputTokens,
-        byte[] fingerprint) {
+        byte[] fingerprint,
+        List<Long> sharedParts) {
+
+    public ForwardRequest {
+        sharedParts = List.copyOf(sharedParts);
+    }
 
     /** Returns the tokens that the request may occupy in an engine's memory. */
     public long tokens() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import org.bronzehill.core.crash.CrashRegistry;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.membership.Peer;
 import org.bronzehill.core.node.Effects;
@@ -38,7 +37,6 @@
     private final Membership membership;
     private final Effects out;
     private final ForwardListener listener;
-    private final CrashRegistry crashes;
     private final UpstreamTable upstreams;
     private final UpstreamChooser chooser;
     private final RetryAllowances retries;
@@ -71,14 +69,14 @@
         this.membership = ports.membership();
         this.out = ports.out();
         this.listener = ports.listener();
-        this.crashes = CrashRegistry.create(settings.instance(), this::livePeers, time);
         this.upstreams = new UpstreamTable(time, settings.storeRecoveryGrace());
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
         this.waits = new AdapterWaits(time, waitModel);
         this.loadCoordinator =
                 new AdapterLoadCoordinator(settings.instance(), upstreams, waits, out, time);
-        this.crashDetector = new CrashDetector(crashes, time, out);
+        this.crashDetector =
+                CrashDetector.create(settings.instance(), ports, this::livePeers, random);
         this.controller =
                 new EngineController(
                         membership,
@@ -358,12 +356,8 @@
         openCalls.remove(call);
     }
 
-    boolean crashesUpstreams(ForwardRequest request) {
-        return crashDetector.shouldRefuse(request);
-    }
-
-    void onConnectionLost(ForwardCall call) {
-        crashDetector.onConnectionLost(call.upstream().id(), call.request());
+    CrashDetector crashDetector() {
+        return crashDetector;
     }
 
     /**
@@ -420,7 +414,7 @@
             case ADAPTER_USES -> loadExchange.onAdapterUses(from, envelope.getAdapterUses());
             case ADAPTER_WANTED -> loadCoordinator.onLoadRequest(from, envelope.getAdapterWanted());
             case ADAPTER_STATE -> loadCoordinator.onAdapterState(envelope.getAdapterState());
-            case CRASH_MARKS -> crashes.onMessage(envelope, out);
+            case CRASH_MARKS, PART_CRASHES -> crashDetector.onMessage(envelope);
             default -> membership.onMessage(envelope, out);
         }
     }
@@ -428,7 +422,7 @@
     /** Runs periodic work; called about ten times a second. */
     public void onTick() {
         membership.onTick(out);
-        crashes.onTick(out);
+        crashDetector.onTick();
         retries.onTick(membership.live().size());
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
         if (enginesChanged) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
@@ -32,6 +32,13 @@
         return adapters.containsKey(adapter) || loading.containsKey(adapter);
     }
 
+    /**
+     * Returns whether the report is of the incarnation with the given start, as far as is known.
+     */
+    boolean isOfIncarnation(long startMs) {
+        return startedAtMs == 0 || startMs == 0 || startedAtMs == startMs;
+    }
+
     /** Creates a report that does not state the number of accepted orders. */
     public InventoryReport(
             long startedAtMs,
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -116,6 +116,7 @@
 
     /** Restarts an engine, which then holds no adapters and has accepted no orders. */
     void restart(String engine) {
+        down.remove(engine);
         resident(engine).clear();
         loading(engine).clear();
         acceptedOrders.remove(engine);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -115,15 +115,25 @@
 
         /** Opens a call to the plain upstream. The call runs until its transport ends it. */
         FakeTransport call() {
-            return call(RequestKind.IDEMPOTENT, ForwardRig.PLAIN, Option.none());
+            return call(RequestKind.IDEMPOTENT, ForwardRig.PLAIN, Option.none(), List.of());
         }
 
         /** Opens a streamed call to the engines. The call runs until its transport ends it. */
         FakeTransport stream(AdapterRef adapter) {
-            return call(RequestKind.STREAM, ForwardRig.ENGINES, Option.of(adapter));
+            return call(RequestKind.STREAM, ForwardRig.ENGINES, Option.of(adapter), List.of());
         }
 
-        private FakeTransport call(RequestKind kind, String service, Option<AdapterRef> adapter) {
+        /** Opens a streamed call to the base model whose prompt has the given shared parts. */
+        FakeTransport stream(List<Long> sharedParts) {
+            Option<AdapterRef> base = Option.of(new AdapterRef("m", ""));
+            return call(RequestKind.RESUMABLE_STREAM, ForwardRig.ENGINES, base, sharedParts);
+        }
+
+        private FakeTransport call(
+                RequestKind kind,
+                String service,
+                Option<AdapterRef> adapter,
+                List<Long> sharedParts) {
             Route route =
                     new Route(
                             "r",
@@ -134,7 +144,7 @@
                             CALL_LIMIT,
                             1,
                             List.of(new ServiceShare(service, 1)),
-                            1,
+                            2,
                             CALL_LIMIT);
             FakeTransport transport = new FakeTransport();
             forwarder.open(
@@ -147,7 +157,8 @@
                             adapter,
                             0,
                             0,
-                            new byte[] {(byte) sequence}),
+                            new byte[] {(byte) (sequence >> 8), (byte) sequence},
+                            sharedParts),
                     transport);
             return transport;
         }
@@ -262,6 +273,21 @@
         return engines;
     }
 
+    VirtualScheduler scheduler() {
+        return scheduler;
+    }
+
+    /** Kills an instance and starts it again, and returns the new one. */
+    Node restart(int number) {
+        Node killed = node(number);
+        killed.up = false;
+        InstanceRef ref = killed.ref;
+        Node started = new Node(ref.id(), ref.dataCentre(), ref.port());
+        nodes.put(ref.id(), started);
+        exchangeMembership();
+        return started;
+    }
+
     List<String> engineIds() {
         return engineIds;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -158,7 +158,8 @@
                         adapter,
                         kind.isStream() ? 500 : 0,
                         kind.isStream() ? 200 : 0,
-                        new byte[] {(byte) (sequence >> 8), (byte) sequence});
+                        new byte[] {(byte) (sequence >> 8), (byte) sequence},
+                        List.of());
         forwarder.open(request, transport);
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
@@ -43,7 +43,8 @@
                         Option.of(ADAPTER),
                         500,
                         200,
-                        new byte[] {1});
+                        new byte[] {1},
+                        List.of());
         UpstreamChooser.ChoiceInputs inputs =
                 new UpstreamChooser.ChoiceInputs(
                         request,
