Resume loads after an engine has rejected an unload

Found on reading again, which caused it: while an unload was pending, only its order was sent. An engine that had lost its adapters or its base model rejects that order, so it was repeated for good and no adapter was loaded, although slots were free. An unload answered by another upstream was repeated in the same way.

Change: a rejected unload is no longer pending, and a report is read before the next order. An unload answered by another upstream is handled like a load.

Evidence: rejectedUnloadDoesNotStopLoads fails before and passes.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterLoader.java
@@ -381,6 +381,14 @@
                 delayNextOrder();
             }
             case FENCED -> listener.onFenced(upstream);
+            case MISADDRESSED -> listener.onMisaddressed(upstream);
+            case REJECTED -> {
+                // The engine does not hold what it is taken to hold; the next report shows it.
+                acceptedOrders.onMismatch();
+                pendingUnload = null;
+                slot.phase = Phase.RESIDENT;
+                delayNextOrder();
+            }
             case UNREACHABLE -> {
                 cancelUnload(adapter, slot);
                 onUnreachable();
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterLoadsTest.java
@@ -501,4 +501,28 @@
             assertEquals(addressee.startedAtMs(), 200);
         }
     }
+
+    /**
+     * An engine loses its adapters while one is to be unloaded. Guards against an unload that is
+     * repeated for good, while loads into free slots wait for its end.
+     */
+    @Test
+    public void rejectedUnloadDoesNotStopLoads() {
+        ForwardRig rig = new ForwardRig(1, 2, LOAD, 8);
+        rig.engines().countOrders();
+        rig.scheduler().advance(Duration.ofSeconds(3));
+        for (int i = 1; i < 3; i++) {
+            FakeTransport t = openStream(rig, i);
+            rig.scheduler().advance(Duration.ofMillis(1000));
+            finish(t);
+        }
+        rig.engines().rejectUnloads();
+        openStream(rig, 3);
+        rig.scheduler().advance(Duration.ofMillis(200));
+        rig.engines().restart("e1");
+        rig.scheduler().advance(Duration.ofSeconds(4));
+        FakeTransport served = openStream(rig, 20);
+        rig.scheduler().advance(Duration.ofMillis(900));
+        assertEquals(served.attempts().size(), 1);
+    }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -50,6 +50,7 @@
     private boolean countsOrders;
     private RandomGenerator faults;
     private int repliesToLose;
+    private boolean rejectsUnloads;
 
     FakeEngines(VirtualScheduler scheduler, Duration loadTime, int atFullSpeed) {
         this.scheduler = scheduler;
@@ -96,6 +97,11 @@
         countsOrders = true;
     }
 
+    /** Makes the engines reject unloads, as one without the base model does. */
+    void rejectUnloads() {
+        rejectsUnloads = true;
+    }
+
     /** Sets the age of the contents of further reports when they arrive. */
     void setReportLag(Duration lag) {
         reportLag = lag;
@@ -181,6 +187,9 @@
             return OrderReply.UNREACHABLE;
         }
         AdapterRef target = order.target();
+        if (rejectsUnloads && order.operation() == Order.Operation.UNLOAD) {
+            return OrderReply.REJECTED;
+        }
         if (order.fencing() < highestFencing.merge(engine, order.fencing(), Math::max)) {
             return OrderReply.FENCED;
         }
