--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.crash.CrashRegistry;
@@ -31,6 +33,7 @@
     private final TimeSource time;
     private final Effects out;
     private final Map<String, List<LostConnection>> lostConnections = new HashMap<>();
+    private final Set<String> awaitedReports = new HashSet<>();
 
     /**
      * @param unproven parts of the prompt that may have caused the loss: none once the answer had
@@ -97,12 +100,13 @@
         lost.add(
                 new LostConnection(
                         request.fingerprint(), unproven, sentAt, crash, time.nanoTime()));
-        if (parts.maySuspect(unproven, sentAt)) {
+        if (parts.maySuspect(unproven, sentAt) && awaitedReports.add(upstream.id())) {
             transport.readReport(upstream, report -> onReport(upstream, report));
         }
     }
 
     private void onReport(UpstreamRecord upstream, Option<InventoryReport> report) {
+        awaitedReports.remove(upstream.id());
         if (!report.exists(r -> r.isOfIncarnation(upstream.startedAtMs()))) {
             onUpstreamDown(upstream.id());
         }
