Test the adapter slots of engines under restarts, partitions and lost messages

Six instances and four engines on virtual time: instances restart and are cut off, engines restart, orders, replies and reports are lost or late. No engine may be ordered to hold more adapters than it has slots.

--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterSlotsUnderFaultsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterSlotsUnderFaultsTest.java
@@ -17,6 +17,7 @@
 
     private static final int SLOTS = 6;
     private static final int SEEDS = 40;
+    private static final int FLEET_SEEDS = 10;
     private static final Duration LOAD = Duration.ofMillis(250);
     private static final Duration RUN = Duration.ofMillis(400);
     private static final Duration REPORT_LAG = Duration.ofMillis(150);
@@ -111,4 +112,40 @@
             assertTrue(rig.engines().resident("e1").containsKey(adapter), "seed " + seed);
         }
     }
+
+    /**
+     * Instances restart and are cut off, and engines restart, while messages are lost or late.
+     * Guards against several claim holders that each count the slots of an engine by themselves.
+     */
+    @Test
+    public void restartsAndPartitionsNeverOverfillAnEngine() {
+        for (int seed = 0; seed < FLEET_SEEDS; seed++) {
+            FleetRig rig = new FleetRig(6, 2, 4, SLOTS);
+            rig.engines().countOrders();
+            rig.engines().setReportLag(REPORT_LAG);
+            rig.engines().injectFaults(new Random(seed));
+            rig.runPartitioned(Duration.ofSeconds(5));
+            playWithOutages(rig, new Random(seed));
+            int used = rig.engines().maxUsedSlots();
+            assertTrue(used <= SLOTS, "seed " + seed + ": " + used + " slots used");
+        }
+    }
+
+    private static void playWithOutages(FleetRig rig, Random random) {
+        for (int i = 0; i < 600; i++) {
+            FakeTransport t = new FakeTransport();
+            t.onFirstSend(() -> rig.scheduler().after(RUN, () -> finish(t)));
+            rig.up().get(random.nextInt(6)).stream(ForwardRig.adapter(random.nextInt(100)), t);
+            if (i % 40 == 0) {
+                rig.restart(random.nextInt(6));
+            }
+            if (i % 25 == 0) {
+                rig.node(random.nextInt(6)).partition = random.nextInt(2);
+            }
+            if (i % 90 == 0) {
+                rig.restartEngine(random.nextInt(4));
+            }
+            rig.runPartitioned(Duration.ofMillis(50));
+        }
+    }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -115,25 +115,42 @@
 
         /** Opens a call to the plain upstream. The call runs until its transport ends it. */
         FakeTransport call() {
-            return call(RequestKind.IDEMPOTENT, ForwardRig.PLAIN, Option.none(), List.of());
+            return call(
+                    RequestKind.IDEMPOTENT,
+                    ForwardRig.PLAIN,
+                    Option.none(),
+                    List.of(),
+                    new FakeTransport());
         }
 
         /** Opens a streamed call to the engines. The call runs until its transport ends it. */
         FakeTransport stream(AdapterRef adapter) {
-            return call(RequestKind.STREAM, ForwardRig.ENGINES, Option.of(adapter), List.of());
+            return stream(adapter, new FakeTransport());
+        }
+
+        /** Opens a streamed call whose transport has been prepared by the test. */
+        FakeTransport stream(AdapterRef adapter, FakeTransport transport) {
+            Option<AdapterRef> a = Option.of(adapter);
+            return call(RequestKind.STREAM, ForwardRig.ENGINES, a, List.of(), transport);
         }
 
         /** Opens a streamed call to the base model whose prompt has the given shared parts. */
         FakeTransport stream(List<Long> sharedParts) {
             Option<AdapterRef> base = Option.of(new AdapterRef("m", ""));
-            return call(RequestKind.RESUMABLE_STREAM, ForwardRig.ENGINES, base, sharedParts);
+            return call(
+                    RequestKind.RESUMABLE_STREAM,
+                    ForwardRig.ENGINES,
+                    base,
+                    sharedParts,
+                    new FakeTransport());
         }
 
         private FakeTransport call(
                 RequestKind kind,
                 String service,
                 Option<AdapterRef> adapter,
-                List<Long> sharedParts) {
+                List<Long> sharedParts,
+                FakeTransport transport) {
             Route route =
                     new Route(
                             "r",
@@ -146,7 +163,6 @@
                             List.of(new ServiceShare(service, 1)),
                             2,
                             CALL_LIMIT);
-            FakeTransport transport = new FakeTransport();
             forwarder.open(
                     new ForwardRequest(
                             "q" + sequence++,
@@ -288,6 +304,18 @@
         return started;
     }
 
+    /** Restarts an engine under its identifier. The instances hear of it one after the other. */
+    void restartEngine(int number) {
+        String id = engineIds.get(number);
+        engines.restart(id);
+        UpstreamRecord restarted = ForwardRig.engine(id, scheduler.time().millis(), false);
+        for (Node n : nodes.values()) {
+            scheduler.after(
+                    Duration.ofMillis(random.nextInt(1500)),
+                    () -> n.forwarder.onUpstream(restarted));
+        }
+    }
+
     List<String> engineIds() {
         return engineIds;
     }
