Hear objections before a part of prompts is blocked

Cause: a part was blocked at the second crash at once; the objection takes a round trip. Change: it is blocked 0.1 s later, if nobody has objected.

Evidence: soundPartIsNotBlockedWhenManyEnginesCrashAtOnce fails before and passes.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/crash/CrashingParts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/crash/CrashingParts.java
@@ -40,6 +40,13 @@
     /** Number of crashed engines at which a part is blocked. */
     static final int BLOCKING_CRASHES = 2;
 
+    /**
+     * Time from the crash that blocks a part until it is blocked: a round trip to the instances
+     * that may have seen an answer under it. When many engines crash at once, a sound part can have
+     * several crashes for that long.
+     */
+    static final Duration OBJECTION_TIME = Duration.ofMillis(100);
+
     /** Time from the crash that blocks a part to the first request that is let through. */
     static final Duration FIRST_TRIAL_DELAY = Duration.ofSeconds(4);
 
@@ -74,16 +81,21 @@
         private final Map<Long, Long> crashes = new LinkedHashMap<>();
 
         private long lastCrashAt;
+        private long blockedFrom;
         private long nextTrialAt;
 
-        private boolean isBlocked() {
-            return crashes.size() >= BLOCKING_CRASHES;
+        private boolean isBlocked(long now) {
+            return crashes.size() >= BLOCKING_CRASHES
+                    && now - blockedFrom >= OBJECTION_TIME.toNanos();
         }
 
-        private void add(long crash, long at) {
+        private void add(long crash, long at, long now) {
             if (crashes.size() >= MAX_CRASHES || crashes.putIfAbsent(crash, at) != null) {
                 return;
             }
+            if (crashes.size() == BLOCKING_CRASHES) {
+                blockedFrom = now;
+            }
             lastCrashAt = crashes.size() == 1 || at - lastCrashAt > 0 ? at : lastCrashAt;
             nextTrialAt = lastCrashAt + trialDelay().toNanos();
         }
@@ -129,7 +141,7 @@
 
     private boolean isBlocked(Long part) {
         Suspect suspect = suspects.get(part);
-        return suspect != null && suspect.isBlocked();
+        return suspect != null && suspect.isBlocked(time.nanoTime());
     }
 
     /**
@@ -226,11 +238,9 @@
     private void suspect(Long part, long crash, long at) {
         Suspect suspect = suspects.computeIfAbsent(part, p -> new Suspect());
         int before = suspect.crashes.size();
-        suspect.add(crash, at);
+        suspect.add(crash, at, time.nanoTime());
         if (suspect.crashes.size() > before) {
-            LOG.infof(
-                    "event=part-suspected part=%016x crashes=%d blocked=%b",
-                    part, suspect.crashes.size(), suspect.isBlocked());
+            LOG.infof("event=part-suspected part=%016x crashes=%d", part, suspect.crashes.size());
         }
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/CrashingPartsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/CrashingPartsTest.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -200,4 +201,30 @@
             assertEquals(openDeadly(node).attempts().size(), 1);
         }
     }
+
+    /**
+     * Several engines crash at once while an answer under a part has begun at one instance only.
+     * Guards against the refusal of sound requests until that instance has said so.
+     */
+    @Test
+    public void soundPartIsNotBlockedWhenManyEnginesCrashAtOnce() {
+        Fleet fleet = new Fleet();
+        List<Long> parts = List.of(FIRST_PART, 50L);
+        FakeTransport proven = fleet.rig.node(0).stream(parts);
+        proven.call().onAnswerBegun();
+        proven.call().onComplete(200);
+        List<FakeTransport> waiting = new ArrayList<>();
+        for (int i = 1; i < INSTANCES; i++) {
+            waiting.add(fleet.rig.node(i).stream(parts));
+        }
+        waiting.forEach(t -> fleet.rig.engines().crash(t.last().upstream().id()));
+        waiting.forEach(t -> t.call().onConnectionLost("closed"));
+        for (int i = 0; i < 30; i++) {
+            fleet.rig.scheduler().advance(Duration.ofNanos(500_000));
+            for (FleetRig.Node node : fleet.rig.up()) {
+                ResultCode refusal = node.stream(parts).refusedWith();
+                assertNotEquals(refusal, ResultCode.CRASHES_UPSTREAMS, node.ref.id());
+            }
+        }
+    }
 }
