--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterSlotsUnderFaultsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/AdapterSlotsUnderFaultsTest.java
@@ -1,9 +1,11 @@
 package org.bronzehill.core.forward;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.List;
 import java.util.Random;
 import org.bronzehill.protocol.generated.AdapterWanted;
 import org.bronzehill.protocol.generated.Envelope;
@@ -113,6 +115,57 @@
         }
     }
 
+    /**
+     * An engine restarts under its identifier while adapters are being loaded. Guards against two
+     * loaders for one engine, each with its own count of the slots.
+     */
+    @Test
+    public void loaderOfTheEarlierIncarnationSendsNoMoreOrders() {
+        ForwardRig rig = new ForwardRig(1, 4, LOAD, 8);
+        rig.engines().countOrders();
+        // Until the next report has stated the count.
+        rig.scheduler().advance(Duration.ofSeconds(3));
+        for (int i = 0; i < 3; i++) {
+            openStream(rig, i);
+        }
+        rig.scheduler().advance(Duration.ofMillis(200));
+        rig.engines().restart("e1");
+        rig.forwarder().onUpstream(ForwardRig.engine("e1", 200, false));
+        int sent = rig.engines().addressees().size();
+        rig.scheduler().advance(Duration.ofMillis(300));
+        openStream(rig, 9);
+        rig.scheduler().advance(Duration.ofSeconds(1));
+        List<UpstreamRecord> later = rig.engines().addressees();
+        assertTrue(later.size() > sent);
+        for (UpstreamRecord addressee : later.subList(sent, later.size())) {
+            assertEquals(addressee.startedAtMs(), 200);
+        }
+    }
+
+    /**
+     * An engine loses its adapters while one is to be unloaded. Guards against an unload that is
+     * repeated for good, while loads into free slots wait for its end.
+     */
+    @Test
+    public void rejectedUnloadDoesNotStopLoads() {
+        ForwardRig rig = new ForwardRig(1, 2, LOAD, 8);
+        rig.engines().countOrders();
+        rig.scheduler().advance(Duration.ofSeconds(3));
+        for (int i = 1; i < 3; i++) {
+            FakeTransport t = openStream(rig, i);
+            rig.scheduler().advance(Duration.ofMillis(1000));
+            finish(t);
+        }
+        rig.engines().rejectUnloads();
+        openStream(rig, 3);
+        rig.scheduler().advance(Duration.ofMillis(200));
+        rig.engines().restart("e1");
+        rig.scheduler().advance(Duration.ofSeconds(4));
+        FakeTransport served = openStream(rig, 20);
+        rig.scheduler().advance(Duration.ofMillis(900));
+        assertEquals(served.attempts().size(), 1);
+    }
+
     /**
      * Instances restart and are cut off, and engines restart, while messages are lost or late.
      * Guards against several claim holders that each count the slots of an engine by themselves.
