--- a/review/standin/App.java
+++ b/review/standin/App.java
@@ -54,8 +54,14 @@
         return Http.bytes("answer to " + request.header("Bronzehill-Attempt-Id"));
     }
 
+    /** Returns whether the run of a request fails: the runner's own 500, which counts as run. */
+    boolean fails(Http.Message request) {
+        return false;
+    }
+
     /** Called with each complete answer after it was written. */
-    void afterAnswer(Http.Message request, int status, byte[] answer, Http.Connection c) {}
+    void afterAnswer(Http.Message request, int status, byte[] answer, Http.Connection c)
+            throws Exception {}
 
     private boolean handle(Http.Message request, Http.Connection c) throws Exception {
         if (c.dueBeforeNextAnswer != null) {
@@ -63,7 +69,8 @@
             c.dueBeforeNextAnswer = null;
         }
         String attempt = request.header("Bronzehill-Attempt-Id");
-        String echo = "Bronzehill-Attempt-Id: " + attempt + "\r\nBronzehill-Instance-Id: " + id
+        String echo = "Date: Sat, 05 Dec 2026 12:00:00 GMT\r\nServer: runner\r\n"
+                + "Content-Type: application/octet-stream\r\nBronzehill-Attempt-Id: " + attempt + "\r\nBronzehill-Instance-Id: " + id
                 + "\r\n";
         if (!request.header("Bronzehill-Expect-Instance").equals(id)) {
             c.out.write(Http.answer(421, echo + "Bronzehill-Not-Executed: 1\r\n", new byte[0]));
@@ -81,9 +88,9 @@
             Thread.sleep(workMs);
             slots.release();
             present.decrementAndGet();
-            status = 200;
+            status = fails(request) ? 500 : 200;
             answer = Http.answer(
-                    200, echo + "Bronzehill-Server-Signature: sig-" + id + "\r\n", body(request));
+                    status, echo + "Bronzehill-Server-Signature: sig-" + id + "\r\n", body(request));
         }
         c.out.write(answer);
         afterAnswer(request, status, answer, c);
--- a/review/standin/ExtraAnswer.java
+++ b/review/standin/ExtraAnswer.java
@@ -25,10 +25,10 @@
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int runners = 1;
-        int callers = 16;
-        int seconds = 80;
-        int lightCallers = 4;
-        double lightThink = 40;
+        int callers = 18;
+        int seconds = 90;
+        int lightCallers = 6;
+        double lightThink = 60;
         double think = 30;
         double share = 0.03;
         int exit = 2;
@@ -70,13 +70,13 @@
                             + "\"services\":[{\"name\":\"ledger-app\",\"maxConns\":110}],"
                             + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
                             + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
-            List<Entries.Entry> edges = entries.startAll(2, store.address(), 2000);
+            List<Entries.Entry> edges = entries.startAll(3, store.address(), 2000);
             double until = entries.seconds() + seconds;
             Map<String, Integer> statuses = new ConcurrentHashMap<>();
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < callers; i++) {
                 boolean light = i < lightCallers;
-                String front = edges.get(light ? 0 : 1).front();
+                String front = edges.get(light ? i % 2 : 2).front();
                 clients.add(
                         Http.thread(
                                 "client",
--- a/review/standin/SlowReader.java
+++ b/review/standin/SlowReader.java
@@ -60,7 +60,7 @@
             if (trouble) {
                 edges.get(0).signal("TERM");
             }
-            Thread.sleep(1400);
+            Thread.sleep(1900);
             for (Socket s : open) {
                 clients.add(Http.thread("client", () -> read(entries, s, whole, cut)));
             }
