--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -153,7 +153,11 @@
         if (m.header("transfer-encoding").equals("chunked")) {
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             while (true) {
-                int size = Integer.parseInt(line(in).trim(), 16);
+                String sizeLine = line(in);
+                if (sizeLine == null) {
+                    throw new EOFException("between two chunks");
+                }
+                int size = Integer.parseInt(sizeLine.trim(), 16);
                 all.write(exactly(in, size));
                 line(in);
                 if (size == 0) {
