--- a/review/standin/ExtraAnswer.java
+++ b/review/standin/ExtraAnswer.java
@@ -61,13 +61,17 @@
                 apps.add(app);
                 store.put("servers/" + app.id, app.storeRecord("z" + i, false));
             }
+            for (int i = 0; i < 2; i++) {
+                App sound = new App(entries, "i-sound" + i, "rounds-app", 6, 24, 21);
+                store.put("servers/" + sound.id, sound.storeRecord("z" + i, false));
+            }
             store.put(
                     "op/config",
                     "{\"version\":1,\"routes\":[{\"name\":\"r-draw\",\"host\":\"site.example\","
                             + "\"prefix\":\"/draw/\",\"kind\":\"non_idempotent\",\"timeoutMs\":"
                             + DEADLINE_MS + ",\"targetLatencyMs\":386,\"priority\":2,"
                             + "\"service\":\"ledger-app\",\"maxAttempts\":1}],"
-                            + "\"services\":[{\"name\":\"ledger-app\",\"maxConns\":110}],"
+                            + "\"services\":[{\"name\":\"ledger-app\",\"maxConns\":110},{\"name\":\"rounds-app\",\"maxConns\":110}],"
                             + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
                             + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
             List<Entries.Entry> edges = entries.startAll(3, store.address(), 2000);
