--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EventSplitter.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EventSplitter.java
@@ -20,7 +20,10 @@
      */
     private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    /** Size up to which the buffer of an event is kept for the next one. */
+    private static final int MAX_KEPT_BYTES = 16 << 10;
+
+    private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private long lastId;
     private boolean gap;
     private int lineLength;
@@ -61,7 +64,11 @@
 
     private void endEvent(ByteArrayOutputStream whole) {
         byte[] event = pending.toByteArray();
-        pending.reset();
+        if (event.length > MAX_KEPT_BYTES) {
+            pending = new ByteArrayOutputStream();
+        } else {
+            pending.reset();
+        }
         long id = idOf(event);
         if (id != NO_EVENT_ID) {
             if (id <= lastId) {
@@ -90,6 +97,11 @@
         return NO_EVENT_ID;
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    public int incompleteBytes() {
+        return pending.size();
+    }
+
     /** Returns the bytes after the last complete event. */
     public byte[] incompleteEvent() {
         return pending.toByteArray();
