Answer every open request at the end of a planned stop, and refuse late ones that may outlast it

Reported by another operator: requests that came late in a planned stop were passed on, and cut without an answer at its end, once-only ones among them. The same could happen here.

Cause: the stop took whatever arrived on connections that were not idle, and did not compare deadlines with the end of the process. The exit answered nobody.

Ruled out: new connections (the listener closes after 2.5 s) and idle ones (closed then).

Change: a request that arrives later than 2.5 s after the signal, or still waits half of the time from there to the end, is sent only if its deadline ends before the process does; otherwise it is refused as not run (4005). 0.9 s before the end of the grace period open requests are answered: 503 if they were not sent, else 502.

Tests, platform: a body that arrives 3.2 s after the signal, and a request whose upstream is silent; both timed out without the change (the upstream had the late request). Core, on virtual time: PlannedStopTest.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -40,6 +40,7 @@
     private final CallTransport transport;
     private final Forwarder forwarder;
     private final long arrivalNumber;
+    private final long openedAt;
     private final Set<String> excluded = new HashSet<>();
     private State state = State.DISPATCHING;
     private UpstreamState upstream;
@@ -62,6 +63,7 @@
         this.transport = transport;
         this.forwarder = forwarder;
         this.arrivalNumber = number;
+        this.openedAt = forwarder.now();
     }
 
     ForwardRequest request() {
@@ -131,6 +133,8 @@
         state = State.DISPATCHING;
         if (crashesUpstreams()) {
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
+        } else if (mayNotBegin()) {
+            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
         } else if (choice.isEmpty()) {
             enqueueOrRefuse();
         } else if (choice.get().adapterReady()) {
@@ -149,6 +153,11 @@
         }
     }
 
+    /** Returns whether the call must not reach its first upstream because of a planned stop. */
+    private boolean mayNotBegin() {
+        return !answerBegun && !mayHaveRun && forwarder.isExcludedByStop(request, openedAt);
+    }
+
     private void enqueueOrRefuse() {
         Option<ResultCode> refusal = forwarder.refusalFor(this);
         if (refusal.isDefined()) {
@@ -229,6 +238,8 @@
         } else if (crashesUpstreams()) {
             // Instances have learned of the crashes while the request waited.
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
+        } else if (mayNotBegin()) {
+            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
         } else {
             sendNow();
         }
@@ -437,6 +448,24 @@
         fail(mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_HOPELESS);
     }
 
+    /** Refuses the call if it waits and may not be sent any more because of a planned stop. */
+    void refuseIfExcluded() {
+        if ((state == State.QUEUED || state == State.AWAITING_ADAPTER) && mayNotBegin()) {
+            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
+        }
+    }
+
+    /** Answers the call because the process ends; a request that was sent may have run. */
+    void endAtStop() {
+        if (state == State.SENT) {
+            log("end-of-stop");
+            transport.cancelAttempt();
+            fail(ResultCode.UPSTREAM_FAILED);
+        } else if (state != State.ENDED) {
+            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
+        }
+    }
+
     /** Refuses a queued call that can no longer be served. */
     void refuseWaiting(ResultCode code) {
         refuse(code, forwarder.retryAfter(this));
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -56,7 +56,7 @@
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private Map<UpstreamState, EngineSpec> engines = Map.of();
     private long sequence;
-    private boolean draining;
+    private PlannedStop stop = PlannedStop.NONE;
     private boolean enginesChanged;
     private boolean callTickArmed;
 
@@ -477,13 +477,30 @@
     /**
      * Begins a planned stop: releases the claims and announces the departure to the other
      * instances.
+     *
+     * @param untilLastArrival time from which on arriving requests that may outlast the process are
+     *     refused
+     * @param untilEnd time at which {@link #endOpenCalls} will be called
      */
-    public void drain() {
-        if (!draining) {
-            draining = true;
+    public void drain(Duration untilLastArrival, Duration untilEnd) {
+        if (stop == PlannedStop.NONE) {
+            stop = PlannedStop.at(now(), untilLastArrival, untilEnd);
+            scheduler.after(
+                    Duration.ofNanos(Math.max(0, stop.lastSendNanos() - now())),
+                    () -> List.copyOf(openCalls).forEach(ForwardCall::refuseIfExcluded));
             controller.claims().releaseAll("stop");
             loadExchange.onTick(out);
             membership.leave(out);
         }
     }
+
+    /** Answers all open calls, because the process ends. */
+    public void endOpenCalls() {
+        List.copyOf(openCalls).forEach(ForwardCall::endAtStop);
+    }
+
+    /** Returns whether a request may not be sent any more because of a planned stop. */
+    boolean isExcludedByStop(ForwardRequest request, long openedAt) {
+        return stop.excludes(request, openedAt, now());
+    }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/PlannedStop.java
@@ -0,0 +1,51 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+
+/**
+ * Times of a planned stop of this instance. Callers learn of the stop late, so requests that arrive
+ * early in it are served like any others. Of those that arrive late, or still wait late, only the
+ * ones that end before the process does are sent to upstreams.
+ */
+final class PlannedStop {
+
+    /** No stop is planned. */
+    static final PlannedStop NONE = new PlannedStop(0, 0);
+
+    private final long lastArrivalNanos;
+    private final long endNanos;
+
+    private PlannedStop(long lastArrivalNanos, long endNanos) {
+        this.lastArrivalNanos = lastArrivalNanos;
+        this.endNanos = endNanos;
+    }
+
+    /**
+     * @param now monotonic time in ns
+     * @param untilLastArrival time from which on arriving requests that may outlast the process are
+     *     refused
+     * @param untilEnd time at which the process ends all requests
+     */
+    static PlannedStop at(long now, Duration untilLastArrival, Duration untilEnd) {
+        return new PlannedStop(now + untilLastArrival.toNanos(), now + untilEnd.toNanos());
+    }
+
+    /**
+     * Returns the time until which earlier requests may wait before they are sent: half of the time
+     * between the last arrival and the end is left for them to run.
+     */
+    long lastSendNanos() {
+        return lastArrivalNanos + (endNanos - lastArrivalNanos) / 2;
+    }
+
+    /**
+     * Returns whether a request may not be sent any more, since it may outlast the process.
+     *
+     * @param openedAt monotonic time at which the request had arrived completely
+     */
+    boolean excludes(ForwardRequest request, long openedAt, long now) {
+        return this != NONE
+                && (openedAt - lastArrivalNanos >= 0 || now - lastSendNanos() >= 0)
+                && request.deadlineNanos() - endNanos > 0;
+    }
+}
