--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
@@ -33,7 +33,8 @@
     private long collectorDigestAt;
     private long recoveredAt = NEVER;
 
-    SharedStoreState(TimeSource time) {
+    /** Creates the state of an instance that has not read the store. */
+    public SharedStoreState(TimeSource time) {
         this.time = time;
         this.collectorDigestAt = time.nanoTime();
     }
