--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -23,9 +23,9 @@
         return append("age-ms", (now - request.arrivedNanos()) / 1_000_000);
     }
 
-    CallLogLine withAttempts(int attempts, int notRunAttempts) {
-        append("attempt", attempts);
-        return append("turned-away", notRunAttempts);
+    CallLogLine withAttempts(AttemptCounts attempts) {
+        append("attempt", attempts.mayHaveRun());
+        return append("turned-away", attempts.notRun());
     }
 
     /** Adds the adapter and the upstream; {@code own} counts this instance's requests there. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -25,34 +25,21 @@
      */
     private static final Duration DEADLINE_GRACE = Duration.ofMillis(120);
 
-    /** Number of attempts not run by their upstreams up to which the call is dispatched again. */
-    private static final int MAX_NOT_RUN_ATTEMPTS = 4;
-
-    private enum State {
-        DISPATCHING,
-        QUEUED,
-        AWAITING_ADAPTER,
-        SENT,
-        ENDED
-    }
-
     private final ForwardRequest request;
     private final CallTransport transport;
     private final Forwarder forwarder;
     private final long arrivalNumber;
     private final long openedAt;
     private final Set<String> excluded = new HashSet<>();
-    private State state = State.DISPATCHING;
+    private CallState state = CallState.DISPATCHING;
     private UpstreamState upstream;
     private Scheduler.Timer deadlineTimer;
-    private Scheduler.Timer stallTimer;
+    private final StallTimer stallTimer;
     private long sentAt;
-    private long lastProgressAt;
     private long firstByteAt;
     private long longestGapNanos;
     private long unreadTokensWhenSent;
-    private int attempts;
-    private int notRunAttempts;
+    private final AttemptCounts attempts = new AttemptCounts();
     private boolean trial;
     private boolean answerBegun;
     private boolean mayHaveRun;
@@ -64,6 +51,11 @@
         this.forwarder = forwarder;
         this.arrivalNumber = number;
         this.openedAt = forwarder.now();
+        this.stallTimer =
+                new StallTimer(
+                        forwarder,
+                        () -> forwarder.stallTimeout(request, answerBegun),
+                        this::onStalled);
     }
 
     ForwardRequest request() {
@@ -98,15 +90,15 @@
     }
 
     boolean hasEnded() {
-        return state == State.ENDED;
+        return state == CallState.ENDED;
     }
 
     boolean isQueued() {
-        return state == State.QUEUED;
+        return state == CallState.QUEUED;
     }
 
     boolean isAwaitingAdapter() {
-        return state == State.AWAITING_ADAPTER;
+        return state == CallState.AWAITING_ADAPTER;
     }
 
     void start() {
@@ -130,7 +122,7 @@
     /** Assigns the call to the chosen upstream, or queues or refuses it if that is not possible. */
     void dispatch(Option<UpstreamChooser.Choice> choice) {
         forwarder.leaveQueue(this);
-        state = State.DISPATCHING;
+        state = CallState.DISPATCHING;
         if (crashesUpstreams()) {
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
         } else if (mayNotBegin()) {
@@ -146,7 +138,7 @@
             refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
         } else {
             reserve(choice.get().upstream());
-            state = State.AWAITING_ADAPTER;
+            state = CallState.AWAITING_ADAPTER;
             upstream.beginAdapterWait(request.adapter().get());
             log("wait-adapter", "expected-ms-" + choice.get().adapterWait().toMillis());
             forwarder.awaitAdapter(this);
@@ -164,7 +156,7 @@
             refuse(refusal.get(), forwarder.retryAfter(this));
             return;
         }
-        state = State.QUEUED;
+        state = CallState.QUEUED;
         forwarder.enterQueue(this);
         log("queue");
     }
@@ -179,10 +171,10 @@
     private void release() {
         if (upstream != null) {
             endPrompt();
-            if (state == State.AWAITING_ADAPTER) {
+            if (state == CallState.AWAITING_ADAPTER) {
                 upstream.endAdapterWait(request.adapter().get());
             }
-            if (state == State.SENT && request.adapter().exists(a -> !a.isBase())) {
+            if (state == CallState.SENT && request.adapter().exists(a -> !a.isBase())) {
                 forwarder.onAdapterUseEnded(Duration.ofNanos(forwarder.now() - sentAt));
             }
             UpstreamState released = upstream;
@@ -196,16 +188,16 @@
 
     /** Sends the request after its adapter has been loaded. */
     void onAdapterReady() {
-        if (state == State.AWAITING_ADAPTER) {
+        if (state == CallState.AWAITING_ADAPTER) {
             upstream.endAdapterWait(request.adapter().get());
-            state = State.DISPATCHING;
+            state = CallState.DISPATCHING;
             send();
         }
     }
 
     /** Dispatches the call again because its adapter was not loaded at the upstream. */
     void onAdapterFailed() {
-        if (state == State.AWAITING_ADAPTER) {
+        if (state == CallState.AWAITING_ADAPTER) {
             log("adapter-failed");
             excluded.add(upstream.id());
             release();
@@ -215,7 +207,7 @@
 
     /** Refuses the call if its adapter was not loaded before the deadline for sending. */
     void refuseIfLate() {
-        if (state == State.AWAITING_ADAPTER && forwarder.now() - sendDeadlineNanos() > 0) {
+        if (state == CallState.AWAITING_ADAPTER && forwarder.now() - sendDeadlineNanos() > 0) {
             forwarder.onAdapterWaitAbandoned(this);
             refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
         }
@@ -252,40 +244,27 @@
             onDeadline();
             return;
         }
-        attempts++;
-        state = State.SENT;
+        state = CallState.SENT;
         sentAt = now;
-        lastProgressAt = now;
-        log("send");
         Attempt attempt =
                 new Attempt(
-                        attempts + notRunAttempts,
+                        attempts.onSent(),
                         upstream.upstreamRecord(),
                         Duration.ofNanos(left),
                         forwarder.requiredVersion(request),
                         request.route().priority());
+        log("send");
         promptPending = true;
         forwarder.onSent(this);
         upstream.beginPrompt(request.promptTokens());
         unreadTokensWhenSent = upstream.totalUnreadTokens();
-        armStallTimer(forwarder.stallTimeout(request, answerBegun));
+        stallTimer.start();
         transport.send(attempt);
     }
 
-    private void armStallTimer(Duration delay) {
-        cancel(stallTimer);
-        stallTimer = forwarder.after(delay, this::onStallTimer);
-    }
-
-    private void onStallTimer() {
-        if (state != State.SENT) {
-            return;
-        }
-        Duration timeout = forwarder.stallTimeout(request, answerBegun);
-        long silent = forwarder.now() - lastProgressAt;
-        if (silent < timeout.toNanos()) {
-            armStallTimer(timeout.minusNanos(silent));
-        } else if (mayRunAgain()
+    private void onStalled() {
+        if (state == CallState.SENT
+                && mayRunAgain()
                 && forwarder.hasAlternative(this)
                 && forwarder.tryTakeRetry(request)) {
             log("stalled");
@@ -308,18 +287,17 @@
             firstByteAt = forwarder.now();
             forwarder.onFirstByte(this, firstByteAt - sentAt, unreadTokensWhenSent);
         } else {
-            longestGapNanos = Math.max(longestGapNanos, forwarder.now() - lastProgressAt);
+            longestGapNanos = Math.max(longestGapNanos, stallTimer.silentNanos());
         }
-        lastProgressAt = forwarder.now();
+        stallTimer.onProgress();
     }
 
     /** Handles a request that could not be delivered because no connection was opened. */
     public void onUnreachable(String reason) {
-        if (state != State.SENT) {
+        if (state != CallState.SENT) {
             return;
         }
-        attempts--;
-        notRunAttempts++;
+        attempts.onNotRun();
         log("unreachable", reason);
         forwarder.onUnreachable(this);
         excluded.add(upstream.id());
@@ -333,11 +311,10 @@
      * @param cause why the request was not run
      */
     public void onNotRun(String reason, NotRunCause cause) {
-        if (state != State.SENT) {
+        if (state != CallState.SENT) {
             return;
         }
-        attempts--;
-        notRunAttempts++;
+        attempts.onNotRun();
         log("not-run", reason);
         switch (cause) {
             case ADAPTER_MISSING -> forwarder.onAdapterMissing(this);
@@ -349,7 +326,7 @@
     }
 
     private void dispatchAgain(boolean allowed) {
-        if (allowed && notRunAttempts <= MAX_NOT_RUN_ATTEMPTS) {
+        if (allowed && attempts.mayDispatchAgain()) {
             dispatch();
         } else {
             refuse(ResultCode.NO_UPSTREAM, forwarder.retryAfter(this));
@@ -363,7 +340,7 @@
      * @return whether to pass the answer on instead
      */
     public boolean onFailureAnswer(int status) {
-        if (state != State.SENT) {
+        if (state != CallState.SENT) {
             return false;
         }
         if (status >= 500
@@ -380,7 +357,7 @@
 
     /** Handles the loss of the connection to the upstream; the request may have run. */
     public void onConnectionLost(String reason) {
-        if (state != State.SENT) {
+        if (state != CallState.SENT) {
             return;
         }
         mayHaveRun = true;
@@ -400,7 +377,7 @@
 
     private boolean mayRunAgain() {
         return request.route().kind().isRepeatable()
-                && attempts < request.route().maxAttempts()
+                && attempts.mayHaveRun() < request.route().maxAttempts()
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
 
@@ -413,7 +390,7 @@
 
     /** Ends the call after the complete answer was passed on. */
     public void onComplete(int status) {
-        if (state != State.SENT) {
+        if (state != CallState.SENT) {
             return;
         }
         forwarder.onOutcome(this, status < 500);
@@ -424,21 +401,21 @@
 
     /** Ends the call because the caller has closed its connection. */
     public void onCallerDisconnected() {
-        if (state == State.ENDED) {
+        if (state == CallState.ENDED) {
             return;
         }
         log("caller-disconnected");
-        if (state == State.SENT) {
+        if (state == CallState.SENT) {
             transport.cancelAttempt();
         }
         end();
     }
 
     private void onDeadline() {
-        if (state == State.ENDED) {
+        if (state == CallState.ENDED) {
             return;
         }
-        if (state == State.SENT) {
+        if (state == CallState.SENT) {
             transport.cancelAttempt();
             if (!answerBegun) {
                 forwarder.onOutcome(this, false);
@@ -450,19 +427,19 @@
 
     /** Refuses the call if it waits and may not be sent any more because of a planned stop. */
     void refuseIfExcluded() {
-        if ((state == State.QUEUED || state == State.AWAITING_ADAPTER) && mayNotBegin()) {
-            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
+        if (state.isWaiting() && mayNotBegin()) {
+            refuseWaiting(ResultCode.DRAINING);
         }
     }
 
     /** Answers the call because the process ends; a request that was sent may have run. */
     void endAtStop() {
-        if (state == State.SENT) {
+        if (state == CallState.SENT) {
             log("end-of-stop");
             transport.cancelAttempt();
             fail(ResultCode.UPSTREAM_FAILED);
-        } else if (state != State.ENDED) {
-            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
+        } else if (state.isWaiting()) {
+            refuseWaiting(ResultCode.DRAINING);
         }
     }
 
@@ -495,20 +472,14 @@
     }
 
     private void end() {
-        cancel(deadlineTimer);
-        cancel(stallTimer);
+        deadlineTimer.cancel();
+        stallTimer.cancel();
         forwarder.leaveQueue(this);
         release();
-        state = State.ENDED;
+        state = CallState.ENDED;
         forwarder.onEnded(this);
     }
 
-    private static void cancel(Scheduler.Timer timer) {
-        if (timer != null) {
-            timer.cancel();
-        }
-    }
-
     private void log(String decision) {
         log(decision, "");
     }
@@ -518,7 +489,7 @@
             CallLogLine line =
                     CallLogLine.of(request, decision, reason)
                             .withAge(forwarder.now())
-                            .withAttempts(attempts, notRunAttempts)
+                            .withAttempts(attempts)
                             .withUpstream(upstream);
             if (answerBegun) {
                 line.withAnswer(firstByteAt, longestGapNanos);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -427,7 +427,7 @@
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
         if (enginesChanged) {
             enginesChanged = false;
-            engines = engines();
+            engines = upstreams.engines(configuration);
         }
         controller.onTick(engines, !openCalls.isEmpty());
         loadExchange.onTick(out);
@@ -452,19 +452,6 @@
         }
     }
 
-    /** Returns the engines to which orders can be sent. */
-    private Map<UpstreamState, EngineSpec> engines() {
-        Map<UpstreamState, EngineSpec> found = new HashMap<>();
-        for (UpstreamState u : upstreams.all()) {
-            configuration
-                    .service(u.upstreamRecord().service())
-                    .flatMap(ServiceSpec::engine)
-                    .filter(e -> !u.isMisaddressed())
-                    .forEach(e -> found.put(u, e));
-        }
-        return found;
-    }
-
     /**
      * Releases all claims because the process did not run for some time: other instances may have
      * taken over its engines.
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -170,4 +170,17 @@
         }
         return found;
     }
+
+    /** Returns the engines to which orders can be sent. */
+    Map<UpstreamState, EngineSpec> engines(RoutingConfiguration configuration) {
+        Map<UpstreamState, EngineSpec> found = new HashMap<>();
+        for (UpstreamState u : all()) {
+            configuration
+                    .service(u.upstreamRecord().service())
+                    .flatMap(ServiceSpec::engine)
+                    .filter(e -> !u.isMisaddressed())
+                    .forEach(e -> found.put(u, e));
+        }
+        return found;
+    }
 }
