--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -40,9 +40,16 @@
         return this;
     }
 
-    CallLogLine withAnswer(long firstByteAt, long longestGapNanos) {
-        append("first-ms", (firstByteAt - request.arrivedNanos()) / 1_000_000);
-        return append("longest-gap-ms", longestGapNanos / 1_000_000);
+    /** Adds the times of an answer that has begun, and the earlier use of the connection. */
+    CallLogLine withAnswer(AnswerProgress answer) {
+        if (answer.hasBegun()) {
+            append("first-ms", (answer.firstByteAt() - request.arrivedNanos()) / 1_000_000);
+            append("longest-gap-ms", answer.longestGapNanos() / 1_000_000);
+        }
+        if (answer.isConnected()) {
+            append("earlier-requests", answer.earlierRequests());
+        }
+        return this;
     }
 
     CallLogLine withConfiguration(long version) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -36,12 +36,10 @@
     private Scheduler.Timer deadlineTimer;
     private final StallTimer stallTimer;
     private long sentAt;
-    private long firstByteAt;
-    private long longestGapNanos;
     private long unreadTokensWhenSent;
     private final AttemptCounts attempts = new AttemptCounts();
     private boolean trial;
-    private boolean answerBegun;
+    private final AnswerProgress answer = new AnswerProgress();
     private boolean mayHaveRun;
     private boolean promptPending;
 
@@ -54,7 +52,7 @@
         this.stallTimer =
                 new StallTimer(
                         forwarder,
-                        () -> forwarder.stallTimeout(request, answerBegun),
+                        () -> forwarder.stallTimeout(request, answer.hasBegun()),
                         this::onStalled);
     }
 
@@ -69,16 +67,16 @@
 
     /** Returns the monotonic time limit for waits and retries; the request may be sent later. */
     long sendDeadlineNanos() {
-        return WaitLimits.sendDeadlineNanos(request, answerBegun);
+        return WaitLimits.sendDeadlineNanos(request, answer.hasBegun());
     }
 
     /** Returns the monotonic time until which the call may wait for a place at an upstream. */
     long queueDeadlineNanos() {
-        return WaitLimits.queueDeadlineNanos(request, answerBegun);
+        return WaitLimits.queueDeadlineNanos(request, answer.hasBegun());
     }
 
     boolean hasAnswerBegun() {
-        return answerBegun;
+        return answer.hasBegun();
     }
 
     Set<String> excluded() {
@@ -132,7 +130,7 @@
         } else if (choice.get().adapterReady()) {
             reserve(choice.get().upstream());
             send();
-        } else if (!answerBegun
+        } else if (!answer.hasBegun()
                 && forwarder.now() + choice.get().adapterWait().toNanos() - sendDeadlineNanos()
                         > 0) {
             refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
@@ -147,7 +145,7 @@
 
     /** Returns whether the call must not reach its first upstream because of a planned stop. */
     private boolean mayNotBegin() {
-        return !answerBegun && !mayHaveRun && forwarder.isExcludedByStop(request, openedAt);
+        return !answer.hasBegun() && !mayHaveRun && forwarder.isExcludedByStop(request, openedAt);
     }
 
     private void enqueueOrRefuse() {
@@ -169,6 +167,7 @@
     }
 
     private void release() {
+        answer.onDisconnected();
         if (upstream != null) {
             endPrompt();
             if (state == CallState.AWAITING_ADAPTER) {
@@ -274,6 +273,11 @@
         }
     }
 
+    /** Records how many requests the connection of the running attempt has carried before. */
+    public void onConnected(int earlierRequests) {
+        answer.onConnected(earlierRequests);
+    }
+
     /** Records that an upstream has begun a successful answer to the request. */
     public void onAnswerBegun() {
         forwarder.crashDetector().onAnswerBegun(request);
@@ -282,12 +286,11 @@
     /** Records that the answer has begun, or that more of it was passed on to the caller. */
     public void onProgress() {
         endPrompt();
-        if (!answerBegun) {
-            answerBegun = true;
-            firstByteAt = forwarder.now();
-            forwarder.onFirstByte(this, firstByteAt - sentAt, unreadTokensWhenSent);
+        if (answer.hasBegun()) {
+            answer.onContinued(stallTimer.silentNanos());
         } else {
-            longestGapNanos = Math.max(longestGapNanos, stallTimer.silentNanos());
+            answer.onBegun(forwarder.now());
+            forwarder.onFirstByte(this, answer.firstByteAt() - sentAt, unreadTokensWhenSent);
         }
         stallTimer.onProgress();
     }
@@ -365,7 +368,7 @@
         forwarder.onOutcome(this, false);
         forwarder
                 .crashDetector()
-                .onConnectionLost(upstream.upstreamRecord(), request, sentAt, answerBegun);
+                .onConnectionLost(upstream.upstreamRecord(), request, sentAt, answer.hasBegun());
         if (mayRunAgain()
                 && !forwarder.crashDetector().shouldRefuse(request)
                 && forwarder.tryTakeRetry(request)) {
@@ -417,7 +420,7 @@
         }
         if (state == CallState.SENT) {
             transport.cancelAttempt();
-            if (!answerBegun) {
+            if (!answer.hasBegun()) {
                 forwarder.onOutcome(this, false);
             }
             mayHaveRun = true;
@@ -449,7 +452,8 @@
     }
 
     private void refuse(ResultCode code, Option<Duration> retryAfter) {
-        if (answerBegun || (mayHaveRun && code.runState() == RunState.NOT_RUN)) {
+        if (answer.hasBegun() || (mayHaveRun && code.runState() == RunState.NOT_RUN)) {
+            log("cannot-refuse", "code-" + code.number());
             fail(ResultCode.UPSTREAM_FAILED);
             return;
         }
@@ -460,11 +464,10 @@
     }
 
     private void fail(ResultCode code) {
-        log(answerBegun ? "abort-answer" : "fail", "code-" + code.number());
+        log(answer.hasBegun() ? "abort-answer" : "fail", "code-" + code.number());
         forwarder.onNotCompleted(request, code);
-        boolean begun = answerBegun;
         end();
-        if (begun) {
+        if (answer.hasBegun()) {
             transport.abortAnswer(code);
         } else {
             transport.answerError(code, Option.none());
@@ -491,10 +494,7 @@
                             .withAge(forwarder.now())
                             .withAttempts(attempts)
                             .withUpstream(upstream);
-            if (answerBegun) {
-                line.withAnswer(firstByteAt, longestGapNanos);
-            }
-            LOG.info(line.withConfiguration(forwarder.configurationVersion()));
+            LOG.info(line.withAnswer(answer).withConfiguration(forwarder.configurationVersion()));
         }
     }
 }
