Do not continue a stream after an event without a number

Callers saw: nothing yet; found while looking for the cause of the joined errors. A resumable stream whose events have no ids, or whose last event had none, broke off, and the request was run once more. Its answer began anew or after the last number, so that events could come twice.

Cause: any stream of a resumable route was sent to another upstream, whatever had been passed on of it.

Ruled out: comments before the break; they are no events, so that the stream can still be continued.

Change: the transport states whether another run can go on after what was passed on (EventSplitter.canContinue: the last event has a number). If not, ForwardCall neither tries again after a loss nor after a stall, and breaks the answer off. Streams without numbers that end by themselves are passed on unchanged, as before.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallTransport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallTransport.java
@@ -13,6 +13,12 @@
     /** Sends the request to an upstream. Events of earlier attempts are no longer reported. */
     void send(Attempt attempt);
 
+    /**
+     * Returns whether another run could go on after what was passed on to the caller: nothing, or a
+     * stream whose last event has a number.
+     */
+    boolean canContinue();
+
     /** Cancels the running attempt by closing its connection. */
     void cancelAttempt();
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EventSplitter.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EventSplitter.java
@@ -32,6 +32,7 @@
     private long lastId;
     private long lastIdOfAnswer = NO_EVENT_ID;
     private boolean hasNewEvent;
+    private boolean lastHasNumber = true;
     private EventFault fault;
     private int lineLength;
     private long dropped;
@@ -104,6 +105,9 @@
             dropped += event.length;
         } else {
             whole.writeBytes(event);
+            if (block.kind() != EventBlock.Kind.COMMENT) {
+                lastHasNumber = block.kind() == EventBlock.Kind.NUMBERED;
+            }
         }
     }
 
@@ -185,6 +189,14 @@
         return pending.size() > MAX_BUFFERED_BYTES || dropped > MAX_BUFFERED_BYTES;
     }
 
+    /**
+     * Returns whether another answer can go on after the events that were returned. It cannot after
+     * an event without a number, which it might repeat.
+     */
+    public boolean canContinue() {
+        return lastHasNumber;
+    }
+
     /** Returns the id of the last event, or {@link #NO_EVENT_ID}. */
     public long lastId() {
         return lastId;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -12,8 +12,7 @@
  * One request of a caller, from its arrival until it is answered or refused.
  *
  * <p>The transport reports the events of the running attempt. Each report ends the attempt, except
- * {@link #onProgress}, and {@link #onFailureAnswer} if it returns true: the answer is then passed
- * on, and a later report such as {@link #onComplete} ends the attempt.
+ * {@link #onProgress}, and {@link #onFailureAnswer} if it returns true: a later report ends it.
  */
 public final class ForwardCall {
 
@@ -380,6 +379,7 @@
 
     private boolean mayRunAgain() {
         return request.route().kind().isRepeatable()
+                && transport.canContinue()
                 && attempts.mayHaveRun() < request.route().maxAttempts()
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/EventSplitterTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/EventSplitterTest.java
@@ -164,6 +164,17 @@
         assertEquals(s.lastId(), 4);
     }
 
+    /** Guards against an unnumbered event that another run repeats. */
+    @Test
+    public void cannotBeContinuedAfterAnUnnumberedEvent() {
+        EventSplitter s = EventSplitter.after(EventSplitter.NO_EVENT_ID);
+        assertTrue(splitterWith(s, ": y\n\n").canContinue());
+        assertFalse(splitterWith(s, "data: x\n\n").canContinue());
+        assertFalse(splitterWith(s, ": y\n\n").canContinue());
+        assertTrue(splitterWith(s, event(1) + "data").canContinue());
+        assertFalse(splitterWith(s, ": x\n\n").canContinue());
+    }
+
     /** Guards against a stream that ends as complete before its last event. */
     @Test
     public void endWithoutANewEventIsCompleteOnlyIfTheAnswerStatesIt() {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
@@ -12,6 +12,7 @@
     private final List<Attempt> attempts = new ArrayList<>();
     private ForwardCall call;
     private int cancelled;
+    private boolean canContinue = true;
     private ResultCode refusedWith;
     private Option<Duration> retryAfter = Option.none();
     private ResultCode abortedWith;
@@ -33,6 +34,15 @@
         onSend.run();
     }
 
+    @Override
+    public boolean canContinue() {
+        return canContinue;
+    }
+
+    void setCanContinue(boolean value) {
+        canContinue = value;
+    }
+
     @Override
     public void cancelAttempt() {
         cancelled++;
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardCallTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardCallTest.java
@@ -113,6 +113,17 @@
             assertNull(t.abortedWith());
         }
 
+        /** Guards against two joined runs. */
+        @Test
+        public void isAbortedIfNoRunCanContinueIt() {
+            FakeTransport t = rig().open(RequestKind.RESUMABLE_STREAM, 2);
+            t.call().onProgress();
+            t.setCanContinue(false);
+            t.call().onConnectionLost("closed");
+            assertEquals(t.attempts().size(), 1);
+            assertEquals(t.abortedWith(), ResultCode.UPSTREAM_FAILED);
+        }
+
         @Test
         public void otherStreamsAreAborted() {
             FakeTransport t = rig().open(RequestKind.STREAM, 2);
