Let idle periods of callers keep the idle timeout under which they began

What callers would see (constructed; no record shows it): beside a configuration that lowers idleTimeoutMs, a connection that its caller was about to reuse was closed within four fifths of the timeout that the caller knew, and a request that crossed the close got no answer; an answer that its caller read slowly was cut in the middle, with the reason answer-not-read.

Cause: CallerServer.onTick compared periods that had begun under the earlier timeout with the newest one, as soon as it was in force here. Callers learn of a change only after the operator has its acknowledgement.

Change: CallerLimitHistory keeps earlier limits.

Ruled out: that the request is lost after it was read whole on an idle connection: a connection on which bytes were read is not idle. The cut answer belongs to a request that was read whole.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallerLimits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallerLimits.java
@@ -1,6 +1,8 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
 
 /**
  * Limits on the requests of callers.
@@ -16,4 +18,13 @@
     /** Limits until a configuration is known. The header size is the default of Netty. */
     public static final CallerLimits INITIAL =
             new CallerLimits(8192, 1 << 20, Duration.ofSeconds(10), Duration.ofSeconds(30));
+
+    /** Returns the larger value of each limit. */
+    CallerLimits max(CallerLimits other) {
+        return new CallerLimits(
+                Math.max(maxHeaderBytes, other.maxHeaderBytes),
+                Math.max(maxBodyBytes, other.maxBodyBytes),
+                Collections.max(List.of(headerTimeout, other.headerTimeout)),
+                Collections.max(List.of(idleTimeout, other.idleTimeout)));
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -53,6 +53,7 @@
     private final PromptReadTime promptReadTime = new PromptReadTime();
     private final AdapterWaitModel waitModel = new AdapterWaitModel(INITIAL_LOAD_TIME);
     private final Set<ForwardCall> openCalls = new HashSet<>();
+    private final CallerLimitHistory callerLimits = new CallerLimitHistory();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private Map<UpstreamState, EngineSpec> engines = Map.of();
     private long sequence;
@@ -124,6 +125,7 @@
                 "event=configuration version=%d previous=%d",
                 newConfiguration.version(), configuration.version());
         configuration = newConfiguration;
+        callerLimits.onChange(configuration.limits(), now());
         enginesChanged = true;
         return true;
     }
@@ -132,6 +134,10 @@
         return configuration;
     }
 
+    public CallerLimitHistory callerLimits() {
+        return callerLimits;
+    }
+
     long configurationVersion() {
         return configuration.version();
     }
