Refuse queued calls at once when their service has no upstream left

What callers would see (constructed): a request that waits in the queue of a service whose last upstream leaves or is removed is held for up to nine tenths of its time, and gets 503 too late to try again. A request that arrives at the same moment is refused at once.

Cause: the queue is checked only for calls that would wait too long, judged by the completion rate, which says nothing about upstreams that are gone.

Change: the check that runs every 25 ms refuses the calls of services without an upstream: not run (NO_UPSTREAM, with Retry-After) if they were never sent, 5001 between two attempts.

Ruled out by the other cases of ChangesUnderWaitingCallsTest, which passed before: calls that wait for an adapter whose engine leaves, is removed, loses its service in the configuration or moves to another service; a queued call whose service leaves the configuration; a call that was sent. Each is answered, refused or goes on.

queuedCallIsRefusedAtOnceWhenTheLastUpstreamIsGone and callBetweenAttemptsEndsWhenTheLastUpstreamIsGone failed before (nothing after 150 ms). The tests of core.forward pass, FleetTest not run.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.time.TimeSource;
 
@@ -60,11 +61,20 @@
         List.copyOf(queues.keySet()).forEach(this::dispatch);
     }
 
-    /** Refuses the calls that would still wait when they may no longer do so. */
-    void refuseOverdue() {
-        for (CallQueue queue : queues.values()) {
+    /**
+     * Refuses the calls of services without an upstream, and those that would still wait when they
+     * may no longer do so.
+     *
+     * @param isServed whether a service has an upstream
+     */
+    void refuseHopeless(Predicate<String> isServed) {
+        for (Map.Entry<String, CallQueue> e : List.copyOf(queues.entrySet())) {
+            CallQueue queue = e.getValue();
+            boolean served = queue.isEmpty() || isServed.test(e.getKey());
             for (ForwardCall call : queue.inDispatchOrder()) {
-                if (queue.willMissDeadline(call)) {
+                if (!served) {
+                    call.refuseWaiting(ResultCode.NO_UPSTREAM);
+                } else if (queue.willMissDeadline(call)) {
                     call.refuseWaiting(ResultCode.QUEUE_FULL);
                 }
             }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -263,7 +263,7 @@
 
     /** Returns why a call without an upstream must be refused now; empty if it may wait. */
     Option<ResultCode> refusalFor(ForwardCall call) {
-        if (upstreams.available(call.request().service()).isEmpty()) {
+        if (!upstreams.isServed(call.request().service())) {
             return Option.of(ResultCode.NO_UPSTREAM);
         }
         return queues.of(call).willMissDeadline(call)
@@ -451,7 +451,7 @@
     private void onCallTick() {
         callTickArmed = false;
         loadCoordinator.onTick();
-        queues.refuseOverdue();
+        queues.refuseHopeless(upstreams::isServed);
         queues.dispatchAll();
         if (loadCoordinator.isWaiting() || !queues.isEmpty()) {
             armCallTick();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -171,6 +171,11 @@
         return found;
     }
 
+    /** Returns whether an upstream of a service accepts new requests. */
+    boolean isServed(String service) {
+        return !available(service).isEmpty();
+    }
+
     /** Returns the engines to which orders can be sent. */
     Map<UpstreamState, EngineSpec> engines(RoutingConfiguration configuration) {
         Map<UpstreamState, EngineSpec> found = new HashMap<>();
