Keep a request at a silent upstream until another one can take it

What callers would see (constructed): an upstream that is silent for a second or so has a resumable stream whose first event is due; the other upstreams are full. After 1.2 s the attempt was cancelled, no place was found, and as the silence had used up the wait that the stream may have in the queue it ended with 502 (5001) at once, although the upstream would have gone on. An idempotent request was queued and sent to the same upstream again, with its attempts used up.

Cause: onStalled looked only for an upstream that is listed and not paused, not for one with a place, and the attempt was cancelled before one was chosen.

Ruled out: requests that may not be repeated, and streams that cannot be resumed, are not given up by a silence (unrepeatableRequestOutlastsASilence passed before). One silence does not take an upstream out of use either: OutcomeHealth makes it dearer, and only connections that cannot be opened pause it.

Change: the attempt is cancelled only once the chooser has found another upstream that can take the request now, or have its adapter in time, and the request goes to that one. Otherwise the stall is looked at again every 250 ms, so a request at an upstream that is gone for good still moves on.

What remains: if the other upstream turns the request away, the answer of the silent one is lost, since its attempt was cancelled.

SilentUpstreamTest failed before for idempotent requests and resumable streams beside full upstreams (cancelled once) and passes now, as do the other tests of core.forward; FleetTest not run yet.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AttemptCounts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AttemptCounts.java
@@ -26,6 +26,10 @@
         return mayHaveRun;
     }
 
+    boolean anyMayHaveRun() {
+        return mayHaveRun > 0;
+    }
+
     int notRun() {
         return notRun;
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -35,12 +35,10 @@
     private Scheduler.Timer deadlineTimer;
     private final StallTimer stallTimer;
     private long sentAt;
-    private long unreadTokensWhenSent;
     private final AttemptCounts attempts = new AttemptCounts();
     private boolean trial;
     private final AnswerProgress answer = new AnswerProgress();
-    private boolean mayHaveRun;
-    private boolean promptPending;
+    private final PendingPrompt prompt;
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
         this.request = request;
@@ -48,6 +46,7 @@
         this.forwarder = forwarder;
         this.arrivalNumber = number;
         this.openedAt = forwarder.now();
+        this.prompt = new PendingPrompt(request.promptTokens());
         this.stallTimer =
                 new StallTimer(
                         forwarder,
@@ -130,8 +129,7 @@
             reserve(choice.get().upstream());
             send();
         } else if (!answer.hasBegun()
-                && forwarder.now() + choice.get().adapterWait().toNanos() - sendDeadlineNanos()
-                        > 0) {
+                && !choice.get().isReadyBy(sendDeadlineNanos(), forwarder.now())) {
             refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
         } else {
             reserve(choice.get().upstream());
@@ -144,7 +142,9 @@
 
     /** Returns whether the call must not reach its first upstream because of a planned stop. */
     private boolean mayNotBegin() {
-        return !answer.hasBegun() && !mayHaveRun && forwarder.isExcludedByStop(request, openedAt);
+        return !answer.hasBegun()
+                && !attempts.anyMayHaveRun()
+                && forwarder.isExcludedByStop(request, openedAt);
     }
 
     private void enqueueOrRefuse() {
@@ -168,7 +168,7 @@
     private void release() {
         answer.onDisconnected();
         if (upstream != null) {
-            endPrompt();
+            prompt.end();
             if (state == CallState.AWAITING_ADAPTER) {
                 upstream.endAdapterWait(request.adapter().get());
             }
@@ -211,13 +211,6 @@
         }
     }
 
-    private void endPrompt() {
-        if (promptPending) {
-            promptPending = false;
-            upstream.endPrompt(request.promptTokens());
-        }
-    }
-
     /** Sends the request to the upstream assigned to it. */
     private void send() {
         if (!upstream.acceptsRequests()) {
@@ -252,24 +245,28 @@
                         forwarder.requiredVersion(request),
                         request.route().priority());
         log("send");
-        promptPending = true;
         forwarder.onSent(this);
-        upstream.beginPrompt(request.promptTokens());
-        unreadTokensWhenSent = upstream.totalUnreadTokens();
+        prompt.begin(upstream);
         stallTimer.start();
         transport.send(attempt);
     }
 
-    private void onStalled() {
-        if (state == CallState.SENT
-                && mayRunAgain()
-                && forwarder.hasAlternative(this)
-                && forwarder.tryTakeRetry(request)) {
-            log("stalled");
-            transport.cancelAttempt();
-            forwarder.onOutcome(this, false);
-            retryElsewhere();
+    /** Sends the request elsewhere if another upstream can take it now; returns whether it was. */
+    private boolean onStalled() {
+        Option<UpstreamChooser.Choice> other =
+                state == CallState.SENT && mayRunAgain()
+                        ? forwarder.chooseOther(this)
+                        : Option.none();
+        if (other.isEmpty() || !forwarder.tryTakeRetry(request)) {
+            return false;
         }
+        log("stalled");
+        transport.cancelAttempt();
+        forwarder.onOutcome(this, false);
+        excluded.add(upstream.id());
+        release();
+        dispatch(other);
+        return true;
     }
 
     /** Records how many requests the connection of the running attempt has carried before. */
@@ -284,12 +281,13 @@
 
     /** Records that the answer has begun, or that more of it was passed on to the caller. */
     public void onProgress() {
-        endPrompt();
+        prompt.end();
         if (answer.hasBegun()) {
             answer.onContinued(stallTimer.silentNanos());
         } else {
             answer.onBegun(forwarder.now());
-            forwarder.onFirstByte(this, answer.firstByteAt() - sentAt, unreadTokensWhenSent);
+            forwarder.onFirstByte(
+                    this, answer.firstByteAt() - sentAt, prompt.unreadTokensWhenSent());
         }
         stallTimer.onProgress();
     }
@@ -362,7 +360,6 @@
         if (state != CallState.SENT) {
             return;
         }
-        mayHaveRun = true;
         log("connection-lost", reason);
         forwarder.onOutcome(this, false);
         forwarder
@@ -385,7 +382,6 @@
     }
 
     private void retryElsewhere() {
-        mayHaveRun = true;
         excluded.add(upstream.id());
         release();
         dispatch();
@@ -423,9 +419,8 @@
             if (!answer.hasBegun()) {
                 forwarder.onOutcome(this, false);
             }
-            mayHaveRun = true;
         }
-        fail(mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_HOPELESS);
+        fail(attempts.anyMayHaveRun() ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_HOPELESS);
     }
 
     /** Refuses the call if it waits and may not be sent any more because of a planned stop. */
@@ -452,7 +447,8 @@
     }
 
     private void refuse(ResultCode code, Option<Duration> retryAfter) {
-        if (answer.hasBegun() || (mayHaveRun && code.runState() == RunState.NOT_RUN)) {
+        if (answer.hasBegun()
+                || (attempts.anyMayHaveRun() && code.runState() == RunState.NOT_RUN)) {
             log("cannot-refuse", "code-" + code.number());
             fail(ResultCode.UPSTREAM_FAILED);
             return;
@@ -489,12 +485,13 @@
 
     private void log(String decision, String reason) {
         if (LOG.isInfoEnabled()) {
-            CallLogLine line =
+            LOG.info(
                     CallLogLine.of(request, decision, reason)
                             .withAge(forwarder.now())
                             .withAttempts(attempts)
-                            .withUpstream(upstream);
-            LOG.info(line.withAnswer(answer).withConfiguration(forwarder.configurationVersion()));
+                            .withUpstream(upstream)
+                            .withAnswer(answer)
+                            .withConfiguration(forwarder.configuration().version()));
         }
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -109,8 +109,6 @@
         return membership.peers().stream().filter(p -> p.status().isLive()).map(Peer::id).toList();
     }
 
-    // Records that instances read from the store.
-
     /** Returns the state of the store, as the instances report it to each other. */
     public SharedStoreState sharedStoreState() {
         return storeState;
@@ -138,10 +136,6 @@
         return callerLimits;
     }
 
-    long configurationVersion() {
-        return configuration.version();
-    }
-
     /** Replaces the list of upstreams. */
     public void onUpstreams(Collection<UpstreamRecord> records) {
         upstreams.replaceAll(records).forEach(this::onUpstreamDiscarded);
@@ -235,6 +229,22 @@
     }
 
     Option<UpstreamChooser.Choice> choose(ForwardCall call) {
+        Option<UpstreamChooser.Choice> choice = choose(call, call.excluded());
+        if (choice.isEmpty() && !call.excluded().isEmpty()) {
+            // Allows all upstreams in the next choice: one that failed may be able to serve again.
+            call.excluded().clear();
+        }
+        return choice;
+    }
+
+    /** Returns another upstream than that of a call that can serve the call now. */
+    Option<UpstreamChooser.Choice> chooseOther(ForwardCall call) {
+        Set<String> excluded = new HashSet<>(call.excluded());
+        excluded.add(call.upstream().id());
+        return choose(call, excluded).filter(c -> c.isReadyBy(call.sendDeadlineNanos(), now()));
+    }
+
+    private Option<UpstreamChooser.Choice> choose(ForwardCall call, Set<String> excluded) {
         ForwardRequest r = call.request();
         List<UpstreamState> serving = upstreams.available(r.service());
         UpstreamChooser.ChoiceInputs inputs =
@@ -247,13 +257,8 @@
                         promptReadTime,
                         call.hasAnswerBegun(),
                         Duration.ofNanos(now() - r.arrivedNanos()),
-                        call.excluded());
-        Option<UpstreamChooser.Choice> choice = chooser.choose(inputs, serving);
-        if (choice.isEmpty() && !call.excluded().isEmpty()) {
-            // Allows all upstreams in the next choice: one that failed may be able to serve again.
-            call.excluded().clear();
-        }
-        return choice;
+                        excluded);
+        return chooser.choose(inputs, serving);
     }
 
     /** Returns the adapter version that must answer the request; empty if any version may. */
@@ -304,12 +309,7 @@
     }
 
     boolean hasAlternative(ForwardCall call) {
-        return upstreams.available(call.request().service()).stream()
-                .anyMatch(
-                        u ->
-                                u != call.upstream()
-                                        && !u.health().isPaused()
-                                        && !call.excluded().contains(u.id()));
+        return upstreams.hasAlternative(call);
     }
 
     /** Returns how long an upstream may be silent before the request is sent to another one. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimer.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimer.java
@@ -1,21 +1,26 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-/** Calls a task once when an attempt has made no progress for some time. */
+/** Calls a task when an attempt has made no progress for some time, until the task has acted. */
 final class StallTimer {
 
+    /** Interval at which the task is called again for an attempt that it could not end. */
+    private static final Duration RECHECK_INTERVAL = Duration.ofMillis(250);
+
     private final Forwarder forwarder;
     private final Supplier<Duration> timeout;
-    private final Runnable onStalled;
+    private final BooleanSupplier onStalled;
     private Scheduler.Timer timer;
     private long lastProgressAt;
 
     /**
      * @param timeout longest time without progress; may change while the timer runs
+     * @param onStalled returns whether the attempt was ended
      */
-    StallTimer(Forwarder forwarder, Supplier<Duration> timeout, Runnable onStalled) {
+    StallTimer(Forwarder forwarder, Supplier<Duration> timeout, BooleanSupplier onStalled) {
         this.forwarder = forwarder;
         this.timeout = timeout;
         this.onStalled = onStalled;
@@ -41,8 +46,8 @@
         long left = timeout.get().toNanos() - silentNanos();
         if (left > 0) {
             timer = forwarder.after(Duration.ofNanos(left), this::check);
-        } else {
-            onStalled.run();
+        } else if (!onStalled.getAsBoolean()) {
+            timer = forwarder.after(RECHECK_INTERVAL, this::check);
         }
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -73,7 +73,13 @@
 
     /** Chosen upstream, and whether it holds the request's adapter. */
     record Choice(
-            UpstreamState upstream, boolean adapterReady, Duration adapterWait, double costMs) {}
+            UpstreamState upstream, boolean adapterReady, Duration adapterWait, double costMs) {
+
+        /** Returns whether the adapter is expected to be there by a monotonic time. */
+        boolean isReadyBy(long nanos, long now) {
+            return adapterReady || now + adapterWait.toNanos() - nanos <= 0;
+        }
+    }
 
     /** Inputs of the choice other than the upstreams. */
     record ChoiceInputs(
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -171,6 +171,16 @@
         return found;
     }
 
+    /** Returns whether an upstream other than those that have failed a call may serve it. */
+    boolean hasAlternative(ForwardCall call) {
+        return available(call.request().service()).stream()
+                .anyMatch(
+                        u ->
+                                u != call.upstream()
+                                        && !u.health().isPaused()
+                                        && !call.excluded().contains(u.id()));
+    }
+
     /** Returns whether an upstream of a service accepts new requests. */
     boolean isServed(String service) {
         return !available(service).isEmpty();
