Compare positions in the store by era first in what instances tell each other

What callers saw: in fleets of more than 24 instances, after the store had returned from an older copy, a change was in force late at instances that hold no watch (they took the lower revision for no news and waited for the next poll, up to 8 s), or unknown routes got 503 in place of 404, with further calls to the store, until its counter had caught up.

Cause: SharedStoreState kept the highest revision that it or another instance had seen, and digests carried the revision alone.

SharedStoreState and LoadDigest (new field store_era) hold positions now, ordered by era first. A digest of the earlier era that comes late is no news. A digest without an era (a store that states none, or an instance of an earlier release) counts for the era known here, so changes still reach instances while releases run side by side.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadDigests.java
@@ -68,7 +68,7 @@
 
         private int nextRepeated;
         private List<UpstreamLoad> loads = List.of();
-        private long newestRevision;
+        private StorePosition newestPosition = StorePosition.NONE;
         private boolean storeResponding;
 
         private void markSent(UpstreamState u, long fencing) {
@@ -79,9 +79,9 @@
         /** Updates the state of the store to be sent. Returns whether it has changed. */
         private boolean updateStoreState(SharedStoreState storeState) {
             boolean changed =
-                    newestRevision != storeState.newestRevision()
+                    !newestPosition.equals(storeState.newestPosition())
                             || storeResponding != storeState.isResponding();
-            newestRevision = storeState.newestRevision();
+            newestPosition = storeState.newestPosition();
             storeResponding = storeState.isResponding();
             return changed;
         }
@@ -311,10 +311,12 @@
     }
 
     private LoadDigest.Builder digest(List<UpstreamLoad> loads) {
+        StorePosition newest = storeState.newestPosition();
         return LoadDigest.newBuilder()
                 .setValidMs((int) LoadExchange.lifetime(REPEAT_INTERVAL).toMillis())
                 .addAllLoads(loads)
-                .setNewsRevision(storeState.newestRevision())
+                .setStoreEra(newest.era())
+                .setNewsRevision(newest.revision())
                 .setStoreAnswers(storeState.isResponding())
                 .setStoreReturnedMs(storeState.millisSinceRecovery());
     }
@@ -376,7 +378,8 @@
         }
         boolean fromOwnCollector =
                 !digest.getBetweenCollectors() && collectors.ownCollector().contains(from);
-        storeState.onDigest(digest.getNewsRevision(), digest.getStoreAnswers(), fromOwnCollector);
+        StorePosition newest = new StorePosition(digest.getStoreEra(), digest.getNewsRevision());
+        storeState.onDigest(newest, digest.getStoreAnswers(), fromOwnCollector);
         if (fromOwnCollector && storeState.onRecoveryReported(digest.getStoreReturnedMs())) {
             upstreams.onStoreRecovered();
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
@@ -5,10 +5,10 @@
 
 /**
  * State of the platform's store that the instances of a large fleet exchange, so that only the
- * collectors need to watch the store: the newest revision with a relevant change, and whether the
+ * collectors need to watch the store: the newest position with a relevant change, and whether the
  * store responds. A change is relevant if every instance must read it soon: a newer configuration
  * or adapter version, a new or removed upstream, or a change of a record on which routing depends.
- * The changes are not part of it: an instance that receives a newer revision reads them from the
+ * The changes are not part of it: an instance that receives a newer position reads them from the
  * store.
  */
 public final class SharedStoreState {
@@ -26,9 +26,9 @@
     private static final long NEVER = Long.MIN_VALUE;
 
     private final TimeSource time;
-    private long ownRevision;
+    private StorePosition ownPosition = StorePosition.NONE;
     private boolean responding;
-    private long peerRevision;
+    private StorePosition peerPosition = StorePosition.NONE;
     private boolean storeRespondingToCollector;
     private long collectorDigestAt;
     private long recoveredAt = NEVER;
@@ -44,10 +44,10 @@
      *
      * @param relevant whether it contained a relevant change; the complete contents count as one
      */
-    public void onRead(long revision, boolean relevant) {
+    public void onRead(StorePosition position, boolean relevant) {
         responding = true;
         if (relevant) {
-            ownRevision = Math.max(ownRevision, revision);
+            ownPosition = ownPosition.orLater(position);
         }
     }
 
@@ -69,9 +69,9 @@
                 : (int) Math.max(1, age / 1_000_000);
     }
 
-    /** Returns the newest revision with a relevant change that other instances have reported. */
-    public long newestPeerRevision() {
-        return peerRevision;
+    /** Returns the newest position of a relevant change that other instances have reported. */
+    public StorePosition newestPeerPosition() {
+        return peerPosition;
     }
 
     /**
@@ -82,9 +82,9 @@
                 && time.nanoTime() - collectorDigestAt <= DIGEST_LIFETIME.toNanos();
     }
 
-    /** Returns the newest revision with a relevant change that is known here. */
-    long newestRevision() {
-        return Math.max(ownRevision, peerRevision);
+    /** Returns the newest position of a relevant change that is known here. */
+    StorePosition newestPosition() {
+        return ownPosition.orLater(peerPosition);
     }
 
     boolean isResponding() {
@@ -107,11 +107,15 @@
     /**
      * Updates the state from a collector's digest.
      *
+     * @param position newest position that the collector knows; without an era, its revision counts
+     *     for the newest era known here
      * @param fromOwnCollector whether the digest is from the collector to which this instance
      *     reports
      */
-    void onDigest(long revision, boolean storeResponding, boolean fromOwnCollector) {
-        peerRevision = Math.max(peerRevision, revision);
+    void onDigest(StorePosition position, boolean storeResponding, boolean fromOwnCollector) {
+        boolean hasEra = position.era() > 0;
+        long era = hasEra ? position.era() : newestPosition().era();
+        peerPosition = peerPosition.orLater(new StorePosition(era, position.revision()));
         if (fromOwnCollector) {
             storeRespondingToCollector = storeResponding;
             collectorDigestAt = time.nanoTime();
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetTest.java
@@ -33,7 +33,8 @@
         rig.clearReceived();
         rig.run(Duration.ofSeconds(3));
         List<FleetRig.Node> collectors = rig.collectors();
-        collectors.forEach(c -> c.forwarder.sharedStoreState().onRead(70, false));
+        collectors.forEach(
+                c -> c.forwarder.sharedStoreState().onRead(new StorePosition(1, 70), false));
         rig.run(PROPAGATION_TIME);
         return collectors;
     }
@@ -100,7 +101,9 @@
     @Test
     public void smallFleetHasNoCollectors() {
         FleetRig rig = new FleetRig(9, 3, 5);
-        rig.up().forEach(n -> n.forwarder.sharedStoreState().onRead(70, true));
+        rig.up()
+                .forEach(
+                        n -> n.forwarder.sharedStoreState().onRead(new StorePosition(1, 70), true));
         for (int i = 0; i < 40; i++) {
             rig.run(Duration.ofMillis(100));
             for (FleetRig.Node n : rig.up()) {
@@ -256,13 +259,16 @@
         for (FleetRig.Node n : rig.up()) {
             SharedStoreState storeState = n.forwarder.sharedStoreState();
             assertEquals(storeState.isWatchedByCollector(), !collectors.contains(n), n.ref.id());
-            assertEquals(storeState.newestPeerRevision(), 0, n.ref.id());
+            assertEquals(storeState.newestPeerPosition(), StorePosition.NONE, n.ref.id());
         }
-        collectors.get(0).forwarder.sharedStoreState().onRead(71, true);
+        collectors.get(0).forwarder.sharedStoreState().onRead(new StorePosition(1, 71), true);
         rig.run(PROPAGATION_TIME);
         for (FleetRig.Node n : rig.up()) {
             SharedStoreState storeState = n.forwarder.sharedStoreState();
-            assertTrue(n == collectors.get(0) || storeState.newestPeerRevision() == 71, n.ref.id());
+            assertTrue(
+                    n == collectors.get(0)
+                            || storeState.newestPeerPosition().equals(new StorePosition(1, 71)),
+                    n.ref.id());
         }
         FleetRig.Node lost = collectors.get(1);
         lost.forwarder.sharedStoreState().onReadFailed();
@@ -275,6 +281,26 @@
         }
     }
 
+    /**
+     * Guards against instances that take revisions of the earlier era for newer ones after the
+     * store has returned from an older copy, and so never hear of a change again.
+     */
+    @Test
+    public void returnOfTheStoreToALowerRevisionReachesAllInstances() {
+        FleetRig rig = new FleetRig(60, 5, 10);
+        List<FleetRig.Node> collectors = collectorsThatReadTheStore(rig);
+        collectors.forEach(
+                c -> c.forwarder.sharedStoreState().onRead(new StorePosition(1, 75), true));
+        rig.run(PROPAGATION_TIME);
+        StorePosition returned = new StorePosition(2, 40);
+        collectors.get(0).forwarder.sharedStoreState().onRead(returned, true);
+        rig.run(PROPAGATION_TIME);
+        for (FleetRig.Node n : rig.up()) {
+            SharedStoreState storeState = n.forwarder.sharedStoreState();
+            assertEquals(storeState.newestPosition(), returned, n.ref.id());
+        }
+    }
+
     /**
      * Guards against instances that remove lapsed records because they did not notice an outage of
      * the store.
@@ -284,7 +310,8 @@
         FleetRig rig = new FleetRig(60, 5, 10);
         List<FleetRig.Node> collectors = collectorsThatReadTheStore(rig);
         collectors.forEach(c -> c.forwarder.onStoreRecovered());
-        collectors.forEach(c -> c.forwarder.sharedStoreState().onRead(71, true));
+        collectors.forEach(
+                c -> c.forwarder.sharedStoreState().onRead(new StorePosition(1, 71), true));
         rig.run(PROPAGATION_TIME);
         for (FleetRig.Node n : rig.up()) {
             n.forwarder.onUpstreamRemoved("e1");
