Let a stream that may have run wait longer for another upstream

What callers would see (constructed): a resumable stream whose upstream is silent for a second or so before the first event is sent to another upstream after 1.2 s. If that one turns it away (503, not run), the stream ended with 502 (5001) at once, though most of its time was left and the silent upstream would have gone on.

Cause: a stream may wait in the queue for half of its target only, which a stall has used up. The limit is there so that a caller is told early to come back; a request that may have run cannot be refused that way, and ends as failed.

streamIsNotFailedWhenTheOtherEngineTurnsItAway failed before (UPSTREAM_FAILED) and passes now, as do the other tests of core.forward (FleetTest not run).

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -70,7 +70,7 @@
 
     /** Returns the monotonic time until which the call may wait for a place at an upstream. */
     long queueDeadlineNanos() {
-        return WaitLimits.queueDeadlineNanos(request, answer.hasBegun());
+        return WaitLimits.queueDeadlineNanos(request, answer.hasBegun(), attempts.anyMayHaveRun());
     }
 
     boolean hasAnswerBegun() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitLimits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitLimits.java
@@ -30,12 +30,14 @@
     /**
      * Returns the monotonic time until which the request may wait for a place at an upstream. A
      * stream that would be sent later would miss its target, and delay others that can still meet
-     * theirs.
+     * theirs. One that may have run waits longer, since its caller is not told to try again.
      *
      * @param answerBegun whether a part of the answer has reached the caller
+     * @param mayHaveRun whether an upstream may have run the request
      */
-    static long queueDeadlineNanos(ForwardRequest request, boolean answerBegun) {
-        if (answerBegun || !request.route().kind().isStream()) {
+    static long queueDeadlineNanos(
+            ForwardRequest request, boolean answerBegun, boolean mayHaveRun) {
+        if (answerBegun || mayHaveRun || !request.route().kind().isStream()) {
             return sendDeadlineNanos(request, answerBegun);
         }
         long limit = (long) (request.route().target().toNanos() * QUEUE_DEADLINE_FRACTION);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/SilentUpstreamTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/SilentUpstreamTest.java
@@ -93,4 +93,21 @@
         assertEquals(t.attempts().size(), 1);
         assertNull(t.refusedWith());
     }
+
+    /**
+     * Guards against a stream that fails because the upstream that was tried in place of a silent
+     * one turns it away.
+     */
+    @Test
+    public void streamIsNotFailedWhenTheOtherEngineTurnsItAway() {
+        ForwardRig rig = rig();
+        Option<AdapterRef> base = Option.of(new AdapterRef("m", ""));
+        FakeTransport t = rig.open(RequestKind.RESUMABLE_STREAM, 2, base);
+        rig.scheduler().advance(SILENCE);
+        assertEquals(t.attempts().size(), 2);
+        t.call().onNotRun("status-503", NotRunCause.REFUSED);
+        rig.scheduler().advance(Duration.ofMillis(100));
+        assertNull(t.refusedWith());
+        assertEquals(t.attempts().size(), 3);
+    }
 }
