Keep records that are missing after a return of the store for the grace period

What callers saw: an upstream that had been published after the copy got no requests from the return on, and callers were refused where it was the only one, although it was published again within two seconds.

Cause: the grace period for missing records began only after failed calls. A return need not fail any call.

A return of the store begins the grace period before the contents of the copy are applied; collectors report it like a recovery. A configuration in force was never replaced by an older one of the copy; RestoredContentsTest shows this too.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -163,6 +163,11 @@
         storeState.onRecovered();
     }
 
+    /** Handles the return of the store from an older copy, before its contents are applied. */
+    public void onStoreRestored() {
+        onStoreRecovered();
+    }
+
     private void onUpstreamDiscarded(UpstreamState discarded) {
         enginesChanged = true;
         controller.release(discarded);
