Begin the grace period of a missing record anew at a second outage of the store

What callers saw: after two outages, or two returns from a copy, one after the other, a live upstream could be removed in the grace period of the second one: its record had been missing since the first one, and the end of that grace period was kept.

A record that is still missing after a second outage is kept until the later grace period ends. Without the change UpstreamTableTest.secondOutageBeginsTheGracePeriodAnew failed.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -94,8 +94,8 @@
             return List.of();
         }
         if (time.nanoTime() - storeRecoveredAt < recoveryGrace.toNanos()) {
-            if (lapsedKeptUntil.putIfAbsent(id, storeRecoveredAt + recoveryGrace.toNanos())
-                    == null) {
+            long until = storeRecoveredAt + recoveryGrace.toNanos();
+            if (lapsedKeptUntil.put(id, until) == null) {
                 LOG.infof(
                         "event=upstream-lapsed upstream=%s action=keep-until-grace-period-ends",
                         id);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
@@ -37,6 +37,21 @@
         assertTrue(table.onTick().isEmpty());
     }
 
+    /** Guards against a second outage in whose grace period a live upstream is removed. */
+    @Test
+    public void secondOutageBeginsTheGracePeriodAnew() {
+        table.put(ForwardRig.plain("p1", 1));
+        table.onStoreRecovered();
+        table.remove("p1");
+        scheduler.advance(Duration.ofMillis(1500));
+        table.onStoreRecovered();
+        table.replaceAll(List.of());
+        scheduler.advance(Duration.ofMillis(1500));
+        assertTrue(table.onTick().isEmpty());
+        scheduler.advance(Duration.ofMillis(600));
+        assertEquals(table.onTick().size(), 1);
+    }
+
     @Test
     public void recordThatDoesNotComeBackIsDropped() {
         table.put(ForwardRig.plain("p1", 1));
