Do not send a once-only request again to an upstream that has refused it

Cause: when no other upstream had room, a refused request went back to the upstream that had refused it, up to five times within some 30 ms. All attempts have the identifier of the request, so a refusal of an earlier attempt that is repeated on the connection of a later one looks like the answer to it. That no connection carries a request twice does not help, because the upstream repeats the refusal on another connection.

Change: a request that must not run twice is not sent again to an incarnation that has refused it. It waits for another upstream, and is refused at once with a Retry-After if no reachable one is left: its caller comes back with another identifier. An engine that lacked the adapter gets the request again after the load; a second statement of a missing adapter may be the first one, and the request fails as one that may have run (502). Requests that wait for another upstream do not hold up those behind them. Repeatable requests go back as before, since the upstream may have room again and a second run does no harm.

Ruled out: one repeat and then 502, since callers do not send a once-only request again after a 502, and the second refusal is usual at an upstream without room; a pause, since the copy of the refusal has no latest time.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.time.TimeSource;
 
@@ -16,14 +17,20 @@
 
     private final TimeSource time;
     private final Function<ForwardCall, Option<UpstreamChooser.Choice>> chooser;
+    private final Predicate<ForwardCall> hasUpstream;
     private final Map<String, CallQueue> queues = new HashMap<>();
 
     /**
      * @param chooser chooses the upstream of a call; empty if none can take it now
+     * @param hasUpstream whether a call may be sent to an upstream, now or later
      */
-    CallQueues(TimeSource time, Function<ForwardCall, Option<UpstreamChooser.Choice>> chooser) {
+    CallQueues(
+            TimeSource time,
+            Function<ForwardCall, Option<UpstreamChooser.Choice>> chooser,
+            Predicate<ForwardCall> hasUpstream) {
         this.time = time;
         this.chooser = chooser;
+        this.hasUpstream = hasUpstream;
     }
 
     /** Returns the queue for the service of a call. */
@@ -37,7 +44,8 @@
 
     /**
      * Sends queued calls of a service for which there is capacity now. A call without an upstream
-     * does not hold up those behind it, whose adapters or prompts may fit elsewhere.
+     * does not hold up those behind it, whose adapters or prompts may fit elsewhere. One that waits
+     * for an upstream that has not refused it says nothing about the capacity for others.
      */
     void dispatch(String service) {
         int withoutUpstream = 0;
@@ -49,7 +57,7 @@
             Option<UpstreamChooser.Choice> choice = chooser.apply(call);
             if (choice.isDefined()) {
                 call.dispatch(choice);
-            } else if (++withoutUpstream == MAX_FAILED_CHOICES) {
+            } else if (!call.excluded().anyForGood() && ++withoutUpstream == MAX_FAILED_CHOICES) {
                 return;
             }
         }
@@ -60,12 +68,17 @@
         List.copyOf(queues.keySet()).forEach(this::dispatch);
     }
 
-    /** Refuses the calls that would still wait when they may no longer do so. */
+    /**
+     * Refuses the calls that would still wait when they may no longer do so, and those that have
+     * been refused by all upstreams that are left.
+     */
     void refuseOverdue() {
         for (CallQueue queue : queues.values()) {
             for (ForwardCall call : queue.inDispatchOrder()) {
                 if (queue.willMissDeadline(call)) {
                     call.refuseWaiting(ResultCode.QUEUE_FULL);
+                } else if (call.excluded().anyForGood() && !hasUpstream.test(call)) {
+                    call.refuseWaiting(ResultCode.NO_UPSTREAM);
                 }
             }
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -2,8 +2,6 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.result.RunState;
 import org.jboss.logging.Logger;
@@ -29,7 +27,7 @@
     private final Forwarder forwarder;
     private final long arrivalNumber;
     private final long openedAt;
-    private final Set<String> excluded = new HashSet<>();
+    private final ExcludedUpstreams excluded;
     private CallState state = CallState.DISPATCHING;
     private UpstreamState upstream;
     private Scheduler.Timer deadlineTimer;
@@ -47,6 +45,7 @@
         this.transport = transport;
         this.forwarder = forwarder;
         this.arrivalNumber = number;
+        this.excluded = new ExcludedUpstreams(request.route().kind().isRepeatable());
         this.openedAt = forwarder.now();
         this.stallTimer =
                 new StallTimer(
@@ -78,7 +77,7 @@
         return answer.hasBegun();
     }
 
-    Set<String> excluded() {
+    ExcludedUpstreams excluded() {
         return excluded;
     }
 
@@ -197,7 +196,7 @@
     void onAdapterFailed() {
         if (state == CallState.AWAITING_ADAPTER) {
             log("adapter-failed");
-            excluded.add(upstream.id());
+            excluded.passOver(upstream);
             release();
             dispatch();
         }
@@ -261,10 +260,7 @@
     }
 
     private void onStalled() {
-        if (state == CallState.SENT
-                && mayRunAgain()
-                && forwarder.hasAlternative(this)
-                && forwarder.tryTakeRetry(request)) {
+        if (state == CallState.SENT && tryTakeRetryElsewhere()) {
             log("stalled");
             transport.cancelAttempt();
             forwarder.onOutcome(this, false);
@@ -302,7 +298,7 @@
         attempts.onNotRun();
         log("unreachable", reason);
         forwarder.onUnreachable(this);
-        excluded.add(upstream.id());
+        excluded.passOver(upstream);
         release();
         dispatchAgain(true);
     }
@@ -316,15 +312,17 @@
         if (state != CallState.SENT) {
             return;
         }
+        forwarder.onNotRun(this, cause);
+        if (!excluded.onNotRun(upstream, cause)) {
+            mayHaveRun = true;
+            log("ambiguous-refusal", reason);
+            fail(ResultCode.UPSTREAM_FAILED);
+            return;
+        }
         attempts.onNotRun();
         log("not-run", reason);
-        switch (cause) {
-            case ADAPTER_MISSING -> forwarder.onAdapterMissing(this);
-            case MISADDRESSED -> forwarder.onMisaddressed(upstream);
-            default -> excluded.add(upstream.id());
-        }
         release();
-        dispatchAgain(forwarder.tryTakeRetry(request));
+        dispatchAgain(forwarder.hasUpstreamFor(this) && forwarder.tryTakeRetry(request));
     }
 
     private void dispatchAgain(boolean allowed) {
@@ -345,10 +343,7 @@
         if (state != CallState.SENT) {
             return false;
         }
-        if (status >= 500
-                && mayRunAgain()
-                && forwarder.hasAlternative(this)
-                && forwarder.tryTakeRetry(request)) {
+        if (status >= 500 && tryTakeRetryElsewhere()) {
             log("upstream-failed", "status-" + status);
             forwarder.onOutcome(this, false);
             retryElsewhere();
@@ -384,9 +379,13 @@
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
 
+    private boolean tryTakeRetryElsewhere() {
+        return mayRunAgain() && forwarder.hasAlternative(this) && forwarder.tryTakeRetry(request);
+    }
+
     private void retryElsewhere() {
         mayHaveRun = true;
-        excluded.add(upstream.id());
+        excluded.passOver(upstream);
         release();
         dispatch();
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -64,7 +64,7 @@
         this.settings = settings;
         this.time = ports.time();
         this.scheduler = ports.scheduler();
-        this.queues = new CallQueues(time, this::choose);
+        this.queues = new CallQueues(time, this::choose, this::hasUpstreamFor);
         this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
@@ -243,9 +243,8 @@
                         Duration.ofNanos(now() - r.arrivedNanos()),
                         call.excluded());
         Option<UpstreamChooser.Choice> choice = chooser.choose(inputs, serving);
-        if (choice.isEmpty() && !call.excluded().isEmpty()) {
-            // Allows all upstreams in the next choice: one that failed may be able to serve again.
-            call.excluded().clear();
+        if (choice.isEmpty()) {
+            call.excluded().readmitPassedOver();
         }
         return choice;
     }
@@ -257,7 +256,7 @@
 
     /** Returns why a call without an upstream must be refused now; empty if it may wait. */
     Option<ResultCode> refusalFor(ForwardCall call) {
-        if (upstreams.available(call.request().service()).isEmpty()) {
+        if (!hasUpstreamFor(call)) {
             return Option.of(ResultCode.NO_UPSTREAM);
         }
         return queues.of(call).willMissDeadline(call)
@@ -297,13 +296,15 @@
         return retries.tryTake(request.service());
     }
 
+    /** Returns whether an upstream is listed to which the request may be sent, now or later. */
+    boolean hasUpstreamFor(ForwardCall call) {
+        return call.excluded().allowAnyOf(upstreams.available(call.request().service()));
+    }
+
     boolean hasAlternative(ForwardCall call) {
         return upstreams.available(call.request().service()).stream()
-                .anyMatch(
-                        u ->
-                                u != call.upstream()
-                                        && !u.health().isPaused()
-                                        && !call.excluded().contains(u.id()));
+                .filter(u -> u != call.upstream() && !u.health().isPaused())
+                .anyMatch(u -> !call.excluded().contains(u));
     }
 
     /** Returns how long an upstream may be silent before the request is sent to another one. */
@@ -364,7 +365,7 @@
      * Stops using an upstream whose address now belongs to another upstream. The upstream stays in
      * the table until the platform removes its record.
      */
-    void onMisaddressed(UpstreamState upstream) {
+    private void onMisaddressed(UpstreamState upstream) {
         if (upstream.setMisaddressed()) {
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
             crashDetector.onUpstreamDown(upstream.id());
@@ -393,8 +394,13 @@
         loadCoordinator.onWaitAbandoned(call);
     }
 
-    void onAdapterMissing(ForwardCall call) {
-        loadCoordinator.onAdapterMissing(call);
+    /** Records why the upstream of a call has not run the request. */
+    void onNotRun(ForwardCall call, NotRunCause cause) {
+        if (cause == NotRunCause.ADAPTER_MISSING) {
+            loadCoordinator.onAdapterMissing(call);
+        } else if (cause == NotRunCause.MISADDRESSED) {
+            onMisaddressed(call.upstream());
+        }
     }
 
     // Messages and ticks.
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.model.RendezvousHash;
 
@@ -85,7 +84,7 @@
             PromptReadTime promptReadTime,
             boolean answerBegun,
             Duration age,
-            Set<String> excluded) {}
+            ExcludedUpstreams excluded) {}
 
     /**
      * Returns the first upstream in the rendezvous order of the request's adapter; empty if the
@@ -111,9 +110,7 @@
     Option<Choice> choose(ChoiceInputs inputs, Collection<UpstreamState> upstreams) {
         Choice best = null;
         for (UpstreamState u : upstreams) {
-            if (inputs.excluded().contains(u.id())
-                    || u.health().isPaused()
-                    || !hasCapacity(inputs, u)) {
+            if (inputs.excluded().contains(u) || u.health().isPaused() || !hasCapacity(inputs, u)) {
                 continue;
             }
             Choice c = evaluate(inputs, u);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
@@ -55,7 +55,7 @@
                         readTime,
                         false,
                         age,
-                        Set.of());
+                        new ExcludedUpstreams(false));
         return new UpstreamChooser("a", new Random(1)).choose(inputs, List.of(engines));
     }
 
