--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -49,7 +48,7 @@
     private final CallQueues queues;
     private final RetryDelay retryDelay;
     private final StallTimeouts stallTimeouts = new StallTimeouts();
-    private final Map<AdapterRef, Integer> adapterVersions = new HashMap<>();
+    private final AdapterVersions adapterVersions = new AdapterVersions();
     private final PromptReadTime promptReadTime = new PromptReadTime();
     private final AdapterWaitModel waitModel = new AdapterWaitModel(INITIAL_LOAD_TIME);
     private final Set<ForwardCall> openCalls = new HashSet<>();
@@ -65,7 +64,7 @@
         this.settings = settings;
         this.time = ports.time();
         this.scheduler = ports.scheduler();
-        this.queues = new CallQueues(time, this::choose);
+        this.queues = new CallQueues(time, this::choose, this::hasUpstreamFor);
         this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
@@ -157,17 +156,12 @@
         upstreams.remove(id).forEach(this::onUpstreamDiscarded);
     }
 
-    /** Handles the recovery of the store after an outage. */
+    /** Handles the recovery of the store after an outage, before its contents are applied. */
     public void onStoreRecovered() {
         upstreams.onStoreRecovered();
         storeState.onRecovered();
     }
 
-    /** Handles the return of the store from an older copy, before its contents are applied. */
-    public void onStoreRestored() {
-        onStoreRecovered();
-    }
-
     private void onUpstreamDiscarded(UpstreamState discarded) {
         enginesChanged = true;
         controller.release(discarded);
@@ -177,13 +171,7 @@
 
     /** Updates the newest known version of an adapter; returns whether it has increased. */
     public boolean onAdapterVersion(AdapterRef adapter, int version) {
-        Integer known = adapterVersions.get(adapter);
-        if (known == null || version > known) {
-            adapterVersions.put(adapter, version);
-            LOG.infof("event=adapter-version adapter=%s version=%d", adapter.key(), version);
-            return true;
-        }
-        return false;
+        return adapterVersions.update(adapter, version);
     }
 
     public int upstreamCount() {
@@ -235,21 +223,19 @@
 
     Option<UpstreamChooser.Choice> choose(ForwardCall call) {
         Option<UpstreamChooser.Choice> choice = choose(call, call.excluded());
-        if (choice.isEmpty() && !call.excluded().isEmpty()) {
-            // Allows all upstreams in the next choice: one that failed may be able to serve again.
-            call.excluded().clear();
+        if (choice.isEmpty()) {
+            call.excluded().readmitPassedOver();
         }
         return choice;
     }
 
     /** Returns another upstream than that of a call that can serve the call now. */
     Option<UpstreamChooser.Choice> chooseOther(ForwardCall call) {
-        Set<String> excluded = new HashSet<>(call.excluded());
-        excluded.add(call.upstream().id());
-        return choose(call, excluded).filter(c -> c.isReadyBy(call.sendDeadlineNanos(), now()));
+        return choose(call, call.excluded().and(call.upstream()))
+                .filter(c -> c.isReadyBy(call.sendDeadlineNanos(), now()));
     }
 
-    private Option<UpstreamChooser.Choice> choose(ForwardCall call, Set<String> excluded) {
+    private Option<UpstreamChooser.Choice> choose(ForwardCall call, ExcludedUpstreams excluded) {
         ForwardRequest r = call.request();
         List<UpstreamState> serving = upstreams.available(r.service());
         UpstreamChooser.ChoiceInputs inputs =
@@ -268,12 +254,12 @@
 
     /** Returns the adapter version that must answer the request; empty if any version may. */
     Option<Integer> requiredVersion(ForwardRequest request) {
-        return request.adapter().flatMap(a -> Option.of(adapterVersions.get(a)));
+        return request.adapter().flatMap(adapterVersions::newest);
     }
 
     /** Returns why a call without an upstream must be refused now; empty if it may wait. */
     Option<ResultCode> refusalFor(ForwardCall call) {
-        if (!upstreams.isServed(call.request().service())) {
+        if (!hasUpstreamFor(call)) {
             return Option.of(ResultCode.NO_UPSTREAM);
         }
         return queues.of(call).willMissDeadline(call)
@@ -313,6 +299,11 @@
         return retries.tryTake(request.service());
     }
 
+    /** Returns whether an upstream is listed to which the request may be sent, now or later. */
+    boolean hasUpstreamFor(ForwardCall call) {
+        return call.excluded().allowAnyOf(upstreams.available(call.request().service()));
+    }
+
     boolean hasAlternative(ForwardCall call) {
         return upstreams.hasAlternative(call);
     }
@@ -375,7 +366,7 @@
      * Stops using an upstream whose address now belongs to another upstream. The upstream stays in
      * the table until the platform removes its record.
      */
-    void onMisaddressed(UpstreamState upstream) {
+    private void onMisaddressed(UpstreamState upstream) {
         if (upstream.setMisaddressed()) {
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
             crashDetector.onUpstreamDown(upstream.id());
@@ -404,8 +395,13 @@
         loadCoordinator.onWaitAbandoned(call);
     }
 
-    void onAdapterMissing(ForwardCall call) {
-        loadCoordinator.onAdapterMissing(call);
+    /** Records why the upstream of a call has not run the request. */
+    void onNotRun(ForwardCall call, NotRunCause cause) {
+        if (cause == NotRunCause.ADAPTER_MISSING) {
+            loadCoordinator.onAdapterMissing(call);
+        } else if (cause == NotRunCause.MISADDRESSED) {
+            onMisaddressed(call.upstream());
+        }
     }
 
     // Messages and ticks.
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -178,7 +178,7 @@
                         u ->
                                 u != call.upstream()
                                         && !u.health().isPaused()
-                                        && !call.excluded().contains(u.id()));
+                                        && !call.excluded().contains(u));
     }
 
     /** Returns whether an upstream of a service accepts new requests. */
