--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/SilentUpstreamTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/SilentUpstreamTest.java
@@ -110,4 +110,22 @@
         assertNull(t.refusedWith());
         assertEquals(t.attempts().size(), 3);
     }
+
+    /** Guards against a request that fails because a full upstream turns it away repeatedly. */
+    @Test
+    public void requestReturnsToTheSilentUpstreamWhenTheOtherTurnsItAway() {
+        ForwardRig rig = rig();
+        FakeTransport t = rig.open(RequestKind.IDEMPOTENT, 2);
+        String silent = t.last().upstream().id();
+        rig.scheduler().advance(SILENCE);
+        assertEquals(t.attempts().size(), 2);
+        for (int i = 0; i < 6 && !t.last().upstream().id().equals(silent); i++) {
+            t.call().onNotRun("status-503", NotRunCause.REFUSED);
+            rig.scheduler().advance(Duration.ofMillis(50));
+        }
+        assertNull(t.refusedWith());
+        assertEquals(t.last().upstream().id(), silent);
+        rig.scheduler().advance(SILENCE.multipliedBy(2));
+        assertNull(t.refusedWith());
+    }
 }
