Do not use upstreams of the copy that are known to have left

What callers saw: after the store had returned from a copy, requests went to upstreams that had left or had announced that they were draining since the copy was made, and to earlier incarnations of upstreams that had restarted; their addresses may belong to others by then.

Cause: the contents of the copy replaced what was known, whatever was newer.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -165,6 +165,7 @@
 
     /** Handles the return of the store from an older copy, before its contents are applied. */
     public void onStoreRestored() {
+        upstreams.onStoreRestored();
         onStoreRecovered();
     }
 
@@ -430,6 +431,7 @@
         crashDetector.onTick();
         retries.onTick(membership.live().size());
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
+        upstreams.takeDueRecords().forEach(this::onUpstream);
         if (enginesChanged) {
             enginesChanged = false;
             engines = upstreams.engines(configuration);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -23,6 +23,7 @@
     private final Map<String, UpstreamState> states = new LinkedHashMap<>();
     private final Map<Integer, UpstreamState> byHash = new HashMap<>();
     private final Map<String, Long> lapsedKeptUntil = new HashMap<>();
+    private final OutdatedRecords outdatedRecords;
     private long storeRecoveredAt;
 
     /**
@@ -32,6 +33,7 @@
     UpstreamTable(TimeSource time, Duration recoveryGrace) {
         this.time = time;
         this.recoveryGrace = recoveryGrace;
+        this.outdatedRecords = new OutdatedRecords(time);
         this.storeRecoveredAt = time.nanoTime();
     }
 
@@ -42,6 +44,16 @@
         storeRecoveredAt = time.nanoTime();
     }
 
+    /** Prepares for contents of the store that are older than what is known here. */
+    void onStoreRestored() {
+        outdatedRecords.onStoreRestored();
+    }
+
+    /** Returns records of the restored store that must be used now. */
+    List<UpstreamRecord> takeDueRecords() {
+        return outdatedRecords.takeDue();
+    }
+
     /**
      * Replaces the list of upstreams; those that the new list does not name are removed.
      *
@@ -50,13 +62,22 @@
     List<UpstreamState> replaceAll(Collection<UpstreamRecord> records) {
         List<UpstreamState> discarded = new ArrayList<>();
         Set<String> named = new HashSet<>();
+        outdatedRecords.clear();
         for (UpstreamRecord r : records) {
-            named.add(r.id());
-            discarded.addAll(put(r));
+            UpstreamState listed = states.get(r.id());
+            boolean outdated = outdatedRecords.holdIfOutdated(r, listed);
+            if (outdated) {
+                LOG.infof("event=upstream-record-outdated upstream=%s", r.id());
+            } else {
+                discarded.addAll(put(r));
+            }
+            if (!outdated || listed != null && listed.upstreamRecord().sameIncarnation(r)) {
+                named.add(r.id());
+            }
         }
         for (String id : List.copyOf(states.keySet())) {
             if (!named.contains(id)) {
-                discarded.addAll(remove(id));
+                discarded.addAll(dropOrKeep(id));
             }
         }
         return discarded;
@@ -67,6 +88,7 @@
      */
     List<UpstreamState> put(UpstreamRecord r) {
         lapsedKeptUntil.remove(r.id());
+        outdatedRecords.onPublished(r.id());
         UpstreamState state = states.get(r.id());
         if (state != null && state.upstreamRecord().sameIncarnation(r)) {
             if (r.draining() && !state.upstreamRecord().draining()) {
@@ -90,6 +112,11 @@
      * passed.
      */
     List<UpstreamState> remove(String id) {
+        outdatedRecords.onRemoved(id);
+        return dropOrKeep(id);
+    }
+
+    private List<UpstreamState> dropOrKeep(String id) {
         if (!states.containsKey(id)) {
             return List.of();
         }
@@ -124,6 +151,7 @@
         UpstreamState state = states.remove(id);
         if (state != null) {
             byHash.remove(state.shortHash(), state);
+            outdatedRecords.onDeparted(state.upstreamRecord());
         }
         LOG.infof("event=upstream-gone upstream=%s", id);
         return state == null ? List.of() : List.of(state);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
@@ -37,6 +37,98 @@
         assertTrue(table.onTick().isEmpty());
     }
 
+    /**
+     * Guards against requests to the address of an upstream that has left, and that an older copy
+     * of the store lists again.
+     */
+    @Test
+    public void upstreamThatHasLeftIsNotListedFromACopy() {
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.remove("p1");
+        table.onStoreRestored();
+        table.replaceAll(List.of(ForwardRig.plain("p1", 1), ForwardRig.plain("p2", 1)));
+        assertEquals(table.available(ForwardRig.PLAIN), List.of(table.get("p2")));
+        table.put(ForwardRig.plain("p1", 1));
+        assertEquals(table.available(ForwardRig.PLAIN).size(), 2);
+    }
+
+    /** Guards against requests to an upstream that was draining after the copy was made. */
+    @Test
+    public void drainingUpstreamIsNotReadyFromACopy() {
+        table.put(draining("p1"));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.onStoreRestored();
+        table.replaceAll(List.of(ForwardRig.plain("p1", 1)));
+        assertTrue(table.available(ForwardRig.PLAIN).isEmpty());
+        table.put(ForwardRig.plain("p1", 1));
+        assertEquals(table.available(ForwardRig.PLAIN).size(), 1);
+    }
+
+    /** Guards against the earlier incarnation of an upstream that restarted after the copy. */
+    @Test
+    public void earlierIncarnationIsNotListedFromACopy() {
+        table.put(ForwardRig.plain("p1", 2));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.onStoreRecovered();
+        table.onStoreRestored();
+        table.replaceAll(List.of(ForwardRig.plain("p1", 1)));
+        assertEquals(table.get("p1").upstreamRecord().startedAtMs(), 2);
+        scheduler.advance(Duration.ofMillis(2100));
+        assertEquals(table.onTick().size(), 1);
+    }
+
+    /** Guards against a live upstream that is never used because its record does not change. */
+    @Test
+    public void recordThatStaysIsUsedInTheEnd() {
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.remove("p1");
+        table.onStoreRestored();
+        table.replaceAll(List.of(ForwardRig.plain("p1", 1)));
+        assertTrue(table.takeDueRecords().isEmpty());
+        scheduler.advance(OutdatedRecords.HOLD_TIME);
+        assertEquals(table.takeDueRecords(), List.of(ForwardRig.plain("p1", 1)));
+    }
+
+    /** Guards against an upstream of the copy that is listed after its record is gone. */
+    @Test
+    public void recordThatGoesIsNeverUsed() {
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.remove("p1");
+        table.onStoreRestored();
+        table.replaceAll(List.of(ForwardRig.plain("p1", 1)));
+        table.remove("p1");
+        scheduler.advance(OutdatedRecords.HOLD_TIME);
+        assertTrue(table.takeDueRecords().isEmpty());
+    }
+
+    /** Guards against records that are not used although the store was not restored. */
+    @Test
+    public void upstreamThatReturnsInTheSameEraIsListed() {
+        table.put(ForwardRig.plain("p1", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.remove("p1");
+        table.replaceAll(List.of(ForwardRig.plain("p1", 1)));
+        assertEquals(table.available(ForwardRig.PLAIN).size(), 1);
+    }
+
+    private static UpstreamRecord draining(String id) {
+        UpstreamRecord r = ForwardRig.plain(id, 1);
+        return new UpstreamRecord(
+                r.id(),
+                r.startedAtMs(),
+                r.service(),
+                r.host(),
+                r.port(),
+                r.dataCentre(),
+                r.slots(),
+                true,
+                r.models(),
+                r.adapters());
+    }
+
     /** Guards against a second outage in whose grace period a live upstream is removed. */
     @Test
     public void secondOutageBeginsTheGracePeriodAnew() {
