Report records that are published again to all instances of a large fleet

What callers saw (by reading, shown in tests of the decision): in fleets of more than 24 instances, after an outage or a return of the store, instances without a watch removed a live upstream at the end of the grace period although it had been published again; and an instance that had started between the return and the writing anew heard late (poll every 8 s) of a version that its collector had known before the return.

Cause: a collector reports a position as news only if the change is news to itself. It had kept the missing upstream, and had the version in force already.

A record of an upstream that was missing, and a version that is the newest one known, count as news now. In ordinary operation neither is published twice, so digests tell of no more than before.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -115,10 +115,10 @@
         return storeState;
     }
 
-    /** Applies a configuration unless a newer one is in force; returns whether it was applied. */
+    /** Applies a configuration unless a newer one is in force; returns whether it is in force. */
     public boolean onConfiguration(RoutingConfiguration newConfiguration) {
         if (newConfiguration.version() <= configuration.version()) {
-            return false;
+            return newConfiguration.version() == configuration.version();
         }
         LOG.infof(
                 "event=configuration version=%d previous=%d",
@@ -142,10 +142,9 @@
         enginesChanged = true;
     }
 
-    /** Adds or updates a record; returns whether more than its models and adapters changed. */
+    /** Adds or updates a record; returns whether all instances must know of it soon. */
     public boolean onUpstream(UpstreamRecord newRecord) {
-        UpstreamState known = upstreams.get(newRecord.id());
-        boolean routingChanged = known == null || !known.upstreamRecord().hasSameRouting(newRecord);
+        boolean routingChanged = upstreams.isNews(newRecord);
         upstreams.put(newRecord).forEach(this::onUpstreamDiscarded);
         enginesChanged |= routingChanged;
         dispatchQueued(newRecord.service());
@@ -176,15 +175,15 @@
         loadCoordinator.onUpstreamDiscarded(discarded);
     }
 
-    /** Updates the newest known version of an adapter; returns whether it has increased. */
+    /** Updates the newest known version of an adapter; returns whether this one is the newest. */
     public boolean onAdapterVersion(AdapterRef adapter, int version) {
         Integer known = adapterVersions.get(adapter);
-        if (known == null || version > known) {
-            adapterVersions.put(adapter, version);
-            LOG.infof("event=adapter-version adapter=%s version=%d", adapter.key(), version);
-            return true;
+        if (known != null && version <= known) {
+            return version == known;
         }
-        return false;
+        adapterVersions.put(adapter, version);
+        LOG.infof("event=adapter-version adapter=%s version=%d", adapter.key(), version);
+        return true;
     }
 
     public int upstreamCount() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -83,6 +83,18 @@
         return discarded;
     }
 
+    /**
+     * Returns whether a record changes anything that routing depends on apart from the models and
+     * adapters held, or was missing: other instances would remove the upstream if they did not read
+     * that it has been published again.
+     */
+    boolean isNews(UpstreamRecord r) {
+        UpstreamState known = states.get(r.id());
+        return known == null
+                || lapsedKeptUntil.containsKey(r.id())
+                || !known.upstreamRecord().hasSameRouting(r);
+    }
+
     /**
      * Adds or updates one record. Returns the state of the earlier incarnation if it was replaced.
      */
