--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterVersions.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AdapterVersions.java
@@ -12,10 +12,11 @@
 
     private final Map<AdapterRef, Integer> newest = new HashMap<>();
 
-    /** Updates the newest version of an adapter; returns whether it has increased. */
+    /** Updates the newest version of an adapter; returns whether the given one is the newest. */
     boolean update(AdapterRef adapter, int version) {
-        if (newest(adapter).exists(known -> known >= version)) {
-            return false;
+        int known = newest(adapter).getOrElse(0);
+        if (version <= known) {
+            return version == known;
         }
         newest.put(adapter, version);
         LOG.infof("event=adapter-version adapter=%s version=%d", adapter.key(), version);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -322,7 +322,8 @@
         attempts.onNotRun();
         log("not-run", reason);
         release();
-        dispatchAgain(forwarder.hasUpstreamFor(this) && forwarder.tryTakeRetry(request));
+        dispatchAgain(
+                forwarder.upstreams().hasUpstreamFor(this) && forwarder.tryTakeRetry(request));
     }
 
     private void dispatchAgain(boolean allowed) {
@@ -379,7 +380,9 @@
     }
 
     private boolean tryTakeRetryElsewhere() {
-        return mayRunAgain() && forwarder.hasAlternative(this) && forwarder.tryTakeRetry(request);
+        return mayRunAgain()
+                && forwarder.upstreams().hasAlternative(this)
+                && forwarder.tryTakeRetry(request);
     }
 
     private void retryElsewhere() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -64,7 +64,7 @@
         this.settings = settings;
         this.time = ports.time();
         this.scheduler = ports.scheduler();
-        this.queues = new CallQueues(time, this::choose, this::hasUpstreamFor);
+        this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
         this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
@@ -113,10 +113,10 @@
         return storeState;
     }
 
-    /** Applies a configuration unless a newer one is in force; returns whether it was applied. */
+    /** Applies a configuration unless a newer one is in force; returns whether it is in force. */
     public boolean onConfiguration(RoutingConfiguration newConfiguration) {
         if (newConfiguration.version() <= configuration.version()) {
-            return false;
+            return newConfiguration.version() == configuration.version();
         }
         LOG.infof(
                 "event=configuration version=%d previous=%d",
@@ -141,10 +141,9 @@
         enginesChanged = true;
     }
 
-    /** Adds or updates a record; returns whether more than its models and adapters changed. */
+    /** Adds or updates a record; returns whether all instances must know of it soon. */
     public boolean onUpstream(UpstreamRecord newRecord) {
-        UpstreamState known = upstreams.get(newRecord.id());
-        boolean routingChanged = known == null || !known.upstreamRecord().hasSameRouting(newRecord);
+        boolean routingChanged = upstreams.isNews(newRecord);
         upstreams.put(newRecord).forEach(this::onUpstreamDiscarded);
         enginesChanged |= routingChanged;
         dispatchQueued(newRecord.service());
@@ -156,12 +155,18 @@
         upstreams.remove(id).forEach(this::onUpstreamDiscarded);
     }
 
-    /** Handles the recovery of the store after an outage, before its contents are applied. */
+    /** Handles the recovery of the store after an outage. */
     public void onStoreRecovered() {
         upstreams.onStoreRecovered();
         storeState.onRecovered();
     }
 
+    /** Handles the return of the store from an older copy, before its contents are applied. */
+    public void onStoreRestored() {
+        upstreams.onStoreRestored();
+        onStoreRecovered();
+    }
+
     private void onUpstreamDiscarded(UpstreamState discarded) {
         enginesChanged = true;
         controller.release(discarded);
@@ -169,7 +174,7 @@
         loadCoordinator.onUpstreamDiscarded(discarded);
     }
 
-    /** Updates the newest known version of an adapter; returns whether it has increased. */
+    /** Updates the newest known version of an adapter; returns whether this one is the newest. */
     public boolean onAdapterVersion(AdapterRef adapter, int version) {
         return adapterVersions.update(adapter, version);
     }
@@ -259,7 +264,7 @@
 
     /** Returns why a call without an upstream must be refused now; empty if it may wait. */
     Option<ResultCode> refusalFor(ForwardCall call) {
-        if (!hasUpstreamFor(call)) {
+        if (!upstreams.hasUpstreamFor(call)) {
             return Option.of(ResultCode.NO_UPSTREAM);
         }
         return queues.of(call).willMissDeadline(call)
@@ -299,13 +304,8 @@
         return retries.tryTake(request.service());
     }
 
-    /** Returns whether an upstream is listed to which the request may be sent, now or later. */
-    boolean hasUpstreamFor(ForwardCall call) {
-        return call.excluded().allowAnyOf(upstreams.available(call.request().service()));
-    }
-
-    boolean hasAlternative(ForwardCall call) {
-        return upstreams.hasAlternative(call);
+    UpstreamTable upstreams() {
+        return upstreams;
     }
 
     /** Returns how long an upstream may be silent before the request is sent to another one. */
@@ -404,8 +404,6 @@
         }
     }
 
-    // Messages and ticks.
-
     /** Handles a message from another instance. */
     public void onMessage(Envelope envelope) {
         String from = envelope.getFrom();
@@ -432,6 +430,7 @@
         crashDetector.onTick();
         retries.onTick(membership.live().size());
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
+        upstreams.takeDueRecords().forEach(this::onUpstream);
         if (enginesChanged) {
             enginesChanged = false;
             engines = upstreams.engines(configuration);
