--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -380,9 +380,8 @@
     }
 
     private boolean tryTakeRetryElsewhere() {
-        return mayRunAgain()
-                && forwarder.upstreams().hasAlternative(this)
-                && forwarder.tryTakeRetry(request);
+        boolean hasAlternative = forwarder.upstreams().hasAlternative(this);
+        return mayRunAgain() && hasAlternative && forwarder.tryTakeRetry(request);
     }
 
     private void retryElsewhere() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -64,12 +64,12 @@
         this.settings = settings;
         this.time = ports.time();
         this.scheduler = ports.scheduler();
-        this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
         this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
         this.listener = ports.listener();
         this.upstreams = new UpstreamTable(time, settings.storeRecoveryGrace());
+        this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
         this.waits = new AdapterWaits(time, waitModel);
