--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -2,8 +2,6 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.result.RunState;
 import org.jboss.logging.Logger;
@@ -29,25 +27,25 @@
     private final Forwarder forwarder;
     private final long arrivalNumber;
     private final long openedAt;
-    private final Set<String> excluded = new HashSet<>();
+    private final ExcludedUpstreams excluded;
     private CallState state = CallState.DISPATCHING;
     private UpstreamState upstream;
     private Scheduler.Timer deadlineTimer;
     private final StallTimer stallTimer;
     private long sentAt;
-    private long unreadTokensWhenSent;
     private final AttemptCounts attempts = new AttemptCounts();
     private boolean trial;
     private final AnswerProgress answer = new AnswerProgress();
-    private boolean mayHaveRun;
-    private boolean promptPending;
+    private final PendingPrompt prompt;
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
         this.request = request;
         this.transport = transport;
         this.forwarder = forwarder;
         this.arrivalNumber = number;
+        this.excluded = new ExcludedUpstreams(request.route().kind().isRepeatable());
         this.openedAt = forwarder.now();
+        this.prompt = new PendingPrompt(request.promptTokens());
         this.stallTimer =
                 new StallTimer(
                         forwarder,
@@ -71,14 +69,14 @@
 
     /** Returns the monotonic time until which the call may wait for a place at an upstream. */
     long queueDeadlineNanos() {
-        return WaitLimits.queueDeadlineNanos(request, answer.hasBegun());
+        return WaitLimits.queueDeadlineNanos(request, answer.hasBegun(), attempts.anyMayHaveRun());
     }
 
     boolean hasAnswerBegun() {
         return answer.hasBegun();
     }
 
-    Set<String> excluded() {
+    ExcludedUpstreams excluded() {
         return excluded;
     }
 
@@ -130,8 +128,7 @@
             reserve(choice.get().upstream());
             send();
         } else if (!answer.hasBegun()
-                && forwarder.now() + choice.get().adapterWait().toNanos() - sendDeadlineNanos()
-                        > 0) {
+                && !choice.get().isReadyBy(sendDeadlineNanos(), forwarder.now())) {
             refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
         } else {
             reserve(choice.get().upstream());
@@ -144,7 +141,9 @@
 
     /** Returns whether the call must not reach its first upstream because of a planned stop. */
     private boolean mayNotBegin() {
-        return !answer.hasBegun() && !mayHaveRun && forwarder.isExcludedByStop(request, openedAt);
+        return !answer.hasBegun()
+                && !attempts.anyMayHaveRun()
+                && forwarder.isExcludedByStop(request, openedAt);
     }
 
     private void enqueueOrRefuse() {
@@ -168,7 +167,7 @@
     private void release() {
         answer.onDisconnected();
         if (upstream != null) {
-            endPrompt();
+            prompt.end();
             if (state == CallState.AWAITING_ADAPTER) {
                 upstream.endAdapterWait(request.adapter().get());
             }
@@ -197,7 +196,7 @@
     void onAdapterFailed() {
         if (state == CallState.AWAITING_ADAPTER) {
             log("adapter-failed");
-            excluded.add(upstream.id());
+            excluded.passOver(upstream);
             release();
             dispatch();
         }
@@ -211,13 +210,6 @@
         }
     }
 
-    private void endPrompt() {
-        if (promptPending) {
-            promptPending = false;
-            upstream.endPrompt(request.promptTokens());
-        }
-    }
-
     /** Sends the request to the upstream assigned to it. */
     private void send() {
         if (!upstream.acceptsRequests()) {
@@ -252,24 +244,28 @@
                         forwarder.requiredVersion(request),
                         request.route().priority());
         log("send");
-        promptPending = true;
         forwarder.onSent(this);
-        upstream.beginPrompt(request.promptTokens());
-        unreadTokensWhenSent = upstream.totalUnreadTokens();
+        prompt.begin(upstream);
         stallTimer.start();
         transport.send(attempt);
     }
 
-    private void onStalled() {
-        if (state == CallState.SENT
-                && mayRunAgain()
-                && forwarder.hasAlternative(this)
-                && forwarder.tryTakeRetry(request)) {
-            log("stalled");
-            transport.cancelAttempt();
-            forwarder.onOutcome(this, false);
-            retryElsewhere();
+    /** Sends the request elsewhere if another upstream can take it now; returns whether it was. */
+    private boolean onStalled() {
+        Option<UpstreamChooser.Choice> other =
+                state == CallState.SENT && mayRunAgain()
+                        ? forwarder.chooseOther(this)
+                        : Option.none();
+        if (other.isEmpty() || !forwarder.tryTakeRetry(request)) {
+            return false;
         }
+        log("stalled");
+        transport.cancelAttempt();
+        forwarder.onOutcome(this, false);
+        excluded.passOver(upstream);
+        release();
+        dispatch(other);
+        return true;
     }
 
     /** Records how many requests the connection of the running attempt has carried before. */
@@ -284,12 +280,13 @@
 
     /** Records that the answer has begun, or that more of it was passed on to the caller. */
     public void onProgress() {
-        endPrompt();
+        prompt.end();
         if (answer.hasBegun()) {
             answer.onContinued(stallTimer.silentNanos());
         } else {
             answer.onBegun(forwarder.now());
-            forwarder.onFirstByte(this, answer.firstByteAt() - sentAt, unreadTokensWhenSent);
+            forwarder.onFirstByte(
+                    this, answer.firstByteAt() - sentAt, prompt.unreadTokensWhenSent());
         }
         stallTimer.onProgress();
     }
@@ -302,7 +299,7 @@
         attempts.onNotRun();
         log("unreachable", reason);
         forwarder.onUnreachable(this);
-        excluded.add(upstream.id());
+        excluded.passOver(upstream);
         release();
         dispatchAgain(true);
     }
@@ -316,15 +313,17 @@
         if (state != CallState.SENT) {
             return;
         }
+        forwarder.onNotRun(this, cause);
+        if (!excluded.onNotRun(upstream, cause)) {
+            log("ambiguous-refusal", reason);
+            fail(ResultCode.UPSTREAM_FAILED);
+            return;
+        }
         attempts.onNotRun();
         log("not-run", reason);
-        switch (cause) {
-            case ADAPTER_MISSING -> forwarder.onAdapterMissing(this);
-            case MISADDRESSED -> forwarder.onMisaddressed(upstream);
-            default -> excluded.add(upstream.id());
-        }
         release();
-        dispatchAgain(forwarder.tryTakeRetry(request));
+        dispatchAgain(
+                forwarder.upstreams().hasUpstreamFor(this) && forwarder.tryTakeRetry(request));
     }
 
     private void dispatchAgain(boolean allowed) {
@@ -345,10 +344,7 @@
         if (state != CallState.SENT) {
             return false;
         }
-        if (status >= 500
-                && mayRunAgain()
-                && forwarder.hasAlternative(this)
-                && forwarder.tryTakeRetry(request)) {
+        if (status >= 500 && tryTakeRetryElsewhere()) {
             log("upstream-failed", "status-" + status);
             forwarder.onOutcome(this, false);
             retryElsewhere();
@@ -362,7 +358,6 @@
         if (state != CallState.SENT) {
             return;
         }
-        mayHaveRun = true;
         log("connection-lost", reason);
         forwarder.onOutcome(this, false);
         forwarder
@@ -384,9 +379,13 @@
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
 
+    private boolean tryTakeRetryElsewhere() {
+        boolean hasAlternative = forwarder.upstreams().hasAlternative(this);
+        return mayRunAgain() && hasAlternative && forwarder.tryTakeRetry(request);
+    }
+
     private void retryElsewhere() {
-        mayHaveRun = true;
-        excluded.add(upstream.id());
+        excluded.passOver(upstream);
         release();
         dispatch();
     }
@@ -423,9 +422,8 @@
             if (!answer.hasBegun()) {
                 forwarder.onOutcome(this, false);
             }
-            mayHaveRun = true;
         }
-        fail(mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_HOPELESS);
+        fail(attempts.anyMayHaveRun() ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_HOPELESS);
     }
 
     /** Refuses the call if it waits and may not be sent any more because of a planned stop. */
@@ -452,7 +450,8 @@
     }
 
     private void refuse(ResultCode code, Option<Duration> retryAfter) {
-        if (answer.hasBegun() || (mayHaveRun && code.runState() == RunState.NOT_RUN)) {
+        if (answer.hasBegun()
+                || (attempts.anyMayHaveRun() && code.runState() == RunState.NOT_RUN)) {
             log("cannot-refuse", "code-" + code.number());
             fail(ResultCode.UPSTREAM_FAILED);
             return;
@@ -489,12 +488,13 @@
 
     private void log(String decision, String reason) {
         if (LOG.isInfoEnabled()) {
-            CallLogLine line =
+            LOG.info(
                     CallLogLine.of(request, decision, reason)
                             .withAge(forwarder.now())
                             .withAttempts(attempts)
-                            .withUpstream(upstream);
-            LOG.info(line.withAnswer(answer).withConfiguration(forwarder.configurationVersion()));
+                            .withUpstream(upstream)
+                            .withAnswer(answer)
+                            .withConfiguration(forwarder.configuration().version()));
         }
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -49,10 +48,11 @@
     private final CallQueues queues;
     private final RetryDelay retryDelay;
     private final StallTimeouts stallTimeouts = new StallTimeouts();
-    private final Map<AdapterRef, Integer> adapterVersions = new HashMap<>();
+    private final AdapterVersions adapterVersions = new AdapterVersions();
     private final PromptReadTime promptReadTime = new PromptReadTime();
     private final AdapterWaitModel waitModel = new AdapterWaitModel(INITIAL_LOAD_TIME);
     private final Set<ForwardCall> openCalls = new HashSet<>();
+    private final CallerLimitHistory callerLimits = new CallerLimitHistory();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
     private Map<UpstreamState, EngineSpec> engines = Map.of();
     private long sequence;
@@ -64,12 +64,12 @@
         this.settings = settings;
         this.time = ports.time();
         this.scheduler = ports.scheduler();
-        this.queues = new CallQueues(time, this::choose);
         this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
         this.listener = ports.listener();
         this.upstreams = new UpstreamTable(time, settings.storeRecoveryGrace());
+        this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
         this.waits = new AdapterWaits(time, waitModel);
@@ -108,22 +108,21 @@
         return membership.peers().stream().filter(p -> p.status().isLive()).map(Peer::id).toList();
     }
 
-    // Records that instances read from the store.
-
     /** Returns the state of the store, as the instances report it to each other. */
     public SharedStoreState sharedStoreState() {
         return storeState;
     }
 
-    /** Applies a configuration unless a newer one is in force; returns whether it was applied. */
+    /** Applies a configuration unless a newer one is in force; returns whether it is in force. */
     public boolean onConfiguration(RoutingConfiguration newConfiguration) {
         if (newConfiguration.version() <= configuration.version()) {
-            return false;
+            return newConfiguration.version() == configuration.version();
         }
         LOG.infof(
                 "event=configuration version=%d previous=%d",
                 newConfiguration.version(), configuration.version());
         configuration = newConfiguration;
+        callerLimits.onChange(configuration.limits(), now());
         enginesChanged = true;
         return true;
     }
@@ -132,8 +131,8 @@
         return configuration;
     }
 
-    long configurationVersion() {
-        return configuration.version();
+    public CallerLimitHistory callerLimits() {
+        return callerLimits;
     }
 
     /** Replaces the list of upstreams. */
@@ -142,10 +141,9 @@
         enginesChanged = true;
     }
 
-    /** Adds or updates a record; returns whether more than its models and adapters changed. */
+    /** Adds or updates a record; returns whether all instances must know of it soon. */
     public boolean onUpstream(UpstreamRecord newRecord) {
-        UpstreamState known = upstreams.get(newRecord.id());
-        boolean routingChanged = known == null || !known.upstreamRecord().hasSameRouting(newRecord);
+        boolean routingChanged = upstreams.isNews(newRecord);
         upstreams.put(newRecord).forEach(this::onUpstreamDiscarded);
         enginesChanged |= routingChanged;
         dispatchQueued(newRecord.service());
@@ -163,6 +161,12 @@
         storeState.onRecovered();
     }
 
+    /** Handles the return of the store from an older copy, before its contents are applied. */
+    public void onStoreRestored() {
+        upstreams.onStoreRestored();
+        onStoreRecovered();
+    }
+
     private void onUpstreamDiscarded(UpstreamState discarded) {
         enginesChanged = true;
         controller.release(discarded);
@@ -170,15 +174,9 @@
         loadCoordinator.onUpstreamDiscarded(discarded);
     }
 
-    /** Updates the newest known version of an adapter; returns whether it has increased. */
+    /** Updates the newest known version of an adapter; returns whether this one is the newest. */
     public boolean onAdapterVersion(AdapterRef adapter, int version) {
-        Integer known = adapterVersions.get(adapter);
-        if (known == null || version > known) {
-            adapterVersions.put(adapter, version);
-            LOG.infof("event=adapter-version adapter=%s version=%d", adapter.key(), version);
-            return true;
-        }
-        return false;
+        return adapterVersions.update(adapter, version);
     }
 
     public int upstreamCount() {
@@ -229,6 +227,20 @@
     }
 
     Option<UpstreamChooser.Choice> choose(ForwardCall call) {
+        Option<UpstreamChooser.Choice> choice = choose(call, call.excluded());
+        if (choice.isEmpty()) {
+            call.excluded().readmitPassedOver();
+        }
+        return choice;
+    }
+
+    /** Returns another upstream than that of a call that can serve the call now. */
+    Option<UpstreamChooser.Choice> chooseOther(ForwardCall call) {
+        return choose(call, call.excluded().and(call.upstream()))
+                .filter(c -> c.isReadyBy(call.sendDeadlineNanos(), now()));
+    }
+
+    private Option<UpstreamChooser.Choice> choose(ForwardCall call, ExcludedUpstreams excluded) {
         ForwardRequest r = call.request();
         List<UpstreamState> serving = upstreams.available(r.service());
         UpstreamChooser.ChoiceInputs inputs =
@@ -241,23 +253,18 @@
                         promptReadTime,
                         call.hasAnswerBegun(),
                         Duration.ofNanos(now() - r.arrivedNanos()),
-                        call.excluded());
-        Option<UpstreamChooser.Choice> choice = chooser.choose(inputs, serving);
-        if (choice.isEmpty() && !call.excluded().isEmpty()) {
-            // Allows all upstreams in the next choice: one that failed may be able to serve again.
-            call.excluded().clear();
-        }
-        return choice;
+                        excluded);
+        return chooser.choose(inputs, serving);
     }
 
     /** Returns the adapter version that must answer the request; empty if any version may. */
     Option<Integer> requiredVersion(ForwardRequest request) {
-        return request.adapter().flatMap(a -> Option.of(adapterVersions.get(a)));
+        return request.adapter().flatMap(adapterVersions::newest);
     }
 
     /** Returns why a call without an upstream must be refused now; empty if it may wait. */
     Option<ResultCode> refusalFor(ForwardCall call) {
-        if (upstreams.available(call.request().service()).isEmpty()) {
+        if (!upstreams.hasUpstreamFor(call)) {
             return Option.of(ResultCode.NO_UPSTREAM);
         }
         return queues.of(call).willMissDeadline(call)
@@ -297,13 +304,8 @@
         return retries.tryTake(request.service());
     }
 
-    boolean hasAlternative(ForwardCall call) {
-        return upstreams.available(call.request().service()).stream()
-                .anyMatch(
-                        u ->
-                                u != call.upstream()
-                                        && !u.health().isPaused()
-                                        && !call.excluded().contains(u.id()));
+    UpstreamTable upstreams() {
+        return upstreams;
     }
 
     /** Returns how long an upstream may be silent before the request is sent to another one. */
@@ -364,7 +366,7 @@
      * Stops using an upstream whose address now belongs to another upstream. The upstream stays in
      * the table until the platform removes its record.
      */
-    void onMisaddressed(UpstreamState upstream) {
+    private void onMisaddressed(UpstreamState upstream) {
         if (upstream.setMisaddressed()) {
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
             crashDetector.onUpstreamDown(upstream.id());
@@ -393,12 +395,15 @@
         loadCoordinator.onWaitAbandoned(call);
     }
 
-    void onAdapterMissing(ForwardCall call) {
-        loadCoordinator.onAdapterMissing(call);
+    /** Records why the upstream of a call has not run the request. */
+    void onNotRun(ForwardCall call, NotRunCause cause) {
+        if (cause == NotRunCause.ADAPTER_MISSING) {
+            loadCoordinator.onAdapterMissing(call);
+        } else if (cause == NotRunCause.MISADDRESSED) {
+            onMisaddressed(call.upstream());
+        }
     }
 
-    // Messages and ticks.
-
     /** Handles a message from another instance. */
     public void onMessage(Envelope envelope) {
         String from = envelope.getFrom();
@@ -425,6 +430,7 @@
         crashDetector.onTick();
         retries.onTick(membership.live().size());
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
+        upstreams.takeDueRecords().forEach(this::onUpstream);
         if (enginesChanged) {
             enginesChanged = false;
             engines = upstreams.engines(configuration);
@@ -445,7 +451,7 @@
     private void onCallTick() {
         callTickArmed = false;
         loadCoordinator.onTick();
-        queues.refuseOverdue();
+        queues.refuseHopeless(upstreams::isServed);
         queues.dispatchAll();
         if (loadCoordinator.isWaiting() || !queues.isEmpty()) {
             armCallTick();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.model.RendezvousHash;
 
@@ -73,7 +72,13 @@
 
     /** Chosen upstream, and whether it holds the request's adapter. */
     record Choice(
-            UpstreamState upstream, boolean adapterReady, Duration adapterWait, double costMs) {}
+            UpstreamState upstream, boolean adapterReady, Duration adapterWait, double costMs) {
+
+        /** Returns whether the adapter is expected to be there by a monotonic time. */
+        boolean isReadyBy(long nanos, long now) {
+            return adapterReady || now + adapterWait.toNanos() - nanos <= 0;
+        }
+    }
 
     /** Inputs of the choice other than the upstreams. */
     record ChoiceInputs(
@@ -85,7 +90,7 @@
             PromptReadTime promptReadTime,
             boolean answerBegun,
             Duration age,
-            Set<String> excluded) {}
+            ExcludedUpstreams excluded) {}
 
     /**
      * Returns the first upstream in the rendezvous order of the request's adapter; empty if the
@@ -111,9 +116,7 @@
     Option<Choice> choose(ChoiceInputs inputs, Collection<UpstreamState> upstreams) {
         Choice best = null;
         for (UpstreamState u : upstreams) {
-            if (inputs.excluded().contains(u.id())
-                    || u.health().isPaused()
-                    || !hasCapacity(inputs, u)) {
+            if (inputs.excluded().contains(u) || u.health().isPaused() || !hasCapacity(inputs, u)) {
                 continue;
             }
             Choice c = evaluate(inputs, u);
