Send stalled requests elsewhere before queued ones when a place becomes free

Requests at the one that is gone were held until their deadline, while requests that came seconds later were served.

A place that became free went to the queued calls at once, and a stalled call looked for one every 250 ms, so it hardly ever found any.

Change: a stalled call that could not be moved is kept beside the queues, and is looked at before the queued ones whenever a place may be free. StallTimer takes its call instead of two functions.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Option;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.bronzehill.core.result.ResultCode;
@@ -20,6 +22,9 @@
     private final Predicate<ForwardCall> hasUpstream;
     private final Map<String, CallQueue> queues = new HashMap<>();
 
+    /** Calls whose upstreams are silent and that no other upstream could take yet. */
+    private final Set<ForwardCall> stalled = new LinkedHashSet<>();
+
     /**
      * @param chooser chooses the upstream of a call; empty if none can take it now
      * @param hasUpstream whether a call may be sent to an upstream, now or later
@@ -42,12 +47,29 @@
         return queues.computeIfAbsent(service, s -> new CallQueue(time));
     }
 
+    /** Adds a call that is to be sent to another upstream as soon as one can take it. */
+    void addStalled(ForwardCall call) {
+        stalled.add(call);
+    }
+
+    /** Removes a call that is sent or has ended. */
+    void remove(ForwardCall call) {
+        of(call).remove(call);
+        stalled.remove(call);
+    }
+
     /**
-     * Sends queued calls of a service for which there is capacity now. A call without an upstream
-     * does not hold up those behind it, whose adapters or prompts may fit elsewhere. One that waits
-     * for an upstream that has not refused it says nothing about the capacity for others.
+     * Sends stalled and then queued calls of a service for which there is capacity now. A call
+     * without an upstream does not hold up those behind it, whose adapters or prompts may fit
+     * elsewhere. One that waits for an upstream that has not refused it says nothing about the
+     * capacity for others.
      */
     void dispatch(String service) {
+        for (ForwardCall call : List.copyOf(stalled)) {
+            if (call.request().service().equals(service)) {
+                call.moveIfStalled();
+            }
+        }
         int withoutUpstream = 0;
         for (ForwardCall call : of(service).inDispatchOrder()) {
             if (!call.isQueued()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -46,11 +46,7 @@
         this.excluded = new ExcludedUpstreams(request.route().kind().isRepeatable());
         this.openedAt = forwarder.now();
         this.prompt = new PendingPrompt(request.promptTokens());
-        this.stallTimer =
-                new StallTimer(
-                        forwarder,
-                        () -> forwarder.stallTimeout(request, answer.hasBegun()),
-                        this::onStalled);
+        this.stallTimer = new StallTimer(forwarder, this);
     }
 
     ForwardRequest request() {
@@ -116,7 +112,7 @@
 
     /** Assigns the call to the chosen upstream, or queues or refuses it if that is not possible. */
     void dispatch(Option<UpstreamChooser.Choice> choice) {
-        forwarder.leaveQueue(this);
+        forwarder.queues().remove(this);
         state = CallState.DISPATCHING;
         if (crashesUpstreams()) {
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
@@ -179,7 +175,7 @@
             if (released.removeRequest(request)) {
                 forwarder.onAdapterUseChanged(released, request.adapter().get());
             }
-            forwarder.dispatchQueued(request.service());
+            forwarder.queues().dispatch(request.service());
         }
     }
 
@@ -250,12 +246,14 @@
         transport.send(attempt);
     }
 
-    /** Sends the request elsewhere if another upstream can take it now; returns whether it was. */
-    private boolean onStalled() {
+    /**
+     * Sends the request elsewhere if its upstream has been silent for too long and another one can
+     * take it now; returns whether it was sent.
+     */
+    boolean moveIfStalled() {
+        boolean stalled = state == CallState.SENT && upstream != null && stallTimer.isOverdue();
         Option<UpstreamChooser.Choice> other =
-                state == CallState.SENT && mayRunAgain()
-                        ? forwarder.chooseOther(this)
-                        : Option.none();
+                stalled && mayRunAgain() ? forwarder.chooseOther(this) : Option.none();
         if (other.isEmpty() || !forwarder.tryTakeRetry(request)) {
             return false;
         }
@@ -476,7 +474,7 @@
     private void end() {
         deadlineTimer.cancel();
         stallTimer.cancel();
-        forwarder.leaveQueue(this);
+        forwarder.queues().remove(this);
         release();
         state = CallState.ENDED;
         forwarder.onEnded(this);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -146,7 +146,7 @@
         boolean routingChanged = upstreams.isNews(newRecord);
         upstreams.put(newRecord).forEach(this::onUpstreamDiscarded);
         enginesChanged |= routingChanged;
-        dispatchQueued(newRecord.service());
+        queues.dispatch(newRecord.service());
         return routingChanged;
     }
 
@@ -291,13 +291,8 @@
         armCallTick();
     }
 
-    void leaveQueue(ForwardCall call) {
-        queues.of(call).remove(call);
-    }
-
-    /** Sends queued calls of a service for which there is capacity now. */
-    void dispatchQueued(String service) {
-        queues.dispatch(service);
+    CallQueues queues() {
+        return queues;
     }
 
     boolean tryTakeRetry(ForwardRequest request) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimer.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimer.java
@@ -1,36 +1,28 @@
 package org.bronzehill.core.forward;
 
 import java.time.Duration;
-import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 
-/** Calls a task when an attempt has made no progress for some time, until the task has acted. */
+/** Moves a call to another upstream when an attempt has made no progress for some time. */
 final class StallTimer {
 
-    /** Interval at which the task is called again for an attempt that it could not end. */
+    /** Interval at which a call that could not be moved is looked at again. */
     private static final Duration RECHECK_INTERVAL = Duration.ofMillis(250);
 
     private final Forwarder forwarder;
-    private final Supplier<Duration> timeout;
-    private final BooleanSupplier onStalled;
+    private final ForwardCall call;
     private Scheduler.Timer timer;
     private long lastProgressAt;
 
-    /**
-     * @param timeout longest time without progress; may change while the timer runs
-     * @param onStalled returns whether the attempt was ended
-     */
-    StallTimer(Forwarder forwarder, Supplier<Duration> timeout, BooleanSupplier onStalled) {
+    StallTimer(Forwarder forwarder, ForwardCall call) {
         this.forwarder = forwarder;
-        this.timeout = timeout;
-        this.onStalled = onStalled;
+        this.call = call;
     }
 
     /** Starts the timer for a new attempt. */
     void start() {
         cancel();
         onProgress();
-        timer = forwarder.after(timeout.get(), this::check);
+        timer = forwarder.after(timeout(), this::check);
     }
 
     void onProgress() {
@@ -42,11 +34,21 @@
         return forwarder.now() - lastProgressAt;
     }
 
+    /** Returns whether there was no progress for longer than the timeout. */
+    boolean isOverdue() {
+        return silentNanos() >= timeout().toNanos();
+    }
+
+    /** Returns the longest time without progress, which changes while the timer runs. */
+    private Duration timeout() {
+        return forwarder.stallTimeout(call.request(), call.hasAnswerBegun());
+    }
+
     private void check() {
-        long left = timeout.get().toNanos() - silentNanos();
-        if (left > 0) {
-            timer = forwarder.after(Duration.ofNanos(left), this::check);
-        } else if (!onStalled.getAsBoolean()) {
+        if (!isOverdue()) {
+            timer = forwarder.after(timeout().minus(Duration.ofNanos(silentNanos())), this::check);
+        } else if (!call.moveIfStalled()) {
+            forwarder.queues().addStalled(call);
             timer = forwarder.after(RECHECK_INTERVAL, this::check);
         }
     }
