--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallerLimitHistory.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallerLimitHistory.java
@@ -15,8 +15,8 @@
 
     /**
      * Time after a change during which callers may still begin something under the earlier limits.
-     * The operator's bound for a change to be in force is 2 s on all deployments, with a margin for
-     * callers that learn of it late.
+     * Changes must be in force within 4 s at most, depending on the deployment; a margin is added
+     * for callers that learn of it late.
      */
     static final Duration NOTICE_TIME = Duration.ofSeconds(5);
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -75,8 +75,8 @@
             UpstreamState upstream, boolean adapterReady, Duration adapterWait, double costMs) {
 
         /** Returns whether the adapter is expected to be there by a monotonic time. */
-        boolean isReadyBy(long nanos, long now) {
-            return adapterReady || now + adapterWait.toNanos() - nanos <= 0;
+        boolean isReadyBy(long deadlineNanos, long now) {
+            return adapterReady || now + adapterWait.toNanos() - deadlineNanos <= 0;
         }
     }
 
