Decode the software version of upstreams and the streams that callers resume

Several software versions of one service may serve side by side, and what two of them write does not fit together. Nothing decoded the field version of an upstream's record or the header Resumes, so that neither logs nor decisions could tell a resumed stream from a new one. This commit only decodes them: UpstreamRecord has the version (empty if it is not stated as text), ForwardRequest the stream that it resumes. A changed version counts as a change of routing, which all instances read soon. Nothing depends on either yet.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -15,6 +15,7 @@
  * @param outputTokens largest number of tokens to generate; 0 for a plain service
  * @param fingerprint hash of path and body that identifies repeated requests
  * @param sharedParts hashes of the parts of the prompt that other requests may have too
+ * @param resumed stream that the request continues; empty if it begins anew
  */
 public record ForwardRequest(
         String id,
@@ -26,7 +27,8 @@
         long promptTokens,
         long outputTokens,
         byte[] fingerprint,
-        List<Long> sharedParts) {
+        List<Long> sharedParts,
+        Option<ResumedStream> resumed) {
 
     public ForwardRequest {
         sharedParts = List.copyOf(sharedParts);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamRecord.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamRecord.java
@@ -8,6 +8,8 @@
  *
  * @param startedAtMs start of its incarnation, Unix time in ms; 0 if unknown
  * @param slots number of requests that it runs in parallel
+ * @param softwareVersion version of the software that it runs, which has no order; empty if it does
+ *     not state one
  * @param draining whether it has announced that it is leaving
  * @param models base models that it holds
  * @param adapters adapters that it held when the record was written, with their versions
@@ -20,6 +22,7 @@
         int port,
         String dataCentre,
         int slots,
+        String softwareVersion,
         boolean draining,
         Set<String> models,
         Map<AdapterRef, Integer> adapters) {
@@ -38,6 +41,7 @@
                 && service.equals(other.service)
                 && dataCentre.equals(other.dataCentre)
                 && slots == other.slots
+                && softwareVersion.equals(other.softwareVersion)
                 && draining == other.draining;
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ChangesUnderWaitingCallsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ChangesUnderWaitingCallsTest.java
@@ -144,6 +144,7 @@
                                 e.port(),
                                 e.dataCentre(),
                                 e.slots(),
+                                e.softwareVersion(),
                                 false,
                                 Set.of("m"),
                                 Map.of()));
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -174,7 +174,8 @@
                             0,
                             0,
                             new byte[] {(byte) (sequence >> 8), (byte) sequence},
-                            sharedParts),
+                            sharedParts,
+                        Option.none()),
                     transport);
             return transport;
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -93,6 +93,7 @@
                 80,
                 "a",
                 8,
+                "v1",
                 draining,
                 Set.of("m"),
                 Map.of());
@@ -107,6 +108,7 @@
                 80,
                 "a",
                 2,
+                "v1",
                 false,
                 Set.of(),
                 Map.of());
@@ -159,7 +161,8 @@
                         kind.isStream() ? 500 : 0,
                         kind.isStream() ? 200 : 0,
                         new byte[] {(byte) (sequence >> 8), (byte) sequence},
-                        List.of());
+                        List.of(),
+                        Option.none());
         forwarder.open(request, transport);
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamChooserTest.java
@@ -44,7 +44,8 @@
                         500,
                         200,
                         new byte[] {1},
-                        List.of());
+                        List.of(),
+                        Option.none());
         UpstreamChooser.ChoiceInputs inputs =
                 new UpstreamChooser.ChoiceInputs(
                         request,
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
@@ -124,6 +124,7 @@
                 r.port(),
                 r.dataCentre(),
                 r.slots(),
+                r.softwareVersion(),
                 true,
                 r.models(),
                 r.adapters());
