Continue streams only at the software version that began them

A class of fault in which a continuation is placed like a new request.

Cause: nothing in the forwarder knew the software version of an upstream. A broken stream was continued at any upstream of its service, and a request that resumes a stream (header Resumes) was treated like a new one, also at instances that had not served the stream.

Change: a call is bound to the version that began its stream (CallStream) as soon as the first event is passed on, or when its caller resumes a stream. The chooser, the queue and the check for alternatives see only upstreams that fit. Instances remember where streams began and report each one to three others, in the rendezvous order of the stream, before its first event is passed on (StreamOriginExchange), so that the kill of the serving instance costs nothing; an instance that does not know a stream asks. A stream that nobody knows is refused at once as not run (4011), unless all listed upstreams have one version. A version that is not stated fits no other upstream. A stream stays with the service that began it.

Ruled out: to ask only, without reports, since a killed instance answers nothing; to report to all instances, since it costs 380 datagrams for each stream in the largest fleet (three cost about 130 bytes each, 21 streams a second: 8 kB/s); to encode the version in what the caller sends back, since the protocol lets an instance add nothing to a stream.

After a kill of all instances the listed upstreams are all that is looked at yet; versions that have left are not known.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -33,6 +33,7 @@
         request.adapter().forEach(a -> line.append(" adapter=").append(a.key()));
         if (upstream != null) {
             line.append(" upstream=").append(upstream.id());
+            line.append(" software-version=").append(upstream.upstreamRecord().softwareVersion());
             append("upstream-requests", upstream.totalRequests());
             append("own", upstream.ownRequests());
             append("failing", Math.round(upstream.health().failureRate() * 100));
@@ -40,6 +41,18 @@
         return this;
     }
 
+    /** Adds the stream that the caller resumes, and where it began. */
+    CallLogLine withStream(FoundOrigin found) {
+        request.resumed()
+                .forEach(
+                        r -> {
+                            line.append(" resumes=").append(r.firstRequest().getOrElse("unnamed"));
+                            found.origin().forEach(o -> line.append(" origin=").append(o));
+                            line.append(" origin-from=").append(found);
+                        });
+        return this;
+    }
+
     /** Adds the times of an answer that has begun, and the earlier use of the connection. */
     CallLogLine withAnswer(AnswerProgress answer) {
         if (answer.hasBegun()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueues.java
@@ -79,7 +79,7 @@
             Option<UpstreamChooser.Choice> choice = chooser.apply(call);
             if (choice.isDefined()) {
                 call.dispatch(choice);
-            } else if (!call.excluded().anyForGood() && ++withoutUpstream == MAX_FAILED_CHOICES) {
+            } else if (!isRestricted(call) && ++withoutUpstream == MAX_FAILED_CHOICES) {
                 return;
             }
         }
@@ -101,7 +101,7 @@
             CallQueue queue = e.getValue();
             boolean served = queue.isEmpty() || isServed.test(e.getKey());
             for (ForwardCall call : queue.inDispatchOrder()) {
-                if (!served || (call.excluded().anyForGood() && !hasUpstream.test(call))) {
+                if (!served || (isRestricted(call) && !hasUpstream.test(call))) {
                     call.refuseWaiting(ResultCode.NO_UPSTREAM);
                 } else if (queue.willMissDeadline(call)) {
                     call.refuseWaiting(ResultCode.QUEUE_FULL);
@@ -110,6 +110,11 @@
         }
     }
 
+    /** Returns whether only some upstreams of the service may answer a call. */
+    private static boolean isRestricted(ForwardCall call) {
+        return call.stream().isBound() || call.excluded().anyForGood();
+    }
+
     boolean isEmpty() {
         return queues.values().stream().allMatch(CallQueue::isEmpty);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallState.java
@@ -3,13 +3,16 @@
 /** State of a call. */
 enum CallState {
     DISPATCHING,
+
+    /** It is not known yet where the stream began that the caller resumes. */
+    AWAITING_ORIGIN,
     QUEUED,
     AWAITING_ADAPTER,
     SENT,
     ENDED;
 
-    /** Returns whether the call waits at this instance for a place or an adapter. */
+    /** Returns whether the call waits at this instance and no upstream works on it. */
     boolean isWaiting() {
-        return this == QUEUED || this == AWAITING_ADAPTER;
+        return this == QUEUED || this == AWAITING_ADAPTER || this == AWAITING_ORIGIN;
     }
 }
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
@@ -0,0 +1,69 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.util.function.Consumer;
+
+/**
+ * Stream that a call begins or continues. It restricts the upstreams of the call: any may answer
+ * until the first event was passed on, then those with the software version that began the stream.
+ * If that version is unknown, only the same incarnation of the upstream may go on.
+ */
+final class CallStream {
+
+    private final ResumedStreams streams;
+    private FoundOrigin found = FoundOrigin.UNKNOWN;
+    private UpstreamRecord server;
+
+    CallStream(ResumedStreams streams) {
+        this.streams = streams;
+    }
+
+    /**
+     * Finds out where the stream began that a request resumes.
+     *
+     * @param receiver receives the service that may continue it; empty if none may
+     */
+    void resume(ForwardRequest request, Consumer<Option<String>> receiver) {
+        streams.find(
+                request,
+                origin -> {
+                    found = origin;
+                    receiver.accept(
+                            origin.origin()
+                                    .map(StreamOrigin::service)
+                                    .filter(request.route()::allows));
+                });
+    }
+
+    /** Restricts the call, and reports the stream, because an upstream's answer has begun. */
+    void onAnswerBegun(ForwardRequest request, UpstreamRecord upstream) {
+        if (request.route().kind() == RequestKind.RESUMABLE_STREAM) {
+            server = upstream;
+            if (!isBound()) {
+                found = FoundOrigin.of(StreamOrigin.of(upstream), OriginSource.OWN, "");
+            }
+            streams.onBegun(request, found);
+        }
+    }
+
+    /** Counts a request that resumes the stream but has got no event. */
+    void onNotContinued(ForwardRequest request, ResumeOutcome outcome) {
+        streams.onNotContinued(request, outcome, found);
+    }
+
+    /** Returns whether only some upstreams may answer. */
+    boolean isBound() {
+        return found.origin().isDefined();
+    }
+
+    /** Returns where the stream began, and how that is known. */
+    FoundOrigin found() {
+        return found;
+    }
+
+    /** Returns whether an upstream may answer the call. */
+    boolean allows(UpstreamRecord upstream) {
+        return found.origin().forAll(o -> o.fits(upstream))
+                || (server != null && server.startedAtMs() > 0 && server.sameIncarnation(upstream));
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -16,27 +16,20 @@
 
     private static final Logger LOG = Logger.getLogger(ForwardCall.class);
 
-    /**
-     * Time after the deadline during which an upstream may still send its own answer before the
-     * call is ended here.
-     */
-    private static final Duration DEADLINE_GRACE = Duration.ofMillis(120);
-
-    private final ForwardRequest request;
+    private ForwardRequest request;
     private final CallTransport transport;
     private final Forwarder forwarder;
     private final long arrivalNumber;
     private final long openedAt;
     private final ExcludedUpstreams excluded;
     private CallState state = CallState.DISPATCHING;
-    private UpstreamState upstream;
-    private Scheduler.Timer deadlineTimer;
+    private final DeadlineTimer deadlineTimer;
     private final StallTimer stallTimer;
-    private long sentAt;
     private final AttemptCounts attempts = new AttemptCounts();
     private boolean trial;
+    private final CallStream stream;
     private final AnswerProgress answer = new AnswerProgress();
-    private final PendingPrompt prompt;
+    private final CallPlace place;
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
         this.request = request;
@@ -45,8 +38,10 @@
         this.arrivalNumber = number;
         this.excluded = new ExcludedUpstreams(request.route().kind().isRepeatable());
         this.openedAt = forwarder.now();
-        this.prompt = new PendingPrompt(request.promptTokens());
+        this.stream = new CallStream(forwarder.resumedStreams());
+        this.place = new CallPlace(forwarder, request.promptTokens());
         this.stallTimer = new StallTimer(forwarder, this);
+        this.deadlineTimer = new DeadlineTimer(forwarder, this::onDeadline);
     }
 
     ForwardRequest request() {
@@ -76,8 +71,12 @@
         return excluded;
     }
 
+    CallStream stream() {
+        return stream;
+    }
+
     UpstreamState upstream() {
-        return upstream;
+        return place.upstream();
     }
 
     boolean hasEnded() {
@@ -93,12 +92,26 @@
     }
 
     void start() {
-        long left = request.deadlineNanos() - forwarder.now();
-        deadlineTimer =
-                forwarder.after(
-                        Duration.ofNanos(Math.max(0, left)).plus(DEADLINE_GRACE), this::onDeadline);
+        deadlineTimer.start(request.deadlineNanos());
         trial = forwarder.crashDetector().tryTakeTrial(request);
-        dispatch();
+        if (request.resumed().isDefined()) {
+            state = CallState.AWAITING_ORIGIN;
+            stream.resume(request, this::onOrigin);
+        } else {
+            dispatch();
+        }
+    }
+
+    /**
+     * Sends a request that resumes a stream to the service that began it, or refuses the request.
+     */
+    private void onOrigin(Option<String> service) {
+        if (state == CallState.AWAITING_ORIGIN && service.isDefined()) {
+            request = request.withService(service.get());
+            dispatch();
+        } else if (state == CallState.AWAITING_ORIGIN) {
+            refuse(ResultCode.STREAM_NOT_RESUMABLE, forwarder.retryAfter(this));
+        }
     }
 
     /** Returns whether the call must be refused because requests like it crash upstreams. */
@@ -121,15 +134,15 @@
         } else if (choice.isEmpty()) {
             enqueueOrRefuse();
         } else if (choice.get().adapterReady()) {
-            reserve(choice.get().upstream());
+            place.reserve(choice.get().upstream(), request);
             send();
         } else if (!answer.hasBegun()
                 && !choice.get().isReadyBy(sendDeadlineNanos(), forwarder.now())) {
             refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
         } else {
-            reserve(choice.get().upstream());
+            place.reserve(choice.get().upstream(), request);
             state = CallState.AWAITING_ADAPTER;
-            upstream.beginAdapterWait(request.adapter().get());
+            place.beginAdapterWait(request);
             log("wait-adapter", "expected-ms-" + choice.get().adapterWait().toMillis());
             forwarder.awaitAdapter(this);
         }
@@ -153,36 +166,15 @@
         log("queue");
     }
 
-    private void reserve(UpstreamState chosen) {
-        upstream = chosen;
-        if (upstream.addRequest(request)) {
-            forwarder.onAdapterUseChanged(upstream, request.adapter().get());
-        }
-    }
-
     private void release() {
         answer.onDisconnected();
-        if (upstream != null) {
-            prompt.end();
-            if (state == CallState.AWAITING_ADAPTER) {
-                upstream.endAdapterWait(request.adapter().get());
-            }
-            if (state == CallState.SENT && request.adapter().exists(a -> !a.isBase())) {
-                forwarder.onAdapterUseEnded(Duration.ofNanos(forwarder.now() - sentAt));
-            }
-            UpstreamState released = upstream;
-            upstream = null;
-            if (released.removeRequest(request)) {
-                forwarder.onAdapterUseChanged(released, request.adapter().get());
-            }
-            forwarder.queues().dispatch(request.service());
-        }
+        place.release(request);
     }
 
     /** Sends the request after its adapter has been loaded. */
     void onAdapterReady() {
         if (state == CallState.AWAITING_ADAPTER) {
-            upstream.endAdapterWait(request.adapter().get());
+            place.endAdapterWait(request);
             state = CallState.DISPATCHING;
             send();
         }
@@ -192,7 +184,7 @@
     void onAdapterFailed() {
         if (state == CallState.AWAITING_ADAPTER) {
             log("adapter-failed");
-            excluded.passOver(upstream);
+            excluded.passOver(upstream());
             release();
             dispatch();
         }
@@ -208,7 +200,7 @@
 
     /** Sends the request to the upstream assigned to it. */
     private void send() {
-        if (!upstream.acceptsRequests()) {
+        if (!upstream().acceptsRequests()) {
             // The upstream began to drain while the request waited for its adapter.
             log("upstream-leaving");
             release();
@@ -231,17 +223,17 @@
             return;
         }
         state = CallState.SENT;
-        sentAt = now;
+        place.onSent();
         Attempt attempt =
                 new Attempt(
                         attempts.onSent(),
-                        upstream.upstreamRecord(),
+                        upstream().upstreamRecord(),
                         Duration.ofNanos(left),
                         forwarder.requiredVersion(request),
                         request.route().priority());
         log("send");
-        forwarder.onSent(this);
-        prompt.begin(upstream);
+        forwarder.latencies().onSent(request);
+        place.prompt().begin(upstream());
         stallTimer.start();
         transport.send(attempt);
     }
@@ -251,7 +243,7 @@
      * take it now; returns whether it was sent.
      */
     boolean moveIfStalled() {
-        boolean stalled = state == CallState.SENT && upstream != null && stallTimer.isOverdue();
+        boolean stalled = state == CallState.SENT && upstream() != null && stallTimer.isOverdue();
         Option<UpstreamChooser.Choice> other =
                 stalled && mayRunAgain() ? forwarder.chooseOther(this) : Option.none();
         if (other.isEmpty() || !forwarder.tryTakeRetry(request)) {
@@ -260,7 +252,7 @@
         log("stalled");
         transport.cancelAttempt();
         forwarder.onOutcome(this, false);
-        excluded.passOver(upstream);
+        excluded.passOver(upstream());
         release();
         dispatch(other);
         return true;
@@ -271,20 +263,28 @@
         answer.onConnected(earlierRequests);
     }
 
-    /** Records that an upstream has begun a successful answer to the request. */
+    /**
+     * Records that an upstream has begun a successful answer to the request. Called before the
+     * first event is passed on, so that other instances know of the stream before the caller does.
+     */
     public void onAnswerBegun() {
         forwarder.crashDetector().onAnswerBegun(request);
+        stream.onAnswerBegun(request, upstream().upstreamRecord());
     }
 
     /** Records that the answer has begun, or that more of it was passed on to the caller. */
     public void onProgress() {
-        prompt.end();
+        place.prompt().end();
         if (answer.hasBegun()) {
             answer.onContinued(stallTimer.silentNanos());
         } else {
             answer.onBegun(forwarder.now());
-            forwarder.onFirstByte(
-                    this, answer.firstByteAt() - sentAt, prompt.unreadTokensWhenSent());
+            forwarder
+                    .latencies()
+                    .onFirstByte(
+                            request,
+                            answer.firstByteAt() - place.sentAt(),
+                            place.prompt().unreadTokensWhenSent());
         }
         stallTimer.onProgress();
     }
@@ -297,7 +297,7 @@
         attempts.onNotRun();
         log("unreachable", reason);
         forwarder.onUnreachable(this);
-        excluded.passOver(upstream);
+        excluded.passOver(upstream());
         release();
         dispatchAgain(true);
     }
@@ -312,7 +312,7 @@
             return;
         }
         forwarder.onNotRun(this, cause);
-        if (!excluded.onNotRun(upstream, cause)) {
+        if (!excluded.onNotRun(upstream(), cause)) {
             log("ambiguous-refusal", reason);
             fail(ResultCode.UPSTREAM_FAILED);
             return;
@@ -342,7 +342,10 @@
         if (state != CallState.SENT) {
             return false;
         }
-        if (status >= 500 && tryTakeRetryElsewhere()) {
+        if (status >= 500
+                && mayRunAgain()
+                && forwarder.upstreams().hasAlternative(this)
+                && forwarder.tryTakeRetry(request)) {
             log("upstream-failed", "status-" + status);
             forwarder.onOutcome(this, false);
             retryElsewhere();
@@ -360,7 +363,8 @@
         forwarder.onOutcome(this, false);
         forwarder
                 .crashDetector()
-                .onConnectionLost(upstream.upstreamRecord(), request, sentAt, answer.hasBegun());
+                .onConnectionLost(
+                        upstream().upstreamRecord(), request, place.sentAt(), answer.hasBegun());
         if (mayRunAgain()
                 && !forwarder.crashDetector().shouldRefuse(request)
                 && forwarder.tryTakeRetry(request)) {
@@ -377,13 +381,8 @@
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
 
-    private boolean tryTakeRetryElsewhere() {
-        boolean hasAlternative = forwarder.upstreams().hasAlternative(this);
-        return mayRunAgain() && hasAlternative && forwarder.tryTakeRetry(request);
-    }
-
     private void retryElsewhere() {
-        excluded.passOver(upstream);
+        excluded.passOver(upstream());
         release();
         dispatch();
     }
@@ -456,6 +455,7 @@
         }
         log("refuse", "code-" + code.number());
         forwarder.onNotCompleted(request, code);
+        stream.onNotContinued(request, ResumeOutcome.REFUSED);
         end();
         transport.answerError(code, retryAfter);
     }
@@ -467,6 +467,7 @@
         if (answer.hasBegun()) {
             transport.abortAnswer(code);
         } else {
+            stream.onNotContinued(request, ResumeOutcome.FAILED);
             transport.answerError(code, Option.none());
         }
     }
@@ -490,7 +491,8 @@
                     CallLogLine.of(request, decision, reason)
                             .withAge(forwarder.now())
                             .withAttempts(attempts)
-                            .withUpstream(upstream)
+                            .withUpstream(upstream())
+                            .withStream(stream.found())
                             .withAnswer(answer)
                             .withConfiguration(forwarder.configuration().version()));
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -34,6 +34,30 @@
         sharedParts = List.copyOf(sharedParts);
     }
 
+    /** Returns the request for another of its route's services. */
+    ForwardRequest withService(String other) {
+        return new ForwardRequest(
+                id,
+                route,
+                other,
+                arrivedNanos,
+                callerTimeout,
+                adapter,
+                promptTokens,
+                outputTokens,
+                fingerprint,
+                sharedParts,
+                resumed);
+    }
+
+    /**
+     * Returns the identifier of the request that began the stream: another one if this request
+     * resumes a stream. Empty if the caller does not name it.
+     */
+    Option<String> firstRequest() {
+        return resumed.isEmpty() ? Option.of(id) : resumed.get().firstRequest();
+    }
+
     /** Returns the tokens that the request may occupy in an engine's memory. */
     public long tokens() {
         return promptTokens + outputTokens;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -45,12 +45,12 @@
     private final EngineController controller;
     private final LoadExchange loadExchange;
     private final SharedStoreState storeState;
+    private final ResumedStreams resumedStreams;
     private final CallQueues queues;
     private final RetryDelay retryDelay;
-    private final StallTimeouts stallTimeouts = new StallTimeouts();
     private final AdapterVersions adapterVersions = new AdapterVersions();
-    private final PromptReadTime promptReadTime = new PromptReadTime();
-    private final AdapterWaitModel waitModel = new AdapterWaitModel(INITIAL_LOAD_TIME);
+    private final LatencyModels latencies =
+            new LatencyModels(new AdapterWaitModel(INITIAL_LOAD_TIME));
     private final Set<ForwardCall> openCalls = new HashSet<>();
     private final CallerLimitHistory callerLimits = new CallerLimitHistory();
     private RoutingConfiguration configuration = RoutingConfiguration.NONE;
@@ -72,7 +72,7 @@
         this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
-        this.waits = new AdapterWaits(time, waitModel);
+        this.waits = new AdapterWaits(time, latencies.adapterWait());
         this.loadCoordinator =
                 new AdapterLoadCoordinator(settings.instance(), upstreams, waits, out, time);
         this.crashDetector =
@@ -88,6 +88,7 @@
                         loadCoordinator);
         loadCoordinator.connect(controller, this::onMisaddressed);
         this.storeState = new SharedStoreState(time);
+        this.resumedStreams = new ResumedStreams(ports, upstreams);
         this.loadExchange =
                 new LoadExchange(
                         membership,
@@ -242,15 +243,15 @@
 
     private Option<UpstreamChooser.Choice> choose(ForwardCall call, ExcludedUpstreams excluded) {
         ForwardRequest r = call.request();
-        List<UpstreamState> serving = upstreams.available(r.service());
+        List<UpstreamState> serving = upstreams.availableTo(call);
         UpstreamChooser.ChoiceInputs inputs =
                 new UpstreamChooser.ChoiceInputs(
                         r,
                         configuration.service(r.service()).flatMap(ServiceSpec::engine),
                         requiredVersion(r).getOrElse(0),
-                        waitModel,
+                        latencies.adapterWait(),
                         UpstreamChooser.preferredUpstream(r, serving),
-                        promptReadTime,
+                        latencies.promptReadTime(),
                         call.hasAnswerBegun(),
                         Duration.ofNanos(now() - r.arrivedNanos()),
                         excluded);
@@ -303,26 +304,8 @@
         return upstreams;
     }
 
-    /** Returns how long an upstream may be silent before the request is sent to another one. */
-    Duration stallTimeout(ForwardRequest request, boolean answerBegun) {
-        return stallTimeouts.timeout(request.route(), answerBegun);
-    }
-
-    /**
-     * @param unreadTokens prompt tokens that the upstream had not read when the request was sent
-     */
-    void onFirstByte(ForwardCall call, long nanos, long unreadTokens) {
-        stallTimeouts.onFirstByte(call.request().route(), nanos);
-        promptReadTime.onFirstByte(unreadTokens, Duration.ofNanos(nanos));
-        if (call.request().adapter().exists(a -> !a.isBase())) {
-            waitModel.onFirstEvent(Duration.ofNanos(nanos));
-        }
-    }
-
-    void onSent(ForwardCall call) {
-        if (call.request().promptTokens() > 0) {
-            promptReadTime.onPrompt(call.request().promptTokens());
-        }
+    LatencyModels latencies() {
+        return latencies;
     }
 
     void onOutcome(ForwardCall call, boolean succeeded) {
@@ -349,6 +332,10 @@
         listener.notCompleted(request, code, Duration.ofNanos(now() - request.arrivedNanos()));
     }
 
+    ResumedStreams resumedStreams() {
+        return resumedStreams;
+    }
+
     void onEnded(ForwardCall call) {
         openCalls.remove(call);
     }
@@ -370,11 +357,6 @@
         }
     }
 
-    /** Records for how long a request has used an adapter. */
-    void onAdapterUseEnded(Duration took) {
-        waitModel.onUseEnded(took);
-    }
-
     /** Records that requests of this instance have begun or ceased to use an adapter. */
     void onAdapterUseChanged(UpstreamState upstream, AdapterRef adapter) {
         loadCoordinator.onUseChanged(upstream.id(), adapter);
@@ -414,6 +396,8 @@
             case ADAPTER_USES -> loadExchange.onAdapterUses(from, envelope.getAdapterUses());
             case ADAPTER_WANTED -> loadCoordinator.onLoadRequest(from, envelope.getAdapterWanted());
             case ADAPTER_STATE -> loadCoordinator.onAdapterState(envelope.getAdapterState());
+            case BEGUN_STREAMS, BEGUN_STREAM_QUERY, BEGUN_STREAM_REPLY ->
+                    resumedStreams.exchange().onMessage(envelope);
             case CRASH_MARKS, PART_CRASHES -> crashDetector.onMessage(envelope);
             default -> membership.onMessage(envelope, out);
         }
@@ -424,6 +408,7 @@
         membership.onTick(out);
         crashDetector.onTick();
         retries.onTick(membership.live().size());
+        resumedStreams.exchange().onTick();
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
         upstreams.takeDueRecords().forEach(this::onUpstream);
         if (enginesChanged) {
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -0,0 +1,111 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/**
+ * Determines where the streams began that callers resume. If no instance knows it, for example
+ * after a restart of all instances, a stream may go on only if a single software version can have
+ * begun it.
+ */
+final class ResumedStreams {
+
+    /** Interval at which a resumed stream waits for the history of the upstreams to be read. */
+    private static final Duration HISTORY_CHECK_INTERVAL = Duration.ofMillis(40);
+
+    /** Longest wait for the history. A caller gives up after 2 s without an event. */
+    private static final Duration MAX_HISTORY_WAIT = Duration.ofMillis(800);
+
+    /** Time after a caller's deadline for which it may still resume its stream. */
+    private static final Duration RESUME_MARGIN = Duration.ofSeconds(2);
+
+    private final StreamOriginExchange exchange;
+    private final UpstreamTable upstreams;
+    private final ForwardPorts ports;
+
+    ResumedStreams(ForwardPorts ports, UpstreamTable upstreams) {
+        this.exchange = new StreamOriginExchange(ports);
+        this.upstreams = upstreams;
+        this.ports = ports;
+    }
+
+    StreamOriginExchange exchange() {
+        return exchange;
+    }
+
+    /** Finds where the stream began that a request resumes, and passes it to the receiver. */
+    void find(ForwardRequest request, Consumer<FoundOrigin> receiver) {
+        Option<String> first = request.resumed().flatMap(ResumedStream::firstRequest);
+        long waitUntil = ports.time().nanoTime() + MAX_HISTORY_WAIT.toNanos();
+        if (first.isEmpty()) {
+            findByVersions(request, waitUntil, receiver);
+        } else {
+            exchange.find(
+                    first.get(),
+                    found -> {
+                        if (found.origin().isDefined()) {
+                            receiver.accept(found);
+                        } else {
+                            findByVersions(request, waitUntil, receiver);
+                        }
+                    });
+        }
+    }
+
+    /**
+     * Keeps and reports where the stream of a request began, because its first event here is about
+     * to be passed on.
+     */
+    void onBegun(ForwardRequest request, FoundOrigin found) {
+        long age = ports.time().nanoTime() - request.arrivedNanos();
+        Duration left = request.callerTimeout().minusNanos(age).plus(RESUME_MARGIN);
+        for (String first : request.firstRequest()) {
+            found.origin().forEach(o -> exchange.onBegun(first, o, left));
+        }
+        if (request.resumed().isDefined()) {
+            ports.listener().resumed(ResumeOutcome.CONTINUED, found.source());
+        }
+    }
+
+    /** Counts a request that resumes a stream but has got no event. */
+    void onNotContinued(ForwardRequest request, ResumeOutcome outcome, FoundOrigin found) {
+        if (request.resumed().isDefined()) {
+            ports.listener().resumed(outcome, found.source());
+        }
+    }
+
+    private void findByVersions(
+            ForwardRequest request, long waitUntil, Consumer<FoundOrigin> receiver) {
+        boolean mayWait = ports.time().nanoTime() - waitUntil < 0;
+        if (!upstreams.isHistoryRead() && mayWait) {
+            ports.scheduler()
+                    .after(
+                            HISTORY_CHECK_INTERVAL,
+                            () -> findByVersions(request, waitUntil, receiver));
+            return;
+        }
+        receiver.accept(
+                onlyOrigin(request)
+                        .map(o -> FoundOrigin.of(o, OriginSource.ONLY_VERSION, ""))
+                        .getOrElse(FoundOrigin.UNKNOWN));
+    }
+
+    /**
+     * Returns the origin of a stream that no instance knows: certain if each service that may have
+     * begun it has had one version only for as long as a stream can last.
+     */
+    private Option<StreamOrigin> onlyOrigin(ForwardRequest request) {
+        Duration timeout = request.route().timeout();
+        Duration longest =
+                timeout.compareTo(request.callerTimeout()) < 0 ? request.callerTimeout() : timeout;
+        boolean certain =
+                request.route().services().stream()
+                        .allMatch(s -> upstreams.onlyVersion(s.service(), longest).isDefined());
+        return certain
+                ? upstreams
+                        .onlyVersion(request.service(), longest)
+                        .map(v -> new StreamOrigin(request.service(), v))
+                : Option.none();
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
@@ -33,6 +33,11 @@
         }
     }
 
+    /** Returns whether requests of the route may be sent to a service. */
+    boolean allows(String service) {
+        return services.stream().anyMatch(s -> s.service().equals(service));
+    }
+
     /**
      * Returns the service for a request. If the point is random, each service is returned with a
      * probability in proportion to its weight.
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimer.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimer.java
@@ -41,7 +41,7 @@
 
     /** Returns the longest time without progress, which changes while the timer runs. */
     private Duration timeout() {
-        return forwarder.stallTimeout(call.request(), call.hasAnswerBegun());
+        return forwarder.latencies().stallTimeout(call.request(), call.hasAnswerBegun());
     }
 
     private void check() {
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
@@ -0,0 +1,252 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.model.RendezvousHash;
+import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.node.Effects;
+import org.bronzehill.core.time.TimeSource;
+import org.bronzehill.protocol.generated.BegunStream;
+import org.bronzehill.protocol.generated.BegunStreamQuery;
+import org.bronzehill.protocol.generated.BegunStreamReply;
+import org.bronzehill.protocol.generated.BegunStreams;
+import org.bronzehill.protocol.generated.Envelope;
+
+/**
+ * Keeps the origins of streams at some instances and finds them again. An instance that passes on
+ * the first event of a stream reports its origin to a few others before, so that a caller can
+ * resume the stream anywhere although the instance may be killed right after the event.
+ */
+final class StreamOriginExchange {
+
+    /** Number of other instances that keep the origin of a stream. */
+    static final int COPIES = 3;
+
+    /**
+     * Number of instances that are asked. More than keep a copy, since instances that start or end
+     * change who is first in the order.
+     */
+    static final int MAX_ASKED = 8;
+
+    /** Time after which a question is repeated to instances that have not answered. */
+    static final Duration REPEAT_INTERVAL = Duration.ofMillis(60);
+
+    /** Number of times that a question is sent. A caller gives up after 2 s without an event. */
+    static final int MAX_ROUNDS = 4;
+
+    /** Time after a start in which other instances may not be known yet. */
+    private static final Duration STARTUP_TIME = Duration.ofSeconds(1);
+
+    /** Longest time for which the origin of a stream is kept. */
+    private static final Duration MAX_VALIDITY = Duration.ofMinutes(10);
+
+    private static final Duration CLEANUP_INTERVAL = Duration.ofSeconds(5);
+
+    private final Membership membership;
+    private final TimeSource time;
+    private final Scheduler scheduler;
+    private final Effects out;
+    private final StreamOrigins origins;
+    private final Map<Long, Inquiry> inquiries = new HashMap<>();
+    private final long startedAt;
+    private long cleanedUpAt;
+
+    /** Question for the origin of one stream. */
+    private static final class Inquiry {
+        private final Set<String> withoutKnowledge = new HashSet<>();
+        private final Set<String> unanswered = new HashSet<>();
+        private final List<Consumer<FoundOrigin>> receivers = new ArrayList<>();
+        private int rounds;
+    }
+
+    StreamOriginExchange(ForwardPorts ports) {
+        this.membership = ports.membership();
+        this.time = ports.time();
+        this.scheduler = ports.scheduler();
+        this.out = ports.out();
+        this.origins = new StreamOrigins(time);
+        this.startedAt = time.nanoTime();
+        this.cleanedUpAt = startedAt;
+    }
+
+    private static long keyOf(String firstRequest) {
+        return RendezvousHash.nameHash(firstRequest);
+    }
+
+    /** Returns the other live instances in the rendezvous order of a stream. */
+    private List<InstanceRef> ranked(long stream, int limit) {
+        String self = membership.self().id();
+        return membership.live().stream()
+                .filter(i -> !i.id().equals(self))
+                .sorted(
+                        Comparator.comparingLong(
+                                        (InstanceRef i) ->
+                                                RendezvousHash.weightOf(
+                                                        stream, RendezvousHash.nameHash(i.id())))
+                                .reversed())
+                .limit(limit)
+                .toList();
+    }
+
+    /**
+     * Remembers and reports the origin of a stream whose first event is about to be passed on, or
+     * that is being continued here.
+     *
+     * @param firstRequest identifier of the request that began the stream
+     * @param validity time for which the caller may resume the stream
+     */
+    void onBegun(String firstRequest, StreamOrigin origin, Duration validity) {
+        if (!origin.isVersionKnown() || validity.isNegative()) {
+            return;
+        }
+        long stream = keyOf(firstRequest);
+        long valid = Math.min(validity.toNanos(), MAX_VALIDITY.toNanos());
+        if (origins.put(stream, origin, "", time.nanoTime() + valid)) {
+            BegunStreams message =
+                    BegunStreams.newBuilder().addStreams(message(stream, origin, valid)).build();
+            for (InstanceRef i : ranked(stream, COPIES)) {
+                send(i.id(), Envelope.newBuilder().setBegunStreams(message));
+            }
+        }
+    }
+
+    private static BegunStream message(long stream, StreamOrigin origin, long validNanos) {
+        return BegunStream.newBuilder()
+                .setStream(stream)
+                .setService(origin.service())
+                .setSoftwareVersion(origin.softwareVersion())
+                .setValidMs((int) (validNanos / 1_000_000))
+                .build();
+    }
+
+    private void send(String instance, Envelope.Builder envelope) {
+        out.add(new Effect.SendPeer(instance, envelope, false));
+    }
+
+    /** Finds the origin of a stream; asks other instances if it is not known here. */
+    void find(String firstRequest, Consumer<FoundOrigin> receiver) {
+        long stream = keyOf(firstRequest);
+        Option<StreamOrigins.Entry> known = origins.get(stream);
+        if (known.isDefined()) {
+            receiver.accept(known.get().found());
+            return;
+        }
+        Inquiry inquiry = inquiries.get(stream);
+        if (inquiry != null) {
+            inquiry.receivers.add(receiver);
+            return;
+        }
+        inquiry = new Inquiry();
+        inquiry.receivers.add(receiver);
+        inquiries.put(stream, inquiry);
+        ask(stream, inquiry);
+    }
+
+    private void ask(long stream, Inquiry inquiry) {
+        List<InstanceRef> asked = ranked(stream, MAX_ASKED);
+        boolean starting = time.nanoTime() - startedAt < STARTUP_TIME.toNanos();
+        inquiry.unanswered.clear();
+        asked.stream()
+                .map(InstanceRef::id)
+                .filter(id -> !inquiry.withoutKnowledge.contains(id))
+                .forEach(inquiry.unanswered::add);
+        boolean mayFindOthers = starting && asked.isEmpty();
+        if (inquiry.unanswered.isEmpty() && !mayFindOthers
+                || ++inquiry.rounds > MAX_ROUNDS && !mayFindOthers) {
+            end(stream, FoundOrigin.UNKNOWN);
+            return;
+        }
+        BegunStreamQuery query = BegunStreamQuery.newBuilder().addStreams(stream).build();
+        inquiry.unanswered.forEach(
+                id -> send(id, Envelope.newBuilder().setBegunStreamQuery(query)));
+        scheduler.after(
+                REPEAT_INTERVAL,
+                () -> {
+                    if (inquiries.get(stream) == inquiry) {
+                        ask(stream, inquiry);
+                    }
+                });
+    }
+
+    private void end(long stream, FoundOrigin found) {
+        Inquiry ended = inquiries.remove(stream);
+        if (ended != null) {
+            ended.receivers.forEach(r -> r.accept(found));
+        }
+    }
+
+    /** Applies a message of another instance. */
+    void onMessage(Envelope envelope) {
+        String from = envelope.getFrom();
+        switch (envelope.getBodyCase()) {
+            case BEGUN_STREAMS ->
+                    envelope.getBegunStreams()
+                            .getStreamsList()
+                            .forEach(s -> onReported(s, from, OriginSource.TOLD));
+            case BEGUN_STREAM_QUERY -> answer(from, envelope.getBegunStreamQuery());
+            case BEGUN_STREAM_REPLY -> onReply(from, envelope.getBegunStreamReply());
+            default -> throw new IllegalArgumentException(envelope.getBodyCase().name());
+        }
+    }
+
+    private void onReported(BegunStream s, String from, OriginSource source) {
+        StreamOrigin origin = new StreamOrigin(s.getService(), s.getSoftwareVersion());
+        if (!origin.isVersionKnown() || s.getValidMs() <= 0) {
+            return;
+        }
+        long valid = Math.min(Duration.ofMillis(s.getValidMs()).toNanos(), MAX_VALIDITY.toNanos());
+        origins.put(s.getStream(), origin, from, time.nanoTime() + valid);
+        end(s.getStream(), FoundOrigin.of(origin, source, from));
+    }
+
+    private void answer(String from, BegunStreamQuery query) {
+        BegunStreamReply.Builder reply = BegunStreamReply.newBuilder();
+        for (long stream : query.getStreamsList()) {
+            Option<StreamOrigins.Entry> known = origins.get(stream);
+            if (known.isDefined()) {
+                long left = known.get().validUntil() - time.nanoTime();
+                reply.addStreams(message(stream, known.get().origin(), left));
+            } else {
+                reply.addUnknown(stream);
+            }
+        }
+        send(from, Envelope.newBuilder().setBegunStreamReply(reply));
+    }
+
+    private void onReply(String from, BegunStreamReply reply) {
+        reply.getStreamsList().forEach(s -> onReported(s, from, OriginSource.ASKED));
+        for (long stream : reply.getUnknownList()) {
+            Inquiry inquiry = inquiries.get(stream);
+            if (inquiry != null) {
+                inquiry.withoutKnowledge.add(from);
+                inquiry.unanswered.remove(from);
+                if (inquiry.unanswered.isEmpty()) {
+                    end(stream, FoundOrigin.UNKNOWN);
+                }
+            }
+        }
+    }
+
+    void onTick() {
+        long now = time.nanoTime();
+        if (now - cleanedUpAt >= CLEANUP_INTERVAL.toNanos()) {
+            cleanedUpAt = now;
+            origins.removeExpired();
+        }
+    }
+
+    /** Returns the number of streams whose origins are kept here. */
+    int size() {
+        return origins.size();
+    }
+}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -1,5 +1,6 @@
 package org.bronzehill.core.forward;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -211,9 +212,16 @@
         return found;
     }
 
+    /** Returns the upstreams that accept new requests and may answer a call. */
+    List<UpstreamState> availableTo(ForwardCall call) {
+        List<UpstreamState> found = available(call.request().service());
+        found.removeIf(u -> !call.stream().allows(u.upstreamRecord()));
+        return found;
+    }
+
     /** Returns whether an upstream other than those that have failed a call may serve it. */
     boolean hasAlternative(ForwardCall call) {
-        return available(call.request().service()).stream()
+        return availableTo(call).stream()
                 .anyMatch(
                         u ->
                                 u != call.upstream()
@@ -223,7 +231,24 @@
 
     /** Returns whether an upstream is listed to which a call may be sent, now or later. */
     boolean hasUpstreamFor(ForwardCall call) {
-        return call.excluded().allowAnyOf(available(call.request().service()));
+        return call.excluded().allowAnyOf(availableTo(call));
+    }
+
+    /** Returns the only software version of a service. */
+    Option<String> onlyVersion(String service, Duration window) {
+        Set<String> versions = new HashSet<>();
+        for (UpstreamState s : states.values()) {
+            if (s.upstreamRecord().service().equals(service)) {
+                versions.add(s.upstreamRecord().softwareVersion());
+            }
+        }
+        return versions.size() == 1 && !versions.contains("")
+                ? Option.of(versions.iterator().next())
+                : Option.none();
+    }
+
+    boolean isHistoryRead() {
+        return true;
     }
 
     /** Returns whether an upstream of a service accepts new requests. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/result/ResultCode.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/result/ResultCode.java
@@ -76,6 +76,16 @@
     /** The instance that holds the lease of the engine could not be reached. */
     PEER_UNREACHABLE(
             4010, RunState.NOT_RUN, Resend.NOW, 503, "the peer in charge could not be reached"),
+    /**
+     * The caller resumes a stream, and it is not certain which software version began it, or the
+     * service that began it no longer serves the route.
+     */
+    STREAM_NOT_RESUMABLE(
+            4011,
+            RunState.NOT_RUN,
+            Resend.NOW,
+            503,
+            "it is not certain which upstreams can continue the stream"),
 
     /**
      * The upstream failed while running the request, or the instance that holds its lease is dead
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -145,12 +145,37 @@
                     new FakeTransport());
         }
 
+        /** Opens a call that resumes the stream of an earlier request. */
+        FakeTransport resume(String firstRequest) {
+            FakeTransport transport = new FakeTransport();
+            ResumedStream stream = new ResumedStream(Option.of(firstRequest));
+            open(
+                    RequestKind.RESUMABLE_STREAM,
+                    ForwardRig.ENGINES,
+                    Option.of(new AdapterRef("m", "")),
+                    List.of(),
+                    Option.of(stream),
+                    transport);
+            return transport;
+        }
+
         private FakeTransport call(
                 RequestKind kind,
                 String service,
                 Option<AdapterRef> adapter,
                 List<Long> sharedParts,
                 FakeTransport transport) {
+            open(kind, service, adapter, sharedParts, Option.none(), transport);
+            return transport;
+        }
+
+        private void open(
+                RequestKind kind,
+                String service,
+                Option<AdapterRef> adapter,
+                List<Long> sharedParts,
+                Option<ResumedStream> resumed,
+                FakeTransport transport) {
             Route route =
                     new Route(
                             "r",
@@ -175,9 +200,8 @@
                             0,
                             new byte[] {(byte) (sequence >> 8), (byte) sequence},
                             sharedParts,
-                        Option.none()),
+                            resumed),
                     transport);
-            return transport;
         }
     }
 
@@ -305,6 +329,17 @@
         return started;
     }
 
+    /** Kills an instance. */
+    void kill(int number) {
+        node(number).up = false;
+    }
+
+    /** Lists an engine with a software version at all instances. */
+    void list(String id, String softwareVersion) {
+        UpstreamRecord listed = ForwardRig.engine(id, 100, softwareVersion, false);
+        nodes.values().forEach(n -> n.forwarder.onUpstream(listed));
+    }
+
     /** Restarts an engine under its identifier. The instances hear of it one after the other. */
     void restartEngine(int number) {
         String id = engineIds.get(number);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -85,6 +85,11 @@
     }
 
     static UpstreamRecord engine(String id, long startedAtMs, boolean draining) {
+        return engine(id, startedAtMs, "v1", draining);
+    }
+
+    static UpstreamRecord engine(
+            String id, long startedAtMs, String softwareVersion, boolean draining) {
         return new UpstreamRecord(
                 id,
                 startedAtMs,
@@ -93,7 +98,7 @@
                 80,
                 "a",
                 8,
-                "v1",
+                softwareVersion,
                 draining,
                 Set.of("m"),
                 Map.of());
@@ -149,7 +154,39 @@
 
     /** Opens a call whose transport has been prepared by the test. */
     void open(RequestKind kind, int attempts, Option<AdapterRef> adapter, FakeTransport transport) {
-        Route route = route(kind, attempts, target);
+        open(route(kind, attempts, target), adapter, Option.none(), transport);
+    }
+
+    /** Opens a call that resumes the stream of an earlier request. */
+    void resume(String firstRequest, FakeTransport transport) {
+        resumeOnRouteTo(ENGINES, firstRequest, transport);
+    }
+
+    /** Opens a call that resumes the stream of an earlier request, on a route to a service. */
+    void resumeOnRouteTo(String service, String firstRequest, FakeTransport transport) {
+        Route usual = route(RequestKind.RESUMABLE_STREAM, 3, target);
+        Route route =
+                new Route(
+                        usual.name(),
+                        usual.host(),
+                        usual.prefix(),
+                        usual.kind(),
+                        usual.timeout(),
+                        usual.target(),
+                        usual.priority(),
+                        List.of(new ServiceShare(service, 1)),
+                        usual.maxAttempts(),
+                        usual.eventTimeout());
+        ResumedStream stream = new ResumedStream(Option.of(firstRequest));
+        open(route, Option.none(), Option.of(stream), transport);
+    }
+
+    private void open(
+            Route route,
+            Option<AdapterRef> adapter,
+            Option<ResumedStream> resumed,
+            FakeTransport transport) {
+        boolean stream = route.kind().isStream();
         ForwardRequest request =
                 new ForwardRequest(
                         "q" + sequence++,
@@ -158,11 +195,11 @@
                         scheduler.time().nanoTime(),
                         Duration.ofSeconds(8),
                         adapter,
-                        kind.isStream() ? 500 : 0,
-                        kind.isStream() ? 200 : 0,
+                        stream ? 500 : 0,
+                        stream ? 200 : 0,
                         new byte[] {(byte) (sequence >> 8), (byte) sequence},
                         List.of(),
-                        Option.none());
+                        resumed);
         forwarder.open(request, transport);
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/TestSettings.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/TestSettings.java
@@ -39,6 +39,9 @@
             @Override
             public void completed(ForwardRequest r, int status, Duration took) {}
 
+            @Override
+            public void resumed(ResumeOutcome outcome, OriginSource source) {}
+
             @Override
             public void notCompleted(ForwardRequest r, ResultCode code, Duration took) {}
         };
