--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -15,6 +15,7 @@
  * @param outputTokens largest number of tokens to generate; 0 for a plain service
  * @param fingerprint hash of path and body that identifies repeated requests
  * @param sharedParts hashes of the parts of the prompt that other requests may have too
+ * @param resumed stream that the request continues; empty if it begins anew
  */
 public record ForwardRequest(
         String id,
@@ -26,12 +27,37 @@
         long promptTokens,
         long outputTokens,
         byte[] fingerprint,
-        List<Long> sharedParts) {
+        List<Long> sharedParts,
+        Option<ResumedStream> resumed) {
 
     public ForwardRequest {
         sharedParts = List.copyOf(sharedParts);
     }
 
+    /** Returns the request for another of its route's services. */
+    ForwardRequest withService(String other) {
+        return new ForwardRequest(
+                id,
+                route,
+                other,
+                arrivedNanos,
+                callerTimeout,
+                adapter,
+                promptTokens,
+                outputTokens,
+                fingerprint,
+                sharedParts,
+                resumed);
+    }
+
+    /**
+     * Returns the identifier of the request that began the stream: another one if this request
+     * resumes a stream. Empty if the caller does not name it.
+     */
+    Option<String> firstRequest() {
+        return resumed.isEmpty() ? Option.of(id) : resumed.get().firstRequest();
+    }
+
     /** Returns the tokens that the request may occupy in an engine's memory. */
     public long tokens() {
         return promptTokens + outputTokens;
