Do not continue streams at an upstream that may have been started again

An upstream may start again under its identifier and address with another software version. Until its new record is read (late, or while the store is away), its old record states the version before, so streams would be continued at the wrong version, and streams that begin there would be noted with it.

Change: once no connection to an upstream could be opened, its incarnation is in doubt (IncarnationCheck) until a record of the same incarnation is read that was written later, for 5 s at most. Meanwhile it continues no streams, and streams that begin there have no known version. New streams are not affected.

Ruled out: to read the upstream's report before each continuation (a probe each, and a garbled answer is no sign of a restart); to doubt an upstream after each lost connection (an upstream that spoils answers would lose all the streams that it has broken off).

What remains: a restart between two connections, so fast that none was refused, is not noticed.

A refusal of an unknown stream (4011) states no time to come back: waiting does not make it known, and another instance may know it now.

Both tests (ResumedStreamTest.upstreamThatMayHaveRestartedDoesNotContinueStreams and streamOfAnUpstreamThatMayHaveRestartedHasNoKnownVersion) were written with the change; without the doubt the stream is continued at e1.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
@@ -12,7 +12,7 @@
 
     private final ResumedStreams streams;
     private FoundOrigin found = FoundOrigin.UNKNOWN;
-    private UpstreamRecord server;
+    private UpstreamState server;
 
     CallStream(ResumedStreams streams) {
         this.streams = streams;
@@ -36,7 +36,7 @@
     }
 
     /** Restricts the call, and reports the stream, because an upstream's answer has begun. */
-    void onAnswerBegun(ForwardRequest request, UpstreamRecord upstream) {
+    void onAnswerBegun(ForwardRequest request, UpstreamState upstream) {
         if (request.route().kind() == RequestKind.RESUMABLE_STREAM) {
             server = upstream;
             if (!isBound()) {
@@ -62,8 +62,10 @@
     }
 
     /** Returns whether an upstream may answer the call. */
-    boolean allows(UpstreamRecord upstream) {
-        return found.origin().forAll(o -> o.fits(upstream))
-                || (server != null && server.startedAtMs() > 0 && server.sameIncarnation(upstream));
+    boolean allows(UpstreamState upstream) {
+        return !isBound()
+                || upstream.incarnation().isCertain()
+                        && (found.origin().get().fits(upstream.upstreamRecord())
+                                || upstream == server);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -110,7 +110,7 @@
             request = request.withService(service.get());
             dispatch();
         } else if (state == CallState.AWAITING_ORIGIN) {
-            refuse(ResultCode.STREAM_NOT_RESUMABLE, forwarder.retryAfter(this));
+            refuse(ResultCode.STREAM_NOT_RESUMABLE, Option.none());
         }
     }
 
@@ -269,7 +269,7 @@
      */
     public void onAnswerBegun() {
         forwarder.crashDetector().onAnswerBegun(request);
-        stream.onAnswerBegun(request, upstream().upstreamRecord());
+        stream.onAnswerBegun(request, upstream());
     }
 
     /** Records that the answer has begun, or that more of it was passed on to the caller. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -315,6 +315,7 @@
     void onUnreachable(ForwardCall call) {
         UpstreamState upstream = call.upstream();
         upstream.health().onUnreachable();
+        upstream.incarnation().onUnreachable();
         crashDetector.onUpstreamDown(upstream.id());
         loadCoordinator.endWaits(upstream);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigin.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigin.java
@@ -9,8 +9,10 @@
  */
 record StreamOrigin(String service, String softwareVersion) {
 
-    static StreamOrigin of(UpstreamRecord upstream) {
-        return new StreamOrigin(upstream.service(), upstream.softwareVersion());
+    static StreamOrigin of(UpstreamState upstream) {
+        UpstreamRecord r = upstream.upstreamRecord();
+        return new StreamOrigin(
+                r.service(), upstream.incarnation().isCertain() ? r.softwareVersion() : "");
     }
 
     /** Returns whether the version is known, so that other upstreams can have the same one. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -23,6 +23,7 @@
 
     private final TimeSource time;
     private final OutcomeHealth health;
+    private final IncarnationCheck incarnation;
     private final Map<String, PeerLoad> peerLoads = new HashMap<>();
     private final Map<String, PeerUsage> peerUses = new HashMap<>();
     private final Map<AdapterRef, Integer> ownUses = new HashMap<>();
@@ -72,6 +73,7 @@
         this.time = time;
         this.nameHash = RendezvousHash.nameHash(upstreamRecord.id());
         this.health = new OutcomeHealth(time);
+        this.incarnation = new IncarnationCheck(time);
         this.idleSlots = new IdleSlots(time);
         this.adapterWaitsPausedUntil = time.nanoTime();
         models.addAll(upstreamRecord.models());
@@ -100,10 +102,15 @@
         return health;
     }
 
+    IncarnationCheck incarnation() {
+        return incarnation;
+    }
+
     /** Updates the state from a newer record of the same incarnation. */
     void update(UpstreamRecord newer) {
         boolean modelsChanged = !newer.models().equals(upstreamRecord.models());
         upstreamRecord = newer;
+        incarnation.onRecord();
         // Reports may show a load before the record does, so later records do not change the
         // adapters.
         if (modelsChanged) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -215,7 +215,7 @@
     /** Returns the upstreams that accept new requests and may answer a call. */
     List<UpstreamState> availableTo(ForwardCall call) {
         List<UpstreamState> found = available(call.request().service());
-        found.removeIf(u -> !call.stream().allows(u.upstreamRecord()));
+        found.removeIf(u -> !call.stream().allows(u));
         return found;
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamTest.java
@@ -160,6 +160,44 @@
         assertEquals(second.refusedWith(), ResultCode.STREAM_NOT_RESUMABLE);
     }
 
+    /**
+     * Guards against joins at an upstream that was started again under its identifier and address
+     * with another version, before its record is read.
+     */
+    @Test
+    public void upstreamThatMayHaveRestartedDoesNotContinueStreams() {
+        list("e1", "v1");
+        FakeTransport first = begin();
+        passOnEvent(first);
+        FakeTransport other = begin();
+        other.call().onUnreachable("connect-failed");
+        first.call().onCallerDisconnected();
+        list("e2", "v2");
+        FakeTransport second = resume(first.call().request().id());
+        assertEquals(second.refusedWith(), ResultCode.NO_UPSTREAM);
+        rig.scheduler().advance(IncarnationCheck.RECORD_DELAY.plusMillis(100));
+        list("e1", "v1");
+        FakeTransport third = resume(first.call().request().id());
+        assertEquals(upstreamOf(third), "e1");
+    }
+
+    /** Guards against a stream that is taken for one of the version before a restart. */
+    @Test
+    public void streamOfAnUpstreamThatMayHaveRestartedHasNoKnownVersion() {
+        list("e1", "v1");
+        begin().call().onUnreachable("connect-failed");
+        rig.scheduler().advance(Duration.ofSeconds(2));
+        FakeTransport first = begin();
+        passOnEvent(first);
+        list("e2", "v2");
+        list("e3", "v1");
+        first.call().onConnectionLost("closed");
+        assertEquals(first.attempts().size(), 1);
+        FakeTransport second = resume(first.call().request().id());
+        rig.scheduler().advance(LOOKUP);
+        assertEquals(second.refusedWith(), ResultCode.STREAM_NOT_RESUMABLE);
+    }
+
     /** Guards against a stream that is resumed at a service which did not begin it. */
     @Test
     public void streamOfAServiceThatNoLongerServesTheRouteIsRefused() {
