Ask fewer instances for the origins of streams, and collect the questions

After a restart of all instances, all callers resume their streams at the same moment, and nobody knows them. So the questions themselves kept the instances busy, which had just been started: eight datagrams and eight answers for each stream, repeated three times.

Change: five instances are asked in place of eight (a copy is among the first four that remain, unless instances have been started since), questions to one instance are collected for 4 ms, and repeated twice, at longer intervals. Questions that nobody answers are logged.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
@@ -21,6 +21,7 @@
 import org.bronzehill.protocol.generated.BegunStreamReply;
 import org.bronzehill.protocol.generated.BegunStreams;
 import org.bronzehill.protocol.generated.Envelope;
+import org.jboss.logging.Logger;
 
 /**
  * Keeps the origins of streams at some instances and finds them again. An instance that passes on
@@ -29,20 +30,25 @@
  */
 final class StreamOriginExchange {
 
+    private static final Logger LOG = Logger.getLogger(StreamOriginExchange.class);
+
     /** Number of other instances that keep the origin of a stream. */
     static final int COPIES = 3;
 
     /**
-     * Number of instances that are asked. More than keep a copy, since instances that start or end
-     * change who is first in the order.
+     * Number of instances that are asked. Those with a copy are among the first four of the
+     * remaining ones, unless instances have been started since.
      */
-    static final int MAX_ASKED = 8;
+    static final int MAX_ASKED = 5;
+
+    /** Time for which questions to the same instance are collected. */
+    static final Duration BATCH_INTERVAL = Duration.ofMillis(4);
 
     /** Time after which a question is repeated to instances that have not answered. */
-    static final Duration REPEAT_INTERVAL = Duration.ofMillis(60);
+    static final Duration REPEAT_INTERVAL = Duration.ofMillis(80);
 
     /** Number of times that a question is sent. A caller gives up after 2 s without an event. */
-    static final int MAX_ROUNDS = 4;
+    static final int MAX_ROUNDS = 3;
 
     /** Time after a start in which other instances may not be known yet. */
     private static final Duration STARTUP_TIME = Duration.ofSeconds(1);
@@ -58,6 +64,10 @@
     private final Effects out;
     private final StreamOrigins origins;
     private final Map<Long, Inquiry> inquiries = new HashMap<>();
+
+    /** Streams to ask for, by instance. Many callers resume their streams at the same time. */
+    private final Map<String, Set<Long>> questions = new HashMap<>();
+
     private final long startedAt;
     private long cleanedUpAt;
 
@@ -161,14 +171,19 @@
                 .filter(id -> !inquiry.withoutKnowledge.contains(id))
                 .forEach(inquiry.unanswered::add);
         boolean mayFindOthers = starting && asked.isEmpty();
-        if (inquiry.unanswered.isEmpty() && !mayFindOthers
-                || ++inquiry.rounds > MAX_ROUNDS && !mayFindOthers) {
+        if (!mayFindOthers && (inquiry.unanswered.isEmpty() || inquiry.rounds == MAX_ROUNDS)) {
+            LOG.infof(
+                    "event=stream-origin-unanswered asked=%d rounds=%d unanswered=%s",
+                    asked.size(), inquiry.rounds, inquiry.unanswered);
             end(stream, FoundOrigin.UNKNOWN);
             return;
         }
-        BegunStreamQuery query = BegunStreamQuery.newBuilder().addStreams(stream).build();
+        inquiry.rounds++;
+        if (questions.isEmpty() && !inquiry.unanswered.isEmpty()) {
+            scheduler.after(BATCH_INTERVAL, this::sendQuestions);
+        }
         inquiry.unanswered.forEach(
-                id -> send(id, Envelope.newBuilder().setBegunStreamQuery(query)));
+                id -> questions.computeIfAbsent(id, i -> new HashSet<>()).add(stream));
         scheduler.after(
                 REPEAT_INTERVAL,
                 () -> {
@@ -178,6 +193,16 @@
                 });
     }
 
+    private void sendQuestions() {
+        questions.forEach(
+                (instance, streams) -> {
+                    BegunStreamQuery query =
+                            BegunStreamQuery.newBuilder().addAllStreams(streams).build();
+                    send(instance, Envelope.newBuilder().setBegunStreamQuery(query));
+                });
+        questions.clear();
+    }
+
     private void end(long stream, FoundOrigin found) {
         Inquiry ended = inquiries.remove(stream);
         if (ended != null) {
