Know which software versions have served before an instance started

When all instances have been killed, nobody knows which software version began a stream that its caller resumes. It may go on only if a single version can have begun it, also one whose upstreams have left: the list of upstreams alone does not show that, so a stream of a version that had left would have been continued by another one.

ServedVersions keeps since when the upstreams have been observed without a gap, and when versions ceased to be listed. UpstreamHistory estimates their ages from the heartbeats, as lower bounds. Resumed streams wait for it through isHistoryRead.

Ruled out: versions exchanged between instances (all of them may have started at the same moment), and the field born (it dates the upstreams that are listed, not those that have left).

The records of upstreams without load do not change, so that fewer revisions are written than heartbeats; the estimate does not know that yet.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardSettings.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardSettings.java
@@ -13,6 +13,8 @@
  * @param retryWindow length of the window
  * @param storeRecoveryGrace how long after an outage a lapsed record may be published again in the
  *     store from which upstreams and the configuration are read
+ * @param upstreamHeartbeat interval at which an upstream publishes its record; zero if it is not
+ *     known, so that the history of the records cannot be used
  * @param orderLease how long after an order an engine accepts orders only from the instance that
  *     sent it
  */
@@ -23,4 +25,5 @@
         double retriesPerWindow,
         Duration retryWindow,
         Duration storeRecoveryGrace,
+        Duration upstreamHeartbeat,
         Duration orderLease) {}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -68,7 +68,9 @@
         this.membership = ports.membership();
         this.out = ports.out();
         this.listener = ports.listener();
-        this.upstreams = new UpstreamTable(time, settings.storeRecoveryGrace());
+        this.upstreams =
+                new UpstreamTable(
+                        time, settings.storeRecoveryGrace(), settings.upstreamHeartbeat());
         this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
@@ -156,6 +158,21 @@
         upstreams.remove(id).forEach(this::onUpstreamDiscarded);
     }
 
+    /**
+     * Adds the changes of upstreams before their list was first read.
+     *
+     * @param entries all changes since some moment, in the order in which they were made; the
+     *     changes since the list was read may be among them
+     */
+    public void onUpstreamHistory(List<UpstreamHistoryEntry> entries) {
+        upstreams.onHistory(entries);
+    }
+
+    /** Records that the changes of upstreams before the first read are not known. */
+    public void onUpstreamHistoryUnavailable() {
+        upstreams.onHistoryUnavailable();
+    }
+
     /** Handles the recovery of the store after an outage. */
     public void onStoreRecovered() {
         upstreams.onStoreRecovered();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -25,16 +25,19 @@
     private final Map<Integer, UpstreamState> byHash = new HashMap<>();
     private final Map<String, Long> lapsedKeptUntil = new HashMap<>();
     private final OutdatedRecords outdatedRecords;
+    private final ServedVersions servedVersions;
     private long storeRecoveredAt;
 
     /**
      * @param recoveryGrace how long after an outage of the store a missing record may still be
      *     published again
+     * @param heartbeat interval at which an upstream publishes its record; zero if it is not known
      */
-    UpstreamTable(TimeSource time, Duration recoveryGrace) {
+    UpstreamTable(TimeSource time, Duration recoveryGrace, Duration heartbeat) {
         this.time = time;
         this.recoveryGrace = recoveryGrace;
         this.outdatedRecords = new OutdatedRecords(time);
+        this.servedVersions = new ServedVersions(time, heartbeat);
         this.storeRecoveredAt = time.nanoTime();
     }
 
@@ -64,6 +67,7 @@
         List<UpstreamState> discarded = new ArrayList<>();
         Set<String> named = new HashSet<>();
         outdatedRecords.clear();
+        servedVersions.onListRead();
         for (UpstreamRecord r : records) {
             UpstreamState listed = states.get(r.id());
             boolean outdated = outdatedRecords.holdIfOutdated(r, listed);
@@ -103,6 +107,9 @@
         lapsedKeptUntil.remove(r.id());
         outdatedRecords.onPublished(r.id());
         UpstreamState state = states.get(r.id());
+        if (state != null) {
+            servedVersions.onChanged(state.upstreamRecord(), r);
+        }
         if (state != null && state.upstreamRecord().sameIncarnation(r)) {
             if (r.draining() && !state.upstreamRecord().draining()) {
                 LOG.infof("event=upstream-draining upstream=%s service=%s", r.id(), r.service());
@@ -165,6 +172,7 @@
         if (state != null) {
             byHash.remove(state.shortHash(), state);
             outdatedRecords.onDeparted(state.upstreamRecord());
+            servedVersions.onDeparted(state.upstreamRecord());
         }
         LOG.infof("event=upstream-gone upstream=%s", id);
         return state == null ? List.of() : List.of(state);
@@ -234,7 +242,25 @@
         return call.excluded().allowAnyOf(availableTo(call));
     }
 
-    /** Returns the only software version of a service. */
+    /** Adds the history of the time before the upstreams were first read. */
+    void onHistory(List<UpstreamHistoryEntry> entries) {
+        servedVersions.onHistory(entries, states.keySet());
+    }
+
+    /** Records that no history can be read. */
+    void onHistoryUnavailable() {
+        servedVersions.onHistoryUnavailable();
+    }
+
+    /** Returns whether the history has been read, or cannot be read. */
+    boolean isHistoryRead() {
+        return servedVersions.isHistoryRead();
+    }
+
+    /**
+     * Returns the software version of a service if it is certain that no other one has served it
+     * within a time before now.
+     */
     Option<String> onlyVersion(String service, Duration window) {
         Set<String> versions = new HashSet<>();
         for (UpstreamState s : states.values()) {
@@ -242,13 +268,7 @@
                 versions.add(s.upstreamRecord().softwareVersion());
             }
         }
-        return versions.size() == 1 && !versions.contains("")
-                ? Option.of(versions.iterator().next())
-                : Option.none();
-    }
-
-    boolean isHistoryRead() {
-        return true;
+        return servedVersions.onlyVersion(service, versions, window);
     }
 
     /** Returns whether an upstream of a service accepts new requests. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadExchangeTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/LoadExchangeTest.java
@@ -80,7 +80,8 @@
                 loads = s.envelope().getLoadShare().getLoadsList();
             }
         }
-        UpstreamTable table = new UpstreamTable(rig.scheduler().time(), Duration.ZERO);
+        UpstreamTable table =
+                new UpstreamTable(rig.scheduler().time(), Duration.ZERO, Duration.ZERO);
         table.put(ForwardRig.plain("p1", 100));
         table.put(ForwardRig.plain("p2", 100));
         assertEquals(loads.size(), 1);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/TestSettings.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/TestSettings.java
@@ -17,6 +17,7 @@
                 retriesPerWindow,
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(2),
+                Duration.ZERO,
                 Duration.ofSeconds(3));
     }
 
@@ -30,6 +31,7 @@
                 s.retriesPerWindow(),
                 s.retryWindow(),
                 s.storeRecoveryGrace(),
+                s.upstreamHeartbeat(),
                 s.orderLease());
     }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
@@ -12,7 +12,8 @@
 public class UpstreamTableTest {
 
     private final VirtualScheduler scheduler = new VirtualScheduler();
-    private final UpstreamTable table = new UpstreamTable(scheduler.time(), Duration.ofSeconds(2));
+    private final UpstreamTable table =
+            new UpstreamTable(scheduler.time(), Duration.ofSeconds(2), Duration.ZERO);
 
     /** Guards against new requests to an upstream that was removed. */
     @Test
