--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/PlannedStop.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/PlannedStop.java
@@ -5,7 +5,8 @@
 /**
  * Times of a planned stop of this instance. Callers learn of the stop late, so requests that arrive
  * early in it are served like any others. Of those that arrive late, or still wait late, only the
- * ones that end before the process does are sent to upstreams.
+ * ones that end before the process does are sent to upstreams. Those that arrive in the last part
+ * are refused, so that callers which send on and on do not keep the process.
  */
 final class PlannedStop {
 
@@ -39,13 +40,17 @@
     }
 
     /**
-     * Returns whether a request may not be sent any more, since it may outlast the process.
+     * Returns whether a request may not be sent any more: it may outlast the process, or it has
+     * arrived so late that its caller would prolong the stop.
      *
      * @param openedAt monotonic time at which the request had arrived completely
      */
     boolean excludes(ForwardRequest request, long openedAt, long now) {
-        return this != NONE
-                && (openedAt - lastArrivalNanos >= 0 || now - lastSendNanos() >= 0)
-                && request.deadlineNanos() - endNanos > 0;
+        if (this == NONE) {
+            return false;
+        }
+        boolean late = openedAt - lastArrivalNanos >= 0 || now - lastSendNanos() >= 0;
+        boolean mayOutlast = request.deadlineNanos() - endNanos > 0;
+        return openedAt - lastSendNanos() >= 0 || (late && mayOutlast);
     }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/PlannedStopTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/PlannedStopTest.java
@@ -42,6 +42,20 @@
         assertEquals(t.refusedWith(), ResultCode.DRAINING);
     }
 
+    /** Guards against a stop that callers prolong with requests that end before it does. */
+    @Test
+    public void veryLateRequestIsRefusedAlthoughItEndsInTime() {
+        ForwardRig rig = new ForwardRig(1, 4, Duration.ofMillis(250), 8);
+        rig.forwarder().drain(LAST_ARRIVAL, Duration.ofSeconds(20));
+        rig.scheduler().advance(Duration.ofMillis(10_500));
+        assertEquals(rig.open(RequestKind.ONCE_ONLY, 1).attempts().size(), 1);
+        // Half of the time from the last arrival to the end has passed.
+        rig.scheduler().advance(Duration.ofMillis(500));
+        FakeTransport t = rig.open(RequestKind.ONCE_ONLY, 1);
+        assertEquals(t.attempts().size(), 0);
+        assertEquals(t.refusedWith(), ResultCode.DRAINING);
+    }
+
     /** Guards against a request that waits for a place and is sent just before the end. */
     @Test
     public void requestThatStillWaitsIsRefusedAsNotRun() {
