Do not turn resumed streams away by the limits for new ones

Cause: a resumed stream was held to the target for the first event of a new one. It had a quarter of a second to wait for a place, and its engine had to have read all earlier prompts within half of the target, although the target had long passed and its caller waits for 2 s. It queued behind new streams that had come before, and its adapter was loaded after those of requests that could meet their target.

Ruled out by log lines on a copy: missing places (most engines ran 20 to 35 of 64 requests), memory, upstreams that were paused or had no room for the adapter. Of 438 refusals of resumed streams, 327 came while most or all engines had too many unread prompts, 111 while most had no place.

Change: for a stream that is resumed, the time after which callers give up replaces the target in the limit of the queue, the limit of unread prompts and the order of adapter loads; in the queue, continued streams come before new ones of the same priority. Places and memory stay hard limits.

streamsOfAVersionWithFewEnginesGoOn failed before: 5 of 15 resumed streams went on, while 184 of 384 new ones began. It passes now.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueue.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueue.java
@@ -9,7 +9,9 @@
 
 /**
  * Calls of one service that wait at this instance because every upstream is full, most urgent
- * first.
+ * first. Among equally urgent ones, those that continue a stream come before those that begin one:
+ * only upstreams of one software version can serve them, and all that was sent of the stream is
+ * lost if they fail.
  *
  * <p>During a burst above the capacity of the upstreams, a call that would still wait when its time
  * is up is refused on arrival. Callers that cannot be served are thus told at once, and the queue
@@ -26,6 +28,7 @@
 
     private static final Comparator<ForwardCall> ORDER =
             Comparator.<ForwardCall>comparingInt(c -> c.request().route().priority())
+                    .thenComparing(c -> !continuesStream(c))
                     .thenComparingLong(ForwardCall::arrivalNumber);
 
     private final TimeSource time;
@@ -41,6 +44,11 @@
         return completionRate;
     }
 
+    /** Returns whether the caller has got a part of the stream before. */
+    private static boolean continuesStream(ForwardCall call) {
+        return call.hasAnswerBegun() || call.request().resumed().isDefined();
+    }
+
     /** Returns the expected wait of a call behind those that are sent before it. */
     Duration expectedWait(ForwardCall call) {
         int ahead = calls.headSet(call, false).size();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -69,9 +69,18 @@
         return route.kind().isStream() ? Math.min(byRoute, deadlineNanos()) : deadlineNanos();
     }
 
-    /** Returns the monotonic time at which the route's target passes. */
+    /**
+     * Returns the time in which the next event should reach the caller. A stream that is resumed
+     * has begun before, and is late since it broke off, so the caller's patience replaces the
+     * route's target.
+     */
+    Duration target() {
+        return resumed.isEmpty() ? route.target() : route.eventTimeout();
+    }
+
+    /** Returns the monotonic time at which the target passes. */
     long targetDeadlineNanos() {
-        return arrivedNanos + route.target().toNanos();
+        return arrivedNanos + target().toNanos();
     }
 
     /** Returns the monotonic time at which the caller's or the route's timeout expires. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -225,7 +225,7 @@
      * for an adapter does not count, since the engine reads other prompts in the meantime.
      */
     private static boolean readsSoon(ChoiceInputs inputs, UpstreamState u) {
-        double targetMs = inputs.request().route().target().toMillis();
+        double targetMs = inputs.request().target().toMillis();
         double spareMs =
                 targetMs * (1 - TARGET_MARGIN)
                         - inputs.age().toMillis()
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitLimits.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/WaitLimits.java
@@ -40,7 +40,7 @@
         if (answerBegun || mayHaveRun || !request.route().kind().isStream()) {
             return sendDeadlineNanos(request, answerBegun);
         }
-        long limit = (long) (request.route().target().toNanos() * QUEUE_DEADLINE_FRACTION);
+        long limit = (long) (request.target().toNanos() * QUEUE_DEADLINE_FRACTION);
         return request.arrivedNanos() + limit;
     }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -9,8 +9,11 @@
 import java.util.Set;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.node.Effect;
 import org.bronzehill.protocol.generated.Ack;
+import org.bronzehill.protocol.generated.BegunStream;
+import org.bronzehill.protocol.generated.BegunStreams;
 import org.bronzehill.protocol.generated.Envelope;
 import org.bronzehill.protocol.generated.MemberUpdate;
 import org.bronzehill.protocol.generated.PeerStatus;
@@ -230,6 +233,23 @@
                         .build());
     }
 
+    /** Reports on behalf of another instance that a stream has begun. */
+    void reportBegun(String firstRequest, String softwareVersion) {
+        BegunStream stream =
+                BegunStream.newBuilder()
+                        .setStream(RendezvousHash.nameHash(firstRequest))
+                        .setService(ENGINES)
+                        .setSoftwareVersion(softwareVersion)
+                        .setValidMs(60_000)
+                        .build();
+        forwarder.onMessage(
+                Envelope.newBuilder()
+                        .setFrom("i2")
+                        .setFromIncarnation(1)
+                        .setBegunStreams(BegunStreams.newBuilder().addStreams(stream))
+                        .build());
+    }
+
     /** Answers a probe on behalf of the probed instance. */
     void answerProbe(Effect effect) {
         if (effect instanceof Effect.SendPeer s && s.envelope().hasPing()) {
