Learn the rate of the queue from answers that begin

For the first seconds after a start, an instance refused nearly every call that could not be sent at once (code 3002, at age 0), new and resumed ones. Callers that were told to come back spent their tries in that time.

Cause: the expected wait in the queue is the number of calls ahead divided by the rate of completed requests. Streams last 2.6 s (median), so a new instance had measured nothing and took the lower bound of 2 per second: one call ahead was half a second, more than a new stream may wait. The decaying average also counted the time before the start as time without completions.

Evidence, by log lines on a copy: 366 of 438 refusals of resumed streams after a kill of all instances came while the lower bound was used, with one call ahead and places free at the engines.

Change: the rate counts answers that begin, which in a steady state are as many as those that complete, and divides by the time since the instance has known the service.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueue.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallQueue.java
@@ -20,9 +20,9 @@
 final class CallQueue {
 
     /**
-     * Lower bound of the completion rate, so that calls are not refused after a start, when few
-     * requests have completed. It corresponds to a wait of half a second, a typical target for the
-     * first event.
+     * Lower bound of the service rate, so that calls are not refused after a start, when few
+     * answers have begun. It corresponds to a wait of half a second, a typical target for the first
+     * event.
      */
     private static final double MIN_RATE_PER_SECOND = 2;
 
@@ -32,16 +32,16 @@
                     .thenComparingLong(ForwardCall::arrivalNumber);
 
     private final TimeSource time;
-    private final CompletionRate completionRate;
+    private final ServiceRate serviceRate;
     private final TreeSet<ForwardCall> calls = new TreeSet<>(ORDER);
 
     CallQueue(TimeSource time) {
         this.time = time;
-        this.completionRate = new CompletionRate(time);
+        this.serviceRate = new ServiceRate(time);
     }
 
-    CompletionRate completionRate() {
-        return completionRate;
+    ServiceRate serviceRate() {
+        return serviceRate;
     }
 
     /** Returns whether the caller has got a part of the stream before. */
@@ -52,7 +52,7 @@
     /** Returns the expected wait of a call behind those that are sent before it. */
     Duration expectedWait(ForwardCall call) {
         int ahead = calls.headSet(call, false).size();
-        double perSecond = Math.max(completionRate.perSecond(), MIN_RATE_PER_SECOND);
+        double perSecond = Math.max(serviceRate.perSecond(), MIN_RATE_PER_SECOND);
         return Duration.ofNanos((long) (ahead / perSecond * 1e9));
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -279,12 +279,10 @@
             answer.onContinued(stallTimer.silentNanos());
         } else {
             answer.onBegun(forwarder.now());
-            forwarder
-                    .latencies()
-                    .onFirstByte(
-                            request,
-                            answer.firstByteAt() - place.sentAt(),
-                            place.prompt().unreadTokensWhenSent());
+            forwarder.onFirstByte(
+                    this,
+                    answer.firstByteAt() - place.sentAt(),
+                    place.prompt().unreadTokensWhenSent());
         }
         stallTimer.onProgress();
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -319,8 +319,18 @@
         loadCoordinator.endWaits(upstream);
     }
 
+    /**
+     * Records the first byte of an answer.
+     *
+     * @param took time in ns since the request was sent
+     * @param unreadTokens prompt tokens that the upstream had not read when the request was sent
+     */
+    void onFirstByte(ForwardCall call, long took, long unreadTokens) {
+        queues.of(call).serviceRate().onAnswerBegun();
+        latencies.onFirstByte(call.request(), took, unreadTokens);
+    }
+
     void onCompleted(ForwardCall call, int status) {
-        queues.of(call).completionRate().onCompleted();
         if (status < 500) {
             crashDetector.onCompleted(call.request());
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamsUnderLoadTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamsUnderLoadTest.java
@@ -77,6 +77,17 @@
         assertTrue(overload.continuedShare() >= MIN_CONTINUED * share, text);
     }
 
+    /**
+     * All instances were killed and have just started, so none knows yet how fast the engines
+     * serve. Guards against resumed streams that are refused at once.
+     */
+    @Test
+    public void streamsGoOnAfterAStart() {
+        LoadPlayer.Counts calm = playCalm();
+        setUp();
+        assertGoOn(calm, resume(30));
+    }
+
     /** Guards against resumed streams that get their places after new ones. */
     @Test
     public void streamsGoOnDuringAnOverload() {
