--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -24,12 +24,6 @@
     /** Adapter load time assumed until a load has been measured. */
     private static final Duration INITIAL_LOAD_TIME = Duration.ofMillis(300);
 
-    /**
-     * Interval at which waiting calls are checked: a fifth of the shortest targets, which are about
-     * 120 ms.
-     */
-    private static final Duration WAITING_CALL_TICK = Duration.ofMillis(25);
-
     private final ForwardSettings settings;
     private final TimeSource time;
     private final Scheduler scheduler;
@@ -47,6 +41,7 @@
     private final SharedStoreState storeState;
     private final ResumedStreams resumedStreams;
     private final CallQueues queues;
+    private final WaitingCallTimer waitingCallTimer;
     private final RetryDelay retryDelay;
     private final AdapterVersions adapterVersions = new AdapterVersions();
     private final LatencyModels latencies =
@@ -58,7 +53,6 @@
     private long sequence;
     private PlannedStop stop = PlannedStop.NONE;
     private boolean enginesChanged;
-    private boolean callTickArmed;
 
     private Forwarder(ForwardSettings settings, ForwardPorts ports, RandomGenerator random) {
         this.settings = settings;
@@ -71,6 +65,7 @@
         this.upstreams =
                 new UpstreamTable(
                         time, settings.storeRecoveryGrace(), settings.upstreamHeartbeat());
+        this.waitingCallTimer = new WaitingCallTimer(scheduler, this::checkWaitingCalls);
         this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
         this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
@@ -306,7 +301,7 @@
 
     void enterQueue(ForwardCall call) {
         queues.of(call).add(call);
-        armCallTick();
+        waitingCallTimer.start();
     }
 
     CallQueues queues() {
@@ -393,7 +388,7 @@
 
     void awaitAdapter(ForwardCall call) {
         loadCoordinator.awaitAdapter(call, requiredVersion(call.request()).getOrElse(0));
-        armCallTick();
+        waitingCallTimer.start();
     }
 
     void onAdapterWaitAbandoned(ForwardCall call) {
@@ -448,22 +443,12 @@
         queues.dispatchAll();
     }
 
-    /** Schedules the next check of waiting calls, which repeats while there are any. */
-    private void armCallTick() {
-        if (!callTickArmed) {
-            callTickArmed = true;
-            scheduler.after(WAITING_CALL_TICK, this::onCallTick);
-        }
-    }
-
-    private void onCallTick() {
-        callTickArmed = false;
+    /** Returns whether calls still wait. */
+    private boolean checkWaitingCalls() {
         loadCoordinator.onTick();
         queues.refuseHopeless(upstreams::isServed);
         queues.dispatchAll();
-        if (loadCoordinator.isWaiting() || !queues.isEmpty()) {
-            armCallTick();
-        }
+        return loadCoordinator.isWaiting() || !queues.isEmpty();
     }
 
     /**
