Clear crash marks of sound requests, and count each crash once

Cause, in four parts, of one class: a verdict that its own effect keeps from being revised. - A crash was counted for each run that it ended and by each instance that lost one, so the first crash already led to the refusal of a request that ran twice there. - A refused request cannot complete, and only a completion cleared marks. - A mark that arrived after its clearing stayed at that instance, and was sent on. - The end of a draining upstream counted as a crash.

Change: a mark names its crash (the upstream's identifier and start, in the field of the reporter, so the messages stay readable for earlier software) and counts once for all runs and instances. Crashes of draining upstreams do not count.

Ruled out: the users' timeline did not stay refused in our virtual fleet (six instances, four engines, 30 callers, runs of 5 to 400 ms): runs in flight at the other engines cleared the marks after 0.1 to 0.4 s. It stays refused once a crash leaves no run in flight, and then for good.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
@@ -1,11 +1,13 @@
 package org.bronzehill.core.forward;
 
+import com.google.protobuf.ByteString;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -78,8 +80,17 @@
 
     /** Returns whether a request that should be refused may be sent as a trial nevertheless. */
     boolean tryTakeTrial(ForwardRequest request) {
-        return !registry.refuses(request.fingerprint())
-                && parts.tryTakeTrial(request.sharedParts());
+        if (!registry.refuses(request.fingerprint())) {
+            return parts.tryTakeTrial(request.sharedParts());
+        }
+        boolean due =
+                registry.isTrialDue(request.fingerprint())
+                        && (!parts.blocks(request.sharedParts())
+                                || parts.tryTakeTrial(request.sharedParts()));
+        if (due) {
+            registry.onTrial(request.fingerprint());
+        }
+        return due;
     }
 
     /**
@@ -108,7 +119,7 @@
     private void onReport(UpstreamRecord upstream, Option<InventoryReport> report) {
         awaitedReports.remove(upstream.id());
         if (!report.exists(r -> r.isOfIncarnation(upstream.startedAtMs()))) {
-            onUpstreamDown(upstream.id());
+            onUpstreamDown(upstream);
         }
     }
 
@@ -124,27 +135,30 @@
 
     /**
      * Counts a crash for the requests whose connections to the upstream were lost within {@link
-     * #CRASH_WINDOW} before it was found to be down.
+     * #CRASH_WINDOW} before it was found to be down, unless it was about to leave.
      */
-    void onUpstreamDown(String upstream) {
-        List<LostConnection> lost = lostConnections.remove(upstream);
-        if (lost == null) {
+    void onUpstreamDown(UpstreamRecord upstream) {
+        List<LostConnection> lost = lostConnections.remove(upstream.id());
+        if (lost == null || upstream.draining()) {
             return;
         }
         long oldest = time.nanoTime() - CRASH_WINDOW.toNanos();
-        List<byte[]> suspects = new ArrayList<>();
+        Map<Long, Map<ByteString, Long>> lostRuns = new LinkedHashMap<>();
         lost.stream()
                 .filter(connection -> connection.atNanos() - oldest >= 0)
                 .forEach(
                         connection -> {
-                            suspects.add(connection.fingerprint());
+                            lostRuns.computeIfAbsent(connection.crash(), c -> new LinkedHashMap<>())
+                                    .put(
+                                            ByteString.copyFrom(connection.fingerprint()),
+                                            connection.atNanos());
                             parts.onCrash(
                                     connection.crash(),
                                     connection.unproven(),
                                     connection.sentAt(),
                                     out);
                         });
-        registry.recordCrash(suspects, out);
+        lostRuns.forEach((crash, runs) -> registry.recordCrash(Long.toHexString(crash), runs, out));
     }
 
     /** Applies a message of another instance. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -171,7 +171,7 @@
     private void onUpstreamDiscarded(UpstreamState discarded) {
         enginesChanged = true;
         controller.release(discarded);
-        crashDetector.onUpstreamDown(discarded.id());
+        crashDetector.onUpstreamDown(discarded.upstreamRecord());
         loadCoordinator.onUpstreamDiscarded(discarded);
     }
 
@@ -315,7 +315,7 @@
     void onUnreachable(ForwardCall call) {
         UpstreamState upstream = call.upstream();
         upstream.health().onUnreachable();
-        crashDetector.onUpstreamDown(upstream.id());
+        crashDetector.onUpstreamDown(upstream.upstreamRecord());
         loadCoordinator.endWaits(upstream);
     }
 
@@ -351,7 +351,7 @@
     private void onMisaddressed(UpstreamState upstream) {
         if (upstream.setMisaddressed()) {
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
-            crashDetector.onUpstreamDown(upstream.id());
+            crashDetector.onUpstreamDown(upstream.upstreamRecord());
             loadCoordinator.onUpstreamDiscarded(upstream);
             enginesChanged = true;
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -39,6 +39,7 @@
     private final EngineSpec spec;
     private int sequence;
     private double loss;
+    private Option<byte[]> fingerprint = Option.none();
 
     /** One instance. */
     final class Node {
@@ -198,7 +199,8 @@
                             adapter,
                             0,
                             0,
-                            new byte[] {(byte) (sequence >> 8), (byte) sequence},
+                            fingerprint.getOrElse(
+                                    new byte[] {(byte) (sequence >> 8), (byte) sequence}),
                             sharedParts,
                             resumed),
                     transport);
@@ -281,6 +283,11 @@
                 });
     }
 
+    /** Gives all further requests the same fingerprint. */
+    void setFingerprint(byte[] common) {
+        fingerprint = Option.of(common);
+    }
+
     /** Drops the given part of all messages from now on. */
     void setLoss(double part) {
         loss = part;
