--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -183,7 +183,7 @@
     private void onUpstreamDiscarded(UpstreamState discarded) {
         enginesChanged = true;
         controller.release(discarded);
-        crashDetector.onUpstreamDown(discarded.id());
+        crashDetector.onUpstreamDown(discarded.upstreamRecord());
         loadCoordinator.onUpstreamDiscarded(discarded);
     }
 
@@ -328,7 +328,7 @@
         UpstreamState upstream = call.upstream();
         upstream.health().onUnreachable();
         upstream.incarnation().onUnreachable();
-        crashDetector.onUpstreamDown(upstream.id());
+        crashDetector.onUpstreamDown(upstream.upstreamRecord());
         loadCoordinator.endWaits(upstream);
     }
 
@@ -374,7 +374,7 @@
     private void onMisaddressed(UpstreamState upstream) {
         if (upstream.setMisaddressed()) {
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
-            crashDetector.onUpstreamDown(upstream.id());
+            crashDetector.onUpstreamDown(upstream.upstreamRecord());
             loadCoordinator.onUpstreamDiscarded(upstream);
             enginesChanged = true;
         }
