Count the heartbeats of the history one upstream at a time

HeartbeatCount follows the upstream with the longest sequence of unchanged writes, and others before and after it. Each counted interval lies between two writes of one upstream, and counted intervals do not overlap, so the sum stays a lower bound. Ruled out: as many disjoint intervals as possible (it prefers the shortest ones, which in a large fleet are the early ones), and the number of listed upstreams by the field created (it does not show which of them write).

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ServedVersions.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ServedVersions.java
@@ -87,15 +87,13 @@
     /**
      * Adds the history of the time before the list of upstreams was read. The changes since then
      * may be part of it.
-     *
-     * @param listedIds identifiers of the upstreams that are listed now
      */
-    void onHistory(List<UpstreamHistoryEntry> entries, Collection<String> listedIds) {
+    void onHistory(List<UpstreamHistoryEntry> entries) {
         historyRead = true;
         if (heartbeat.isZero() || observedSince.isEmpty()) {
             return;
         }
-        UpstreamHistory history = UpstreamHistory.of(entries, listedIds, heartbeat);
+        UpstreamHistory history = UpstreamHistory.of(entries, heartbeat);
         long now = time.nanoTime();
         for (UpstreamHistory.Departure d : history.departures()) {
             long at = now - d.age().toNanos();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamHistoryEntry.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamHistoryEntry.java
@@ -7,17 +7,16 @@
  *
  * @param id identifier of the upstream
  * @param written record after the change; empty if it was removed
- * @param created whether there was no record before the change
  */
-public record UpstreamHistoryEntry(String id, Option<UpstreamRecord> written, boolean created) {
+public record UpstreamHistoryEntry(String id, Option<UpstreamRecord> written) {
 
     /** Returns the change that wrote a record. */
-    public static UpstreamHistoryEntry written(UpstreamRecord r, boolean created) {
-        return new UpstreamHistoryEntry(r.id(), Option.of(r), created);
+    public static UpstreamHistoryEntry written(UpstreamRecord r) {
+        return new UpstreamHistoryEntry(r.id(), Option.of(r));
     }
 
     /** Returns the change that removed the record of an upstream. */
     public static UpstreamHistoryEntry removed(String id) {
-        return new UpstreamHistoryEntry(id, Option.none(), false);
+        return new UpstreamHistoryEntry(id, Option.none());
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -244,7 +244,7 @@
 
     /** Adds the history of the time before the upstreams were first read. */
     void onHistory(List<UpstreamHistoryEntry> entries) {
-        servedVersions.onHistory(entries, states.keySet());
+        servedVersions.onHistory(entries);
     }
 
     /** Records that no history can be read. */
