Derive the age of an unknown stream from the time that its caller has left

Change: a caller states how long it still waits, so a stream can have begun at most the rest of the route's timeout ago. Streams that were broken off right after their beginning need a short history only. A caller that states no time, or more than the timeout, is handled as before.

Ruled out: a shorter margin, since an upstream whose record is gone may serve for seconds.

ResumedStreamTest.unknownStreamThatBeganLatelyNeedsAShortHistoryOnly fails without the change (it needs 13 s of observation then and has 6 s).

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -96,9 +96,7 @@
      * begun it has had one version only for as long as a stream can last.
      */
     private Option<StreamOrigin> onlyOrigin(ForwardRequest request) {
-        Duration timeout = request.route().timeout();
-        Duration longest =
-                timeout.compareTo(request.callerTimeout()) < 0 ? request.callerTimeout() : timeout;
+        Duration longest = maxAge(request);
         boolean certain =
                 request.route().services().stream()
                         .allMatch(s -> upstreams.onlyVersion(s.service(), longest).isDefined());
@@ -108,4 +106,14 @@
                         .map(v -> new StreamOrigin(request.service(), v))
                 : Option.none();
     }
+
+    /**
+     * Returns how long ago the stream can have begun. Callers wait for the timeout of the route at
+     * most, over all their requests for one stream, and state how much of it is left.
+     */
+    private static Duration maxAge(ForwardRequest request) {
+        Duration timeout = request.route().timeout();
+        Duration left = request.callerTimeout();
+        return left.compareTo(timeout) < 0 ? timeout.minus(left) : left;
+    }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -160,6 +160,11 @@
         open(route(kind, attempts, target), adapter, Option.none(), transport);
     }
 
+    /** Lists engines of one software version anew, as after a gap in the observation. */
+    void list(List<String> ids) {
+        forwarder.onUpstreams(ids.stream().map(id -> engine(id, false)).toList());
+    }
+
     /** Opens a call that resumes the stream of an earlier request. */
     void resume(String firstRequest, FakeTransport transport) {
         resumeOnRouteTo(ENGINES, firstRequest, transport);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamTest.java
@@ -143,6 +143,18 @@
         assertNull(t.refusedWith());
     }
 
+    /** Guards against streams that are lost because the history is shorter than a timeout. */
+    @Test
+    public void unknownStreamThatBeganLatelyNeedsAShortHistoryOnly() {
+        list("e1", "v1");
+        rig.list(List.of("e1"));
+        rig.scheduler().advance(Duration.ofSeconds(6));
+        // The caller has 8 s of the timeout of 10 s left.
+        FakeTransport t = resume("unknown");
+        rig.scheduler().advance(LOOKUP);
+        assertEquals(t.attempts().size(), 1);
+    }
+
     /** Guards against joins at upstreams that do not state their versions. */
     @Test
     public void streamOfAnUnstatedVersionGoesOnOnlyAtTheSameIncarnation() {
