Wait in the stand-ins' HTTP server until its connections are closed

Cause: close() started the close of the listener and of the connections on their event loops and returned. A request on a kept connection that arrived before was answered.

Change: close() waits for both, 0.5 s at most, since silent connections do not close; not when it is called by one of the server's own threads.

--- a/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/HttpServer.java
+++ b/bronzehill-standin/src/main/java/org/bronzehill/standin/internal/HttpServer.java
@@ -20,6 +20,8 @@
 import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +33,7 @@
 
     private static final Logger LOG = Logger.getLogger(HttpServer.class);
     private static final int MAX_BODY_BYTES = 4 << 20;
+    private static final int MAX_CLOSE_MS = 500;
     private static final AttributeKey<Boolean> SILENT = AttributeKey.valueOf("silent");
 
     private final MultiThreadIoEventLoopGroup group =
@@ -90,13 +93,28 @@
         return silenced;
     }
 
+    /** Closes the listener and all connections, so that no later request is answered. */
     @Override
     public void close() {
-        listener.close();
-        channels.close();
+        Future<?> listenerClosed = listener.close();
+        Future<?> channelsClosed = channels.close();
+        if (!isCalledByServer()) {
+            // Silent connections do not close.
+            listenerClosed.awaitUninterruptibly(MAX_CLOSE_MS);
+            channelsClosed.awaitUninterruptibly(MAX_CLOSE_MS);
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
+    private boolean isCalledByServer() {
+        for (EventExecutor loop : group) {
+            if (loop.inEventLoop()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static final class SilenceHandler extends ChannelDuplexHandler {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object msg) {
