Count departures of versions for the whole timeout of a route

Found in review: since a stream that nobody knows was taken to be at most as old as the rest of the route's timeout. A caller may wait for longer than the timeout, for example after a configuration has shortened it, so a version that is known to have left within the timeout may have begun the stream.

Change: a departure counts for the whole timeout, as before. Only the time for which upstreams must have been observed follows from the time that the caller has left, because the history of the store may be shorter than a timeout.

What remains: a caller that waits for longer than the timeout, with a version that has left before the observation began.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -96,24 +96,26 @@
      * begun it has had one version only for as long as a stream can last.
      */
     private Option<StreamOrigin> onlyOrigin(ForwardRequest request) {
-        Duration longest = maxAge(request);
         boolean certain =
                 request.route().services().stream()
-                        .allMatch(s -> upstreams.onlyVersion(s.service(), longest).isDefined());
+                        .allMatch(s -> onlyVersion(s.service(), request).isDefined());
         return certain
-                ? upstreams
-                        .onlyVersion(request.service(), longest)
+                ? onlyVersion(request.service(), request)
                         .map(v -> new StreamOrigin(request.service(), v))
                 : Option.none();
     }
 
     /**
-     * Returns how long ago the stream can have begun. Callers wait for the timeout of the route at
-     * most, over all their requests for one stream, and state how much of it is left.
+     * Returns the version that has served alone. Departures count for the whole timeout, since a
+     * caller may wait for longer than it. The history of the store may be shorter than that, so the
+     * observation must only cover the time since a caller that waits for the timeout has begun.
      */
-    private static Duration maxAge(ForwardRequest request) {
+    private Option<String> onlyVersion(String service, ForwardRequest request) {
         Duration timeout = request.route().timeout();
         Duration left = request.callerTimeout();
-        return left.compareTo(timeout) < 0 ? timeout.minus(left) : left;
+        boolean withinTimeout = left.compareTo(timeout) < 0;
+        Duration longest = withinTimeout ? timeout : left;
+        return upstreams.onlyVersion(
+                service, longest, withinTimeout ? timeout.minus(left) : longest);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ServedVersions.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ServedVersions.java
@@ -126,12 +126,14 @@
     }
 
     /**
-     * Returns the software version of a service if it is certain that no other one has served it
-     * within a time before now.
+     * Returns the software version of a service if no other one is known to have served it within a
+     * time before now, and the upstreams have been observed for long enough.
      *
      * @param listed versions of the upstreams that are listed for the service
+     * @param observation shortest time for which the upstreams must have been observed
      */
-    Option<String> onlyVersion(String service, Collection<String> listed, Duration window) {
+    Option<String> onlyVersion(
+            String service, Collection<String> listed, Duration window, Duration observation) {
         Set<String> versions = new HashSet<>(listed);
         departedAt.forEach(
                 (served, at) -> {
@@ -139,7 +141,7 @@
                         versions.add(served.version());
                     }
                 });
-        boolean observed = observedSince.exists(since -> !isWithin(since, window));
+        boolean observed = observedSince.exists(since -> !isWithin(since, observation));
         boolean certain =
                 observed
                         && window.compareTo(MEMORY) <= 0
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -258,17 +258,19 @@
     }
 
     /**
-     * Returns the software version of a service if it is certain that no other one has served it
-     * within a time before now.
+     * Returns the software version of a service if no other one is known to have served it within a
+     * time before now, and the upstreams have been observed for long enough.
+     *
+     * @param observation shortest time for which the upstreams must have been observed
      */
-    Option<String> onlyVersion(String service, Duration window) {
+    Option<String> onlyVersion(String service, Duration window, Duration observation) {
         Set<String> versions = new HashSet<>();
         for (UpstreamState s : states.values()) {
             if (s.upstreamRecord().service().equals(service)) {
                 versions.add(s.upstreamRecord().softwareVersion());
             }
         }
-        return servedVersions.onlyVersion(service, versions, window);
+        return servedVersions.onlyVersion(service, versions, window, observation);
     }
 
     /** Returns whether an upstream of a service accepts new requests. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ServedVersionsTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ServedVersionsTest.java
@@ -53,7 +53,7 @@
     }
 
     private Option<String> onlyVersion() {
-        return table.onlyVersion(ForwardRig.ENGINES, WINDOW);
+        return table.onlyVersion(ForwardRig.ENGINES, WINDOW, WINDOW);
     }
 
     private void list(UpstreamRecord... records) {
@@ -211,7 +211,7 @@
         list(ForwardRig.plain("p1", 100));
         advance(60);
         assertEquals(onlyVersion(), Option.none());
-        assertEquals(table.onlyVersion(ForwardRig.PLAIN, WINDOW), Option.of("v1"));
+        assertEquals(table.onlyVersion(ForwardRig.PLAIN, WINDOW, WINDOW), Option.of("v1"));
     }
 
     /** Guards against an age that writes beside the heartbeats make too large. */
