End the doubt about an incarnation by its report, and keep streams of unknown versions

Change: an upstream in doubt is asked for its report every second; the same start ends the doubt, also while the store is away, and nothing else but a record does. Streams of unknown versions are kept and reported like others; a resumed request for one is refused (4011).

The order of instances for a stream is computed with one hash for each instance, not for each comparison.

Cost: a report a second for each instance and upstream to which a connection has failed, while it is down.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
@@ -30,6 +30,7 @@
                     found = origin;
                     receiver.accept(
                             origin.origin()
+                                    .filter(StreamOrigin::isVersionKnown)
                                     .map(StreamOrigin::service)
                                     .filter(request.route()::allows));
                 });
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -40,6 +40,7 @@
     private final LoadExchange loadExchange;
     private final SharedStoreState storeState;
     private final ResumedStreams resumedStreams;
+    private final IncarnationReports incarnationReports;
     private final CallQueues queues;
     private final WaitingCallTimer waitingCallTimer;
     private final RetryDelay retryDelay;
@@ -86,6 +87,7 @@
         loadCoordinator.connect(controller, this::onMisaddressed);
         this.storeState = new SharedStoreState(time);
         this.resumedStreams = new ResumedStreams(ports, upstreams);
+        this.incarnationReports = new IncarnationReports(ports, upstreams);
         this.loadExchange =
                 new LoadExchange(
                         membership,
@@ -327,7 +329,9 @@
     void onUnreachable(ForwardCall call) {
         UpstreamState upstream = call.upstream();
         upstream.health().onUnreachable();
-        upstream.incarnation().onUnreachable();
+        if (upstream.incarnation().onUnreachable()) {
+            incarnationReports.start(upstream);
+        }
         crashDetector.onUpstreamDown(upstream.upstreamRecord());
         loadCoordinator.endWaits(upstream);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/IncarnationCheck.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/IncarnationCheck.java
@@ -13,9 +13,6 @@
     /** Time after which a record that is read was written after the failed connection. */
     static final Duration RECORD_DELAY = Duration.ofSeconds(1);
 
-    /** Time after which the record of a new incarnation would have been read. */
-    static final Duration MAX_DOUBT = Duration.ofSeconds(5);
-
     private final TimeSource time;
     private boolean doubted;
     private long unreachableAt;
@@ -24,10 +21,16 @@
         this.time = time;
     }
 
-    /** Records that no connection could be opened. */
-    void onUnreachable() {
+    /**
+     * Records that no connection could be opened.
+     *
+     * @return whether the incarnation was certain before
+     */
+    boolean onUnreachable() {
+        boolean wasCertain = !doubted;
         doubted = true;
         unreachableAt = time.nanoTime();
+        return wasCertain;
     }
 
     /** Records that a record of the same incarnation has been read. */
@@ -37,8 +40,13 @@
         }
     }
 
+    /** Records that the upstream has reported the same incarnation after the failed connection. */
+    void onReport() {
+        doubted = false;
+    }
+
     boolean isCertain() {
-        return !doubted || elapsed() > MAX_DOUBT.toNanos();
+        return !doubted;
     }
 
     private long elapsed() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/InventoryReport.java
@@ -39,6 +39,11 @@
         return startedAtMs == 0 || startMs == 0 || startedAtMs == startMs;
     }
 
+    /** Returns whether the report is certainly of the incarnation with the given start. */
+    boolean isSameStart(long startMs) {
+        return startMs != 0 && startedAtMs == startMs;
+    }
+
     /** Creates a report that does not state the number of accepted orders. */
     public InventoryReport(
             long startedAtMs,
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
@@ -96,18 +96,21 @@
         return RendezvousHash.nameHash(firstRequest);
     }
 
-    /** Returns the other live instances in the rendezvous order of a stream. */
+    /** Returns the first ones of the other live instances in the rendezvous order of a stream. */
     private List<InstanceRef> ranked(long stream, int limit) {
+        record Weighted(InstanceRef instance, long weight) {}
         String self = membership.self().id();
         return membership.live().stream()
                 .filter(i -> !i.id().equals(self))
-                .sorted(
-                        Comparator.comparingLong(
-                                        (InstanceRef i) ->
-                                                RendezvousHash.weightOf(
-                                                        stream, RendezvousHash.nameHash(i.id())))
-                                .reversed())
+                .map(
+                        i ->
+                                new Weighted(
+                                        i,
+                                        RendezvousHash.weightOf(
+                                                stream, RendezvousHash.nameHash(i.id()))))
+                .sorted(Comparator.comparingLong(Weighted::weight).reversed())
                 .limit(limit)
+                .map(Weighted::instance)
                 .toList();
     }
 
@@ -119,7 +122,7 @@
      * @param validity time for which the caller may resume the stream
      */
     void onBegun(String firstRequest, StreamOrigin origin, Duration validity) {
-        if (!origin.isVersionKnown() || validity.isNegative()) {
+        if (validity.isNegative()) {
             return;
         }
         long stream = keyOf(firstRequest);
@@ -229,7 +232,7 @@
 
     private void onReported(BegunStream s, String from, OriginSource source) {
         StreamOrigin origin = new StreamOrigin(s.getService(), s.getSoftwareVersion());
-        if (!origin.isVersionKnown() || s.getValidMs() <= 0) {
+        if (s.getValidMs() <= 0) {
             return;
         }
         long valid = Math.min(Duration.ofMillis(s.getValidMs()).toNanos(), MAX_VALIDITY.toNanos());
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -31,6 +31,7 @@
     /** Probability of each kind of fault, for each call. */
     private static final double FAULT_RATE = 0.06;
 
+    private final Map<String, Long> startedAt = new HashMap<>();
     private final VirtualScheduler scheduler;
     private final Duration loadTime;
     private final int fullSpeedLoads;
@@ -120,6 +121,11 @@
         repliesToLose = count;
     }
 
+    /** Sets the start that an engine states in its reports, as Unix time in ms; 0 for none. */
+    void setStart(String engine, long startedAtMs) {
+        startedAt.put(engine, startedAtMs);
+    }
+
     /** Restarts an engine, which then holds no adapters and has accepted no orders. */
     void restart(String engine) {
         down.remove(engine);
@@ -270,7 +276,7 @@
                     loading(upstream.id()).keySet().forEach(a -> loadingAdapters.put(a, 1));
                     InventoryReport report =
                             new InventoryReport(
-                                    0,
+                                    startedAt.getOrDefault(upstream.id(), 0L),
                                     Set.of("m"),
                                     listed,
                                     loadingAdapters,
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
@@ -0,0 +1,136 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests streams whose software version is not certain. */
+public class UncertainVersionTest {
+
+    private static final Duration LOOKUP = Duration.ofMillis(400);
+
+    private ForwardRig rig;
+
+    @BeforeMethod
+    public void setUp() {
+        rig = new ForwardRig(0, 4, Duration.ofMillis(250), 8);
+    }
+
+    private void list(String id, String version) {
+        rig.forwarder().onUpstream(ForwardRig.engine(id, 100, version, false));
+    }
+
+    private FakeTransport begin() {
+        FakeTransport t = new FakeTransport();
+        rig.open(RequestKind.RESUMABLE_STREAM, 3, Option.none(), t);
+        return t;
+    }
+
+    private FakeTransport resume(String firstRequest) {
+        FakeTransport t = new FakeTransport();
+        rig.resume(firstRequest, t);
+        rig.scheduler().advance(LOOKUP);
+        return t;
+    }
+
+    private static void passOnEvent(FakeTransport t) {
+        t.call().onAnswerBegun();
+        t.call().onProgress();
+    }
+
+    /**
+     * Guards against a stream that began at an upstream of unknown version and is resumed as one of
+     * the only version that is listed: the upstream may have been started again with another one.
+     */
+    @Test
+    public void streamOfAnUpstreamThatMayHaveRestartedIsNotOneOfTheOnlyListedVersion() {
+        list("e1", "v1");
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        begin().call().onUnreachable("connect-failed");
+        rig.scheduler().advance(Duration.ofSeconds(2));
+        FakeTransport first = begin();
+        passOnEvent(first);
+        first.call().onCallerDisconnected();
+        list("e2", "v1");
+        FakeTransport second = resume(first.call().request().id());
+        assertEquals(second.attempts(), List.of());
+    }
+
+    /**
+     * Guards against a doubt that ends while no record can be read, as in an outage of the store,
+     * and the upstream has been started again.
+     */
+    @Test
+    public void upstreamThatMayHaveRestartedContinuesNoStreamsUntilItsRecordIsRead() {
+        list("e1", "v1");
+        FakeTransport first = begin();
+        passOnEvent(first);
+        begin().call().onUnreachable("connect-failed");
+        rig.engines().setStart("e1", 200);
+        first.call().onCallerDisconnected();
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        FakeTransport second = resume(first.call().request().id());
+        assertEquals(second.attempts(), List.of());
+    }
+
+    /** Guards against resumed streams that are refused for long after a failed connection. */
+    @Test
+    public void upstreamThatReportsTheSameIncarnationContinuesStreams() {
+        list("e1", "v1");
+        rig.engines().setStart("e1", 100);
+        FakeTransport first = begin();
+        passOnEvent(first);
+        begin().call().onUnreachable("connect-failed");
+        first.call().onCallerDisconnected();
+        rig.scheduler().advance(IncarnationReports.INTERVAL.plusMillis(100));
+        FakeTransport second = resume(first.call().request().id());
+        assertEquals(second.attempts().size(), 1);
+    }
+
+    /**
+     * Guards against a stream that outlasts the timeout of its route over several requests, for
+     * example since a configuration has shortened the timeout: its version may have left meanwhile.
+     */
+    @Test
+    public void unknownStreamMayBeOlderThanTheTimeoutOfItsRoute() {
+        list("e1", "v1");
+        list("e2", "v2");
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        rig.forwarder().onUpstreamRemoved("e1");
+        rig.scheduler().advance(Duration.ofSeconds(5));
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        RequestKind.RESUMABLE_STREAM,
+                        Duration.ofSeconds(3),
+                        Duration.ofMillis(500),
+                        1,
+                        List.of(new ServiceShare(ForwardRig.ENGINES, 1)),
+                        2,
+                        Duration.ofSeconds(2));
+        // The caller waits for 12 s in all, of which 2 s are left.
+        ForwardRequest request =
+                new ForwardRequest(
+                        "second",
+                        route,
+                        ForwardRig.ENGINES,
+                        rig.scheduler().time().nanoTime(),
+                        Duration.ofSeconds(2),
+                        Option.none(),
+                        500,
+                        200,
+                        new byte[] {1},
+                        List.of(),
+                        Option.of(new ResumedStream(Option.of("first"))));
+        FakeTransport t = new FakeTransport();
+        rig.forwarder().open(request, t);
+        rig.scheduler().advance(LOOKUP);
+        assertEquals(t.attempts(), List.of());
+    }
+}
