--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigins.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigins.java
@@ -11,8 +11,8 @@
  */
 final class StreamOrigins {
 
-    /** Largest number of streams, about 4 MB; beyond it the oldest ones are forgotten. */
-    static final int MAX_STREAMS = 32_768;
+    /** Largest number of streams, about 5 MB; beyond it the oldest ones are forgotten. */
+    static final int MAX_STREAMS = 16_384;
 
     private final TimeSource time;
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
