--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/FoundOrigin.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/FoundOrigin.java
@@ -6,7 +6,7 @@
  * Result of the search for the origin of a stream.
  *
  * @param origin empty if it is not certain where the stream began
- * @param instance instance that has told or was asked; empty for other sources
+ * @param instance instance that has reported it or was asked; empty for other sources
  */
 record FoundOrigin(Option<StreamOrigin> origin, OriginSource source, String instance) {
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OriginSource.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OriginSource.java
@@ -6,7 +6,7 @@
     OWN("own"),
 
     /** Another instance has reported the stream when its answer began. */
-    TOLD("told"),
+    REPORTED("reported"),
 
     /** Another instance has answered the question of this one. */
     ASKED("asked"),
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/PlannedStop.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/PlannedStop.java
@@ -6,7 +6,7 @@
  * Times of a planned stop of this instance. Callers learn of the stop late, so requests that arrive
  * early in it are served like any others. Of those that arrive late, or still wait late, only the
  * ones that end before the process does are sent to upstreams. Those that arrive in the last part
- * are refused, so that callers which send on and on do not keep the process.
+ * are refused, so that callers that keep sending requests cannot delay the exit.
  */
 final class PlannedStop {
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
@@ -248,7 +248,7 @@
             case BEGUN_STREAMS ->
                     envelope.getBegunStreams()
                             .getStreamsList()
-                            .forEach(s -> onReported(s, from, OriginSource.TOLD));
+                            .forEach(s -> onReported(s, from, OriginSource.REPORTED));
             case BEGUN_STREAM_QUERY -> answer(from, envelope.getBegunStreamQuery());
             case BEGUN_STREAM_REPLY -> onReply(from, envelope.getBegunStreamReply());
             default -> throw new IllegalArgumentException(envelope.getBodyCase().name());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigins.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigins.java
@@ -18,13 +18,15 @@
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
 
     /**
-     * @param toldBy instance that reported the stream; empty for streams of this instance
+     * @param reportedBy instance that reported the stream; empty for streams of this instance
      */
-    record Entry(StreamOrigin origin, String toldBy, long validUntil) {
+    record Entry(StreamOrigin origin, String reportedBy, long validUntil) {
 
         FoundOrigin found() {
             return FoundOrigin.of(
-                    origin, toldBy.isEmpty() ? OriginSource.OWN : OriginSource.TOLD, toldBy);
+                    origin,
+                    reportedBy.isEmpty() ? OriginSource.OWN : OriginSource.REPORTED,
+                    reportedBy);
         }
     }
 
@@ -38,17 +40,17 @@
      *
      * @return whether the stream was not known for that long yet
      */
-    boolean put(long stream, StreamOrigin origin, String toldBy, long validUntil) {
+    boolean put(long stream, StreamOrigin origin, String reportedBy, long validUntil) {
         Entry known = get(stream).getOrNull();
         if (known != null) {
             if (validUntil - known.validUntil() <= 0) {
                 return false;
             }
-            entries.put(stream, new Entry(known.origin(), known.toldBy(), validUntil));
+            entries.put(stream, new Entry(known.origin(), known.reportedBy(), validUntil));
             return true;
         }
         entries.remove(stream);
-        entries.put(stream, new Entry(origin, toldBy, validUntil));
+        entries.put(stream, new Entry(origin, reportedBy, validUntil));
         if (entries.size() > MAX_STREAMS) {
             Iterator<Long> oldest = entries.keySet().iterator();
             oldest.next();
