Continue unnamed streams where no other version is known

Cause: a caller that does not name its stream was held to the certainty that is asked for a named stream which nobody knows. No instance can ever know an unnamed one, so each lack of certainty cost all of them.

Change: an unnamed stream goes on if no other version is known to have served within the timeout. A named one is handled as before.

Ruled out: the marks of crashed requests (no 4008) and the rate of the queue (4 refusals with 3002).

ResumedStreamTest.unnamedStreamGoesOnUnlessAnotherVersionIsKnown is new.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -108,13 +108,18 @@
     /**
      * Returns the version that has served alone. Departures count for the whole timeout, since a
      * caller may wait for longer than it. The history of the store may be shorter than that, so the
-     * observation must only cover the time since a caller that waits for the timeout has begun.
+     * observation must only cover the time since a caller that waits for the timeout has begun. A
+     * caller that does not name its stream gives no instance the chance to know it, so it is enough
+     * that no other version is known.
      */
     private Option<String> onlyVersion(String service, ForwardRequest request) {
         Duration timeout = request.route().timeout();
         Duration left = request.callerTimeout();
         boolean withinTimeout = left.compareTo(timeout) < 0;
         Duration longest = withinTimeout ? timeout : left;
+        if (request.firstRequest().isEmpty()) {
+            return upstreams.onlyKnownVersion(service, longest);
+        }
         return upstreams.onlyVersion(
                 service, longest, withinTimeout ? timeout.minus(left) : longest);
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ServedVersions.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ServedVersions.java
@@ -134,6 +134,22 @@
      */
     Option<String> onlyVersion(
             String service, Collection<String> listed, Duration window, Duration observation) {
+        Option<String> known = onlyKnownVersion(service, listed, window);
+        boolean observed = observedSince.exists(since -> !isWithin(since, observation));
+        boolean certain =
+                observed
+                        && window.compareTo(MEMORY) <= 0
+                        && !unknownDepartedAt.exists(at -> isWithin(at, window));
+        return certain ? known : Option.none();
+    }
+
+    /**
+     * Returns the software version of a service if no other one is known to have served it within a
+     * time before now, for however short a time the upstreams have been observed.
+     *
+     * @param listed versions of the upstreams that are listed for the service
+     */
+    Option<String> onlyKnownVersion(String service, Collection<String> listed, Duration window) {
         Set<String> versions = new HashSet<>(listed);
         departedAt.forEach(
                 (served, at) -> {
@@ -141,14 +157,9 @@
                         versions.add(served.version());
                     }
                 });
-        boolean observed = observedSince.exists(since -> !isWithin(since, observation));
-        boolean certain =
-                observed
-                        && window.compareTo(MEMORY) <= 0
-                        && !unknownDepartedAt.exists(at -> isWithin(at, window))
-                        && versions.size() == 1
-                        && !versions.contains(NOT_STATED);
-        return certain ? Option.of(versions.iterator().next()) : Option.none();
+        return versions.size() == 1 && !versions.contains(NOT_STATED)
+                ? Option.of(versions.iterator().next())
+                : Option.none();
     }
 
     /** Returns whether an upstream that departed at a time may have begun a stream since. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -264,13 +264,25 @@
      * @param observation shortest time for which the upstreams must have been observed
      */
     Option<String> onlyVersion(String service, Duration window, Duration observation) {
+        return servedVersions.onlyVersion(service, listedVersions(service), window, observation);
+    }
+
+    /**
+     * Returns the software version of a service if no other one is known to have served it within a
+     * time before now.
+     */
+    Option<String> onlyKnownVersion(String service, Duration window) {
+        return servedVersions.onlyKnownVersion(service, listedVersions(service), window);
+    }
+
+    private Set<String> listedVersions(String service) {
         Set<String> versions = new HashSet<>();
         for (UpstreamState s : states.values()) {
             if (s.upstreamRecord().service().equals(service)) {
                 versions.add(s.upstreamRecord().softwareVersion());
             }
         }
-        return servedVersions.onlyVersion(service, versions, window, observation);
+        return versions;
     }
 
     /** Returns whether an upstream of a service accepts new requests. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -165,6 +165,12 @@
         forwarder.onUpstreams(ids.stream().map(id -> engine(id, false)).toList());
     }
 
+    /** Opens a call that resumes a stream without naming the request that began it. */
+    void resumeUnnamed(FakeTransport transport) {
+        Route route = route(RequestKind.RESUMABLE_STREAM, 3, target);
+        open(route, Option.none(), Option.of(new ResumedStream(Option.none())), transport);
+    }
+
     /** Opens a call that resumes the stream of an earlier request. */
     void resume(String firstRequest, FakeTransport transport) {
         resumeOnRouteTo(ENGINES, firstRequest, transport);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ResumedStreamTest.java
@@ -155,6 +155,22 @@
         assertEquals(t.attempts().size(), 1);
     }
 
+    /** Guards against streams that are lost at a start because their callers do not name them. */
+    @Test
+    public void unnamedStreamGoesOnUnlessAnotherVersionIsKnown() {
+        rig.list(List.of("e1", "e2"));
+        FakeTransport t = new FakeTransport();
+        rig.resumeUnnamed(t);
+        rig.scheduler().advance(LOOKUP);
+        assertEquals(t.attempts().size(), 1);
+        list("e3", "v2");
+        FakeTransport second = new FakeTransport();
+        rig.resumeUnnamed(second);
+        rig.scheduler().advance(LOOKUP);
+        assertEquals(second.attempts(), List.of());
+        assertEquals(second.refusedWith(), ResultCode.STREAM_NOT_RESUMABLE);
+    }
+
     /** Guards against joins at upstreams that do not state their versions. */
     @Test
     public void streamOfAnUnstatedVersionGoesOnOnlyAtTheSameIncarnation() {
