Remove two unused methods, and count resumed streams in one place

StreamOrigins.size and StreamOriginExchange.size have no callers, and the check whether a request resumes a stream stood before both calls of the listener. No change of behaviour. ResumedStreamTest, ResumedStreamsUnderLoadTest, StreamOriginFleetTest and UncertainVersionTest pass, formatter and linter too.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
@@ -49,7 +49,7 @@
 
     /** Counts a request that resumes the stream but has got no event. */
     void onNotContinued(ForwardRequest request, ResumeOutcome outcome) {
-        streams.onNotContinued(request, outcome, found);
+        streams.count(request, outcome, found);
     }
 
     /** Returns whether only some upstreams may answer. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -63,13 +63,11 @@
         for (String first : request.firstRequest()) {
             found.origin().forEach(o -> exchange.onBegun(first, o, left));
         }
-        if (request.resumed().isDefined()) {
-            ports.listener().resumed(ResumeOutcome.CONTINUED, found.source());
-        }
+        count(request, ResumeOutcome.CONTINUED, found);
     }
 
-    /** Counts a request that resumes a stream but has got no event. */
-    void onNotContinued(ForwardRequest request, ResumeOutcome outcome, FoundOrigin found) {
+    /** Counts a request if it resumes a stream. */
+    void count(ForwardRequest request, ResumeOutcome outcome, FoundOrigin found) {
         if (request.resumed().isDefined()) {
             ports.listener().resumed(outcome, found.source());
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
@@ -300,9 +300,4 @@
             origins.removeExpired();
         }
     }
-
-    /** Returns the number of streams whose origins are kept here. */
-    int size() {
-        return origins.size();
-    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigins.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOrigins.java
@@ -69,8 +69,4 @@
         long now = time.nanoTime();
         entries.values().removeIf(e -> e.validUntil() - now <= 0);
     }
-
-    int size() {
-        return entries.size();
-    }
 }
