Log how old the knowledge is on which a request is sent

A decision=send line did not tell whether the instance had not read a change yet, had read it and kept the upstream, or had placed the request before. No logic is changed.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -37,6 +37,7 @@
             append("upstream-requests", upstream.totalRequests());
             append("own", upstream.ownRequests());
             append("failing", Math.round(upstream.health().failureRate() * 100));
+            append("record-ms", upstream.recordAgeMillis());
         }
         return this;
     }
@@ -69,6 +70,11 @@
         return append("configuration", version);
     }
 
+    /** Adds the time since the contents of the store that are known here were current. */
+    CallLogLine withStoreAge(long millis) {
+        return append("store-ms", millis);
+    }
+
     private CallLogLine append(String name, long value) {
         line.append(' ').append(name).append('=').append(value);
         return this;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -492,7 +492,8 @@
                             .withUpstream(upstream())
                             .withStream(stream.found())
                             .withAnswer(answer)
-                            .withConfiguration(forwarder.configuration().version()));
+                            .withConfiguration(forwarder.configuration().version())
+                            .withStoreAge(forwarder.sharedStoreState().millisSinceCurrent()));
         }
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
@@ -32,11 +32,14 @@
     private boolean storeRespondingToCollector;
     private long collectorDigestAt;
     private long recoveredAt = NEVER;
+    private StorePosition readPosition = StorePosition.NONE;
+    private long currentAt;
 
     /** Creates the state of an instance that has not read the store. */
     public SharedStoreState(TimeSource time) {
         this.time = time;
         this.collectorDigestAt = time.nanoTime();
+        this.currentAt = collectorDigestAt;
     }
 
     /**
@@ -46,6 +49,8 @@
      */
     public void onRead(StorePosition position, boolean relevant) {
         responding = true;
+        currentAt = time.nanoTime();
+        readPosition = readPosition.orLater(position);
         if (relevant) {
             ownPosition = ownPosition.orLater(position);
         }
@@ -119,6 +124,17 @@
         if (fromOwnCollector) {
             storeRespondingToCollector = storeResponding;
             collectorDigestAt = time.nanoTime();
+            if (storeResponding && !peerPosition.isAfter(readPosition)) {
+                currentAt = collectorDigestAt;
+            }
         }
     }
+
+    /**
+     * Returns the time in ms since the contents of the store that were read here were last known to
+     * be current: by an answer of the store, or by a collector that knew of no newer change.
+     */
+    public long millisSinceCurrent() {
+        return (time.nanoTime() - currentAt) / 1_000_000;
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -32,6 +32,7 @@
     private final RecentAdapters recentAdapters = new RecentAdapters();
     private final Set<String> models = new HashSet<>();
     private UpstreamRecord upstreamRecord;
+    private long recordReadAt;
     private final long nameHash;
     private int inventoryVersion;
     private long inventoryFencing;
@@ -71,6 +72,7 @@
     UpstreamState(UpstreamRecord upstreamRecord, TimeSource time) {
         this.upstreamRecord = upstreamRecord;
         this.time = time;
+        this.recordReadAt = time.nanoTime();
         this.nameHash = RendezvousHash.nameHash(upstreamRecord.id());
         this.health = new OutcomeHealth(time);
         this.incarnation = new IncarnationCheck(time);
@@ -84,6 +86,11 @@
         return upstreamRecord;
     }
 
+    /** Returns the time in ms since the record was read. */
+    long recordAgeMillis() {
+        return (time.nanoTime() - recordReadAt) / 1_000_000;
+    }
+
     /** Returns the hash of the identifier for rendezvous hashing. */
     long nameHash() {
         return nameHash;
@@ -110,6 +117,7 @@
     void update(UpstreamRecord newer) {
         boolean modelsChanged = !newer.models().equals(upstreamRecord.models());
         upstreamRecord = newer;
+        recordReadAt = time.nanoTime();
         incarnation.onRecord();
         // Reports may show a load before the record does, so later records do not change the
         // adapters.
