Stop sending requests to an upstream whose answer says that it leaves

Callers of an instance that the store turns away were sent to upstreams that had said that they leave. Cause: the statement in answers (Server-Leaving) was not read at all; the record was the only source. Ruled out for this path: a late record, since the store is not reached.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CrashDetector.java
@@ -101,24 +101,24 @@
      * @param sentAt monotonic time at which the request was sent
      */
     void onConnectionLost(
-            UpstreamRecord upstream, ForwardRequest request, long sentAt, boolean answerBegun) {
+            UpstreamState upstream, ForwardRequest request, long sentAt, boolean answerBegun) {
         List<LostConnection> lost =
                 lostConnections.computeIfAbsent(upstream.id(), id -> new ArrayList<>());
         long oldest = time.nanoTime() - CRASH_WINDOW.toNanos();
         lost.removeIf(connection -> connection.atNanos() - oldest < 0);
         List<Long> unproven = answerBegun ? List.of() : request.sharedParts();
-        long crash = RendezvousHash.nameHash(upstream.id() + "/" + upstream.startedAtMs());
+        long crash = RendezvousHash.nameHash(upstream.incarnationKey());
         lost.add(
                 new LostConnection(
                         request.fingerprint(), unproven, sentAt, crash, time.nanoTime()));
         if (parts.maySuspect(unproven, sentAt) && awaitedReports.add(upstream.id())) {
-            transport.readReport(upstream, report -> onReport(upstream, report));
+            transport.readReport(upstream.upstreamRecord(), report -> onReport(upstream, report));
         }
     }
 
-    private void onReport(UpstreamRecord upstream, Option<InventoryReport> report) {
+    private void onReport(UpstreamState upstream, Option<InventoryReport> report) {
         awaitedReports.remove(upstream.id());
-        if (!report.exists(r -> r.isOfIncarnation(upstream.startedAtMs()))) {
+        if (!report.exists(r -> r.isOfIncarnation(upstream.upstreamRecord().startedAtMs()))) {
             onUpstreamDown(upstream);
         }
     }
@@ -137,9 +137,9 @@
      * Counts a crash for the requests whose connections to the upstream were lost within {@link
      * #CRASH_WINDOW} before it was found to be down, unless it was about to leave.
      */
-    void onUpstreamDown(UpstreamRecord upstream) {
+    void onUpstreamDown(UpstreamState upstream) {
         List<LostConnection> lost = lostConnections.remove(upstream.id());
-        if (lost == null || upstream.draining()) {
+        if (lost == null || upstream.isLeaving()) {
             return;
         }
         long oldest = time.nanoTime() - CRASH_WINDOW.toNanos();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/EngineController.java
@@ -228,7 +228,7 @@
         long now = time.nanoTime();
         if (engine.weightLoadInFlight
                 || engine.loader.acceptedOrders().isUnknown()
-                || engine.upstream.upstreamRecord().draining()
+                || engine.upstream.isLeaving()
                 || now - nextWeightLoadAt < 0) {
             return;
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ExcludedUpstreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ExcludedUpstreams.java
@@ -28,10 +28,6 @@
         this.repeatable = repeatable;
     }
 
-    private static String incarnation(UpstreamState upstream) {
-        return upstream.id() + "/" + upstream.upstreamRecord().startedAtMs();
-    }
-
     /** Returns a copy that excludes another upstream as well. */
     ExcludedUpstreams and(UpstreamState upstream) {
         ExcludedUpstreams copy = new ExcludedUpstreams(repeatable);
@@ -64,15 +60,15 @@
             return true;
         }
         return switch (cause) {
-            case REFUSED -> refused.add(incarnation(upstream));
-            case ADAPTER_MISSING -> lackedAdapter.add(incarnation(upstream));
+            case REFUSED -> refused.add(upstream.incarnationKey());
+            case ADAPTER_MISSING -> lackedAdapter.add(upstream.incarnationKey());
             case MISADDRESSED -> true;
         };
     }
 
     /** Returns whether the request may no longer be sent to this incarnation of the upstream. */
     boolean isExcludedForGood(UpstreamState upstream) {
-        return !refused.isEmpty() && refused.contains(incarnation(upstream));
+        return !refused.isEmpty() && refused.contains(upstream.incarnationKey());
     }
 
     /** Returns whether any upstream is excluded for good. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -263,6 +263,13 @@
         answer.onConnected(earlierRequests);
     }
 
+    /** Records what the upstream of the running attempt states about itself. */
+    public void onNotice(UpstreamNotice notice) {
+        if (state == CallState.SENT) {
+            forwarder.onNotice(upstream(), notice);
+        }
+    }
+
     /**
      * Records that an upstream has begun a successful answer to the request. Called before the
      * first event is passed on, so that other instances know of the stream before the caller does.
@@ -361,8 +368,7 @@
         forwarder.onOutcome(this, false);
         forwarder
                 .crashDetector()
-                .onConnectionLost(
-                        upstream().upstreamRecord(), request, place.sentAt(), answer.hasBegun());
+                .onConnectionLost(upstream(), request, place.sentAt(), answer.hasBegun());
         if (mayRunAgain()
                 && !forwarder.crashDetector().shouldRefuse(request)
                 && forwarder.tryTakeRetry(request)) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -185,7 +185,7 @@
     private void onUpstreamDiscarded(UpstreamState discarded) {
         enginesChanged = true;
         controller.release(discarded);
-        crashDetector.onUpstreamDown(discarded.upstreamRecord());
+        crashDetector.onUpstreamDown(discarded);
         loadCoordinator.onUpstreamDiscarded(discarded);
     }
 
@@ -322,6 +322,18 @@
         return latencies;
     }
 
+    /**
+     * Records what an upstream states about itself. Other instances are not told: they learn it
+     * from the upstream's record or from answers of their own.
+     */
+    void onNotice(UpstreamState upstream, UpstreamNotice notice) {
+        if (notice.leaving() && upstream.setLeaving()) {
+            LOG.infof(
+                    "event=upstream-draining upstream=%s service=%s source=answer",
+                    upstream.id(), upstream.upstreamRecord().service());
+        }
+    }
+
     void onOutcome(ForwardCall call, boolean succeeded) {
         call.upstream().health().onOutcome(succeeded);
     }
@@ -332,7 +344,7 @@
         if (upstream.incarnation().onUnreachable()) {
             incarnationReports.start(upstream);
         }
-        crashDetector.onUpstreamDown(upstream.upstreamRecord());
+        crashDetector.onUpstreamDown(upstream);
         loadCoordinator.endWaits(upstream);
     }
 
@@ -378,7 +390,7 @@
     private void onMisaddressed(UpstreamState upstream) {
         if (upstream.setMisaddressed()) {
             LOG.infof("event=upstream-misaddressed upstream=%s", upstream.id());
-            crashDetector.onUpstreamDown(upstream.upstreamRecord());
+            crashDetector.onUpstreamDown(upstream);
             loadCoordinator.onUpstreamDiscarded(upstream);
             enginesChanged = true;
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -40,6 +40,7 @@
     private int waitingRequests;
     private final IdleSlots idleSlots;
     private boolean misaddressed;
+    private boolean statedLeaving;
     private long adapterWaitsPausedUntil;
     private int requests;
     private long tokens;
@@ -105,6 +106,11 @@
         return upstreamRecord.id();
     }
 
+    /** Returns a key that differs for each incarnation. */
+    String incarnationKey() {
+        return upstreamRecord.id() + "/" + upstreamRecord.startedAtMs();
+    }
+
     OutcomeHealth health() {
         return health;
     }
@@ -264,7 +270,23 @@
 
     /** Returns whether new requests may be sent to the upstream. */
     boolean acceptsRequests() {
-        return !misaddressed && !upstreamRecord.draining();
+        return !misaddressed && !isLeaving();
+    }
+
+    /**
+     * Records that the upstream has stated in an answer that it is leaving. Later records that do
+     * not say so are out of date, so this holds for the whole incarnation. Returns whether it was
+     * not known yet.
+     */
+    boolean setLeaving() {
+        boolean changed = !isLeaving();
+        statedLeaving = true;
+        return changed;
+    }
+
+    /** Returns whether the upstream is about to leave. */
+    boolean isLeaving() {
+        return statedLeaving || upstreamRecord.draining();
     }
 
     boolean holdsModel(String model) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -112,7 +112,9 @@
         }
         if (state != null && state.upstreamRecord().sameIncarnation(r)) {
             if (r.draining() && !state.upstreamRecord().draining()) {
-                LOG.infof("event=upstream-draining upstream=%s service=%s", r.id(), r.service());
+                LOG.infof(
+                        "event=upstream-draining upstream=%s service=%s source=record",
+                        r.id(), r.service());
             }
             state.update(r);
             return List.of();
