Send no requests to an upstream for the time that its rejection states

Cause: Retry-After in a rejection of an upstream was not read. A rejected call passed the upstream over, but further calls of the instance went there at once. Change: UpstreamNotice has the pause; the chooser, retries and calls whose adapter has arrived leave the upstream out until its end. Calls that cannot wait so long are refused at once, with a delay that covers the pause.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -205,6 +205,10 @@
             log("upstream-leaving");
             release();
             dispatch();
+        } else if (upstream().health().isPausedOnRequest()) {
+            log("upstream-paused");
+            release();
+            dispatch();
         } else if (crashesUpstreams()) {
             // Instances have learned of the crashes while the request waited.
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -289,7 +289,9 @@
 
     /** Returns the delay after which the caller should retry; empty if no time is left for it. */
     Option<Duration> retryAfter(ForwardCall call) {
-        return retryDelay.after(call.request(), queues.of(call).expectedWait(call));
+        Duration wait = queues.of(call).expectedWait(call);
+        Duration pause = upstreams.shortestRequestedPause(call);
+        return retryDelay.after(call.request(), wait.compareTo(pause) > 0 ? wait : pause);
     }
 
     /**
@@ -332,6 +334,14 @@
                     "event=upstream-draining upstream=%s service=%s source=answer",
                     upstream.id(), upstream.upstreamRecord().service());
         }
+        notice.pause()
+                .forEach(
+                        pause -> {
+                            upstream.health().onPauseRequested(pause);
+                            LOG.infof(
+                                    "event=upstream-pause upstream=%s pause-ms=%d",
+                                    upstream.id(), pause.toMillis());
+                        });
     }
 
     void onOutcome(ForwardCall call, boolean succeeded) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OutcomeHealth.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OutcomeHealth.java
@@ -30,11 +30,13 @@
     private long updatedAt;
     private int connectFailures;
     private long pausedUntil;
+    private long requestedPauseUntil;
 
     OutcomeHealth(TimeSource time) {
         this.time = time;
         this.updatedAt = time.nanoTime();
         this.pausedUntil = updatedAt;
+        this.requestedPauseUntil = updatedAt;
     }
 
     /** Records whether a request succeeded, or failed through the upstream's fault. */
@@ -60,8 +62,29 @@
         return failureRate * Math.pow(0.5, (time.nanoTime() - updatedAt) / HALF_LIFE_NANOS);
     }
 
+    /**
+     * Records that the upstream wants no requests for some time. Unlike a pause after a failure,
+     * this one does not end with the next success.
+     */
+    void onPauseRequested(Duration pause) {
+        long until = time.nanoTime() + pause.toNanos();
+        if (until - requestedPauseUntil > 0) {
+            requestedPauseUntil = until;
+        }
+    }
+
     /** Returns whether the upstream receives no requests for now. */
     boolean isPaused() {
-        return time.nanoTime() - pausedUntil < 0;
+        return time.nanoTime() - pausedUntil < 0 || isPausedOnRequest();
+    }
+
+    /** Returns whether the upstream has stated that it wants no requests for now. */
+    boolean isPausedOnRequest() {
+        return requestedPauseLeft().toNanos() > 0;
+    }
+
+    /** Returns how long the upstream still wants no requests; zero or less if it wants them. */
+    Duration requestedPauseLeft() {
+        return Duration.ofNanos(requestedPauseUntil - time.nanoTime());
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamNotice.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamNotice.java
@@ -1,12 +1,17 @@
 package org.bronzehill.core.forward;
 
+import io.vavr.control.Option;
+import java.time.Duration;
+
 /**
  * What an upstream states about itself in an answer to any request.
  *
  * @param leaving whether it is about to leave and must get no new requests
+ * @param pause time for which it wants no requests from this instance; empty if it has not rejected
+ *     the request, or has not stated a time
  */
-public record UpstreamNotice(boolean leaving) {
+public record UpstreamNotice(boolean leaving, Option<Duration> pause) {
 
     /** Nothing is stated. */
-    public static final UpstreamNotice NONE = new UpstreamNotice(false);
+    public static final UpstreamNotice NONE = new UpstreamNotice(false, Option.none());
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -241,7 +241,19 @@
 
     /** Returns whether an upstream is listed to which a call may be sent, now or later. */
     boolean hasUpstreamFor(ForwardCall call) {
-        return call.excluded().allowAnyOf(availableTo(call));
+        List<UpstreamState> found = availableTo(call);
+        Duration mayWait = Duration.ofNanos(call.queueDeadlineNanos() - time.nanoTime());
+        found.removeIf(u -> u.health().requestedPauseLeft().compareTo(mayWait) > 0);
+        return call.excluded().allowAnyOf(found);
+    }
+
+    /** Returns how long all upstreams that may answer a call still want no requests. */
+    Duration shortestRequestedPause(ForwardCall call) {
+        return availableTo(call).stream()
+                .map(u -> u.health().requestedPauseLeft())
+                .min(Duration::compareTo)
+                .filter(pause -> !pause.isNegative())
+                .orElse(Duration.ZERO);
     }
 
     /** Adds the history of the time before the upstreams were first read. */
