--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamTable.java
@@ -211,15 +211,23 @@
         return states.values();
     }
 
-    /** Returns the upstreams of a service that accept new requests. */
+    /**
+     * Returns the upstreams of a service that accept new requests. Those whose records are missing
+     * since an outage are used only if they are the majority: an outage makes many records lapse,
+     * while a single one that is missing is more likely that of an upstream that has left.
+     */
     List<UpstreamState> available(String service) {
-        List<UpstreamState> found = new ArrayList<>();
+        List<UpstreamState> listed = new ArrayList<>();
+        List<UpstreamState> lapsed = new ArrayList<>();
         for (UpstreamState s : states.values()) {
             if (s.upstreamRecord().service().equals(service) && s.acceptsRequests()) {
-                found.add(s);
+                (lapsedKeptUntil.containsKey(s.id()) ? lapsed : listed).add(s);
             }
         }
-        return found;
+        if (lapsed.size() > listed.size()) {
+            listed.addAll(lapsed);
+        }
+        return listed;
     }
 
     /** Returns the upstreams that accept new requests and may answer a call. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamTableTest.java
@@ -6,14 +6,20 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests records of upstreams that lapse, return, restart and drain. */
 public class UpstreamTableTest {
 
-    private final VirtualScheduler scheduler = new VirtualScheduler();
-    private final UpstreamTable table =
-            new UpstreamTable(scheduler.time(), Duration.ofSeconds(2), Duration.ZERO);
+    private VirtualScheduler scheduler;
+    private UpstreamTable table;
+
+    @BeforeMethod
+    public void createTable() {
+        scheduler = new VirtualScheduler();
+        table = new UpstreamTable(scheduler.time(), Duration.ofSeconds(2), Duration.ZERO);
+    }
 
     /** Guards against new requests to an upstream that was removed. */
     @Test
@@ -38,6 +44,33 @@
         assertTrue(table.onTick().isEmpty());
     }
 
+    /** Guards against requests to an upstream that leaves shortly after a presumed outage. */
+    @Test
+    public void upstreamThatLeavesAfterAnOutageGetsNoRequests() {
+        table.put(ForwardRig.plain("p1", 1));
+        table.put(ForwardRig.plain("p2", 1));
+        table.put(ForwardRig.plain("p3", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.onStoreRecovered();
+        table.remove("p1");
+        assertEquals(table.available(ForwardRig.PLAIN), List.of(table.get("p2"), table.get("p3")));
+        table.put(ForwardRig.plain("p1", 1));
+        assertEquals(table.available(ForwardRig.PLAIN).size(), 3);
+    }
+
+    /** Guards against an outage in which most records lapse and the rest gets all requests. */
+    @Test
+    public void mostUpstreamsMayLapseInAnOutage() {
+        table.put(ForwardRig.plain("p1", 1));
+        table.put(ForwardRig.plain("p2", 1));
+        table.put(ForwardRig.plain("p3", 1));
+        scheduler.advance(Duration.ofSeconds(5));
+        table.onStoreRecovered();
+        table.remove("p1");
+        table.remove("p2");
+        assertEquals(table.available(ForwardRig.PLAIN).size(), 3);
+    }
+
     /**
      * Guards against requests to the address of an upstream that has left, and that an older copy
      * of the store lists again.
