Do not repeat an unchanged load share because of its order

Cause: put another engine first in each share, so a share with two claims always differed from the last one and was sent every time instead of once a second. Change: the order changes only when an inventory did not fit. FleetTest and LoadExchangeTest pass.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/LoadExchange.java
@@ -248,8 +248,7 @@
         List<Map.Entry<String, Long>> own =
                 new ArrayList<>(controller.claims().ownClaims().entrySet());
         if (!own.isEmpty()) {
-            // Another engine comes first each time, so that all get their turn.
-            Collections.rotate(own, firstClaim++ % own.size());
+            Collections.rotate(own, firstClaim % own.size());
         }
         int bytes = share.build().getSerializedSize();
         for (Map.Entry<String, Long> claim : own) {
@@ -261,6 +260,8 @@
                 boolean isDue = fullInventory || isInventoryChanged(u);
                 message =
                         isDue && fits ? complete : ClaimMessages.withIdleSlots(u, claim.getValue());
+                // Another engine comes first next time, so that all get their turn.
+                firstClaim += isDue && !fits ? 1 : 0;
                 if (isDue && fits && markSent) {
                     sentInventoryVersions.put(u.id(), u.inventoryVersion());
                 }
