Relay requests of an instance that reaches no upstream to another one

Cause: such an instance had nowhere to send a request. It tried upstreams one after the other, 0.7 s each, and queued. Change: Reachability notices that no connection opens (three upstreams in a row, two tried at once after the first failure) and tries on in the background; the call is relayed over HTTP to an instance that serves (RelayPeers), at most once, with its identifier, its remaining deadline and its body, and the answer is passed on event by event. Ruled out as a cure: readiness alone, see docs/platform.md.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallState.java
@@ -9,8 +9,16 @@
     QUEUED,
     AWAITING_ADAPTER,
     SENT,
+
+    /** Another instance has the request. */
+    RELAYED,
     ENDED;
 
+    /** Returns whether an upstream or another instance has the request. */
+    boolean isAttempted() {
+        return this == SENT || this == RELAYED;
+    }
+
     /** Returns whether the call waits at this instance and no upstream works on it. */
     boolean isWaiting() {
         return this == QUEUED || this == AWAITING_ADAPTER || this == AWAITING_ORIGIN;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallTransport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallTransport.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.result.ResultCode;
 
 /** Connections of one call to its caller and to the upstream that runs it. */
@@ -13,6 +14,29 @@
     /** Sends the request to an upstream. Events of earlier attempts are no longer reported. */
     void send(Attempt attempt);
 
+    /**
+     * Relays the request to another instance, which sends it to an upstream. Events of earlier
+     * attempts are no longer reported.
+     */
+    default void relay(InstanceRef instance, Duration timeLimit) {
+        throw new IllegalStateException("the transport does not relay requests");
+    }
+
+    /** Returns whether the request may be relayed; not if it was relayed to this instance. */
+    default boolean mayRelay() {
+        return false;
+    }
+
+    /** Returns whether the request was relayed to this instance. */
+    default boolean isRelayed() {
+        return false;
+    }
+
+    /** Returns whether a connection to an upstream is idle that has been used since a time. */
+    default boolean hasConnection(UpstreamRecord upstream, long sinceNanos) {
+        return false;
+    }
+
     /**
      * Returns whether another run could go on after what was passed on to the caller: nothing, or a
      * stream whose last event has a number.
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -2,6 +2,9 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.result.RunState;
 import org.jboss.logging.Logger;
@@ -16,6 +19,12 @@
 
     private static final Logger LOG = Logger.getLogger(ForwardCall.class);
 
+    /** Number of instances without a place after which a call is refused. */
+    private static final int MAX_RELAY_REFUSALS = 2;
+
+    /** Largest number of instances to which a call is relayed, one after the other. */
+    private static final int MAX_RELAY_TRIES = 6;
+
     private ForwardRequest request;
     private final CallTransport transport;
     private final Forwarder forwarder;
@@ -30,6 +39,9 @@
     private final CallStream stream;
     private final AnswerProgress answer = new AnswerProgress();
     private final CallPlace place;
+    private final Set<String> relayTries = new HashSet<>();
+    private String relayInstance = "";
+    private int relayRefusals;
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
         this.request = request;
@@ -91,10 +103,20 @@
         return state == CallState.AWAITING_ADAPTER;
     }
 
+    /** Returns whether the call was relayed to this instance and has not ended. */
+    boolean isRelayedHere() {
+        return transport.isRelayed();
+    }
+
     void start() {
         deadlineTimer.start(request.deadlineNanos());
         trial = forwarder.crashDetector().tryTakeTrial(request);
-        if (request.resumed().isDefined()) {
+        if (transport.isRelayed() && !forwarder.mayServeRelayed()) {
+            refuse(ResultCode.QUEUE_FULL, forwarder.retryAfter(this));
+        } else if (forwarder.reachability().isIsolated() && request.resumed().isDefined()) {
+            // The other instance finds out where the stream began.
+            dispatch();
+        } else if (request.resumed().isDefined()) {
             state = CallState.AWAITING_ORIGIN;
             stream.resume(request, this::onOrigin);
         } else {
@@ -120,7 +142,78 @@
     }
 
     private void dispatch() {
-        dispatch(forwarder.choose(this));
+        if (!forwarder.reachability().isIsolated()) {
+            dispatch(forwarder.choose(this));
+            return;
+        }
+        boolean unbound = request.resumed().isEmpty() || stream.isBound();
+        Option<UpstreamChooser.Choice> connected =
+                unbound ? forwarder.chooseConnected(this, transport) : Option.none();
+        if (connected.isDefined()) {
+            dispatch(connected);
+        } else if (canRelay()) {
+            relay();
+        } else if (transport.isRelayed() || forwarder.relayPeers().exist()) {
+            forwarder.queues().remove(this);
+            state = CallState.DISPATCHING;
+            refuse(ResultCode.NO_UPSTREAM, forwarder.retryAfter(this));
+        } else {
+            dispatch(forwarder.choose(this));
+        }
+    }
+
+    /** Returns whether the call may be relayed and there is an instance that may serve it. */
+    private boolean canRelay() {
+        return transport.mayRelay()
+                && !answer.hasBegun()
+                && (!attempts.anyMayHaveRun() || mayRunAgain())
+                && relayTries.size() < MAX_RELAY_TRIES
+                && !crashesUpstreams()
+                && !mayNotBegin()
+                && request.deadlineNanos() - forwarder.now() > 0
+                && forwarder.relayPeers().next(relayTries).isDefined();
+    }
+
+    /** Relays the call to another instance, because this one is isolated from the upstreams. */
+    private void relay() {
+        forwarder.queues().remove(this);
+        InstanceRef instance = forwarder.relayPeers().next(relayTries).get();
+        relayInstance = instance.id();
+        relayTries.add(relayInstance);
+        state = CallState.RELAYED;
+        attempts.onSent();
+        log("relay", "instance-" + relayInstance);
+        transport.relay(instance, Duration.ofNanos(request.deadlineNanos() - forwarder.now()));
+    }
+
+    /** Relays the call if it waits here although this instance is isolated from the upstreams. */
+    void relayIfWaiting() {
+        if (state.isWaiting() && canRelay()) {
+            if (state == CallState.AWAITING_ADAPTER) {
+                forwarder.onAdapterWaitAbandoned(this);
+            }
+            release();
+            relay();
+        }
+    }
+
+    /**
+     * Handles a relayed call that the other instance has not run, and relays it to the next one.
+     *
+     * @param peerServes whether the other instance reaches upstreams but has no place for the call
+     */
+    private void onRelayNotRun(String reason, boolean peerServes) {
+        attempts.onNotRun();
+        log("relay-not-run", reason);
+        state = CallState.DISPATCHING;
+        if (!peerServes) {
+            forwarder.relayPeers().onNotServed(relayInstance);
+            dispatch();
+        } else if (++relayRefusals < MAX_RELAY_REFUSALS) {
+            dispatch();
+        } else {
+            refuse(ResultCode.QUEUE_FULL, forwarder.retryAfter(this));
+        }
     }
 
     /** Assigns the call to the chosen upstream, or queues or refuses it if that is not possible. */
@@ -247,6 +340,9 @@
      * take it now; returns whether it was sent.
      */
     boolean moveIfStalled() {
+        if (relayIfStalled()) {
+            return true;
+        }
         boolean stalled = state == CallState.SENT && upstream() != null && stallTimer.isOverdue();
         Option<UpstreamChooser.Choice> other =
                 stalled && mayRunAgain() ? forwarder.chooseOther(this) : Option.none();
@@ -262,8 +358,31 @@
         return true;
     }
 
+    /** Relays a call whose upstream is silent because this instance is isolated. */
+    private boolean relayIfStalled() {
+        boolean stalled =
+                forwarder.reachability().isIsolated()
+                        && state == CallState.SENT
+                        && upstream() != null
+                        && stallTimer.isOverdue()
+                        && mayRunAgain()
+                        && canRelay();
+        if (!stalled) {
+            return false;
+        }
+        log("stalled");
+        transport.cancelAttempt();
+        forwarder.onOutcome(this, false);
+        release();
+        relay();
+        return true;
+    }
+
     /** Records how many requests the connection of the running attempt has carried before. */
     public void onConnected(int earlierRequests) {
+        if (state == CallState.SENT && earlierRequests == 0) {
+            forwarder.reachability().onConnected();
+        }
         answer.onConnected(earlierRequests);
     }
 
@@ -274,17 +393,31 @@
         }
     }
 
+    /** Records what the upstream of another instance states about itself in a relayed answer. */
+    public void onRelayedNotice(String upstreamId, UpstreamNotice notice) {
+        UpstreamState named = forwarder.upstreams().get(upstreamId);
+        if (named != null) {
+            forwarder.onNotice(named, notice);
+        }
+    }
+
     /**
      * Records that an upstream has begun a successful answer to the request. Called before the
      * first event is passed on, so that other instances know of the stream before the caller does.
      */
     public void onAnswerBegun() {
         forwarder.crashDetector().onAnswerBegun(request);
-        stream.onAnswerBegun(request, upstream());
+        if (state == CallState.SENT) {
+            stream.onAnswerBegun(request, upstream());
+        }
     }
 
     /** Records that the answer has begun, or that more of it was passed on to the caller. */
     public void onProgress() {
+        if (state == CallState.RELAYED) {
+            onRelayedProgress();
+            return;
+        }
         place.prompt().end();
         if (answer.hasBegun()) {
             answer.onContinued(stallTimer.silentNanos());
@@ -298,8 +431,19 @@
         stallTimer.onProgress();
     }
 
+    private void onRelayedProgress() {
+        if (!answer.hasBegun()) {
+            answer.onBegun(forwarder.now());
+            forwarder.relayPeers().onServed(relayInstance);
+        }
+    }
+
     /** Handles a request that could not be delivered because no connection was opened. */
     public void onUnreachable(String reason) {
+        if (state == CallState.RELAYED) {
+            onRelayNotRun(reason, false);
+            return;
+        }
         if (state != CallState.SENT) {
             return;
         }
@@ -317,6 +461,10 @@
      * @param cause why the request was not run
      */
     public void onNotRun(String reason, NotRunCause cause) {
+        if (state == CallState.RELAYED) {
+            onRelayNotRun(reason, cause != NotRunCause.NO_UPSTREAM);
+            return;
+        }
         if (state != CallState.SENT) {
             return;
         }
@@ -348,6 +496,9 @@
      * @return whether to pass the answer on instead
      */
     public boolean onFailureAnswer(int status) {
+        if (state == CallState.RELAYED) {
+            return true;
+        }
         if (state != CallState.SENT) {
             return false;
         }
@@ -365,6 +516,11 @@
 
     /** Handles the loss of the connection to the upstream; the request may have run. */
     public void onConnectionLost(String reason) {
+        if (state == CallState.RELAYED) {
+            log("connection-lost", reason);
+            fail(ResultCode.UPSTREAM_FAILED);
+            return;
+        }
         if (state != CallState.SENT) {
             return;
         }
@@ -397,6 +553,12 @@
 
     /** Ends the call after the complete answer was passed on. */
     public void onComplete(int status) {
+        if (state == CallState.RELAYED) {
+            forwarder.onRelayed(request, status);
+            log("complete", "status-" + status);
+            end();
+            return;
+        }
         if (state != CallState.SENT) {
             return;
         }
@@ -412,7 +574,7 @@
             return;
         }
         log("caller-disconnected");
-        if (state == CallState.SENT) {
+        if (state.isAttempted()) {
             transport.cancelAttempt();
         }
         end();
@@ -422,9 +584,9 @@
         if (state == CallState.ENDED) {
             return;
         }
-        if (state == CallState.SENT) {
+        if (state.isAttempted()) {
             transport.cancelAttempt();
-            if (!answer.hasBegun()) {
+            if (!answer.hasBegun() && state == CallState.SENT) {
                 forwarder.onOutcome(this, false);
             }
         }
@@ -440,7 +602,7 @@
 
     /** Answers the call because the process ends; a request that was sent may have run. */
     void endAtStop() {
-        if (state == CallState.SENT) {
+        if (state.isAttempted()) {
             log("end-of-stop");
             transport.cancelAttempt();
             fail(ResultCode.UPSTREAM_FAILED);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.membership.Membership;
@@ -24,6 +25,9 @@
     /** Adapter load time assumed until a load has been measured. */
     private static final Duration INITIAL_LOAD_TIME = Duration.ofMillis(300);
 
+    /** Largest number of requests of other instances that are served at once. */
+    private static final int MAX_RELAYED_CALLS = 256;
+
     private final ForwardSettings settings;
     private final TimeSource time;
     private final Scheduler scheduler;
@@ -41,6 +45,8 @@
     private final SharedStoreState storeState;
     private final ResumedStreams resumedStreams;
     private final IncarnationReports incarnationReports;
+    private final Reachability reachability;
+    private final RelayPeers relayPeers;
     private final CallQueues queues;
     private final WaitingCallTimer waitingCallTimer;
     private final RetryDelay retryDelay;
@@ -88,6 +94,9 @@
         this.storeState = new SharedStoreState(time);
         this.resumedStreams = new ResumedStreams(ports, upstreams);
         this.incarnationReports = new IncarnationReports(ports, upstreams);
+        this.reachability =
+                new Reachability(time, new Random(settings.instance().hashCode()), ports.orders());
+        this.relayPeers = new RelayPeers(membership, time, random);
         this.loadExchange =
                 new LoadExchange(
                         membership,
@@ -249,6 +258,34 @@
         return choice;
     }
 
+    /**
+     * Returns an upstream that can serve a call over a connection that has been used since the
+     * instance was isolated.
+     */
+    Option<UpstreamChooser.Choice> chooseConnected(ForwardCall call, CallTransport transport) {
+        long since = reachability.isolatedSinceNanos();
+        return choose(
+                        call,
+                        call.excluded(),
+                        upstreams.availableTo(call).stream()
+                                .filter(u -> transport.hasConnection(u.upstreamRecord(), since))
+                                .toList())
+                .filter(UpstreamChooser.Choice::adapterReady);
+    }
+
+    Reachability reachability() {
+        return reachability;
+    }
+
+    RelayPeers relayPeers() {
+        return relayPeers;
+    }
+
+    /** Returns whether another request that was relayed to this instance may be served. */
+    boolean mayServeRelayed() {
+        return openCalls.stream().filter(ForwardCall::isRelayedHere).count() <= MAX_RELAYED_CALLS;
+    }
+
     /** Returns another upstream than that of a call that can serve the call now. */
     Option<UpstreamChooser.Choice> chooseOther(ForwardCall call) {
         return choose(call, call.excluded().and(call.upstream()))
@@ -256,8 +293,12 @@
     }
 
     private Option<UpstreamChooser.Choice> choose(ForwardCall call, ExcludedUpstreams excluded) {
+        return choose(call, excluded, upstreams.availableTo(call));
+    }
+
+    private Option<UpstreamChooser.Choice> choose(
+            ForwardCall call, ExcludedUpstreams excluded, List<UpstreamState> serving) {
         ForwardRequest r = call.request();
-        List<UpstreamState> serving = upstreams.availableTo(call);
         UpstreamChooser.ChoiceInputs inputs =
                 new UpstreamChooser.ChoiceInputs(
                         r,
@@ -351,6 +392,7 @@
     void onUnreachable(ForwardCall call) {
         UpstreamState upstream = call.upstream();
         upstream.health().onUnreachable();
+        reachability.onConnectFailed(upstream, upstreams.all());
         if (upstream.incarnation().onUnreachable()) {
             incarnationReports.start(upstream);
         }
@@ -377,6 +419,11 @@
                 call.request(), status, Duration.ofNanos(now() - call.request().arrivedNanos()));
     }
 
+    /** Records that another instance has answered a call with the answer of an upstream. */
+    void onRelayed(ForwardRequest request, int status) {
+        listener.completed(request, status, Duration.ofNanos(now() - request.arrivedNanos()));
+    }
+
     void onNotCompleted(ForwardRequest request, ResultCode code) {
         listener.notCompleted(request, code, Duration.ofNanos(now() - request.arrivedNanos()));
     }
@@ -457,6 +504,7 @@
         membership.onTick(out);
         crashDetector.onTick();
         retries.onTick(membership.live().size());
+        reachability.onTick(upstreams.all());
         resumedStreams.exchange().onTick();
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
         upstreams.takeDueRecords().forEach(this::onUpstream);
@@ -472,6 +520,9 @@
     /** Returns whether calls still wait. */
     private boolean checkWaitingCalls() {
         loadCoordinator.onTick();
+        if (reachability.isIsolated()) {
+            List.copyOf(openCalls).forEach(ForwardCall::relayIfWaiting);
+        }
         queues.refuseHopeless(upstreams::isServed);
         queues.dispatchAll();
         return loadCoordinator.isWaiting() || !queues.isEmpty();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
@@ -6,6 +6,8 @@
     REFUSED,
     /** The upstream lacks the adapter, or its required version. */
     ADAPTER_MISSING,
+    /** Another instance, to which the request was relayed, has no upstream for it either. */
+    NO_UPSTREAM,
     /** The address now belongs to another upstream. */
     MISADDRESSED
 }
