Continue a stream of unknown origin only on current knowledge of the versions

Cause: if no instance answered, the only version that the instance knew counted as the only one there is, however long ago it had read the store. Change: such a stream waits for a call of the store that begins after its request; without an answer within 0.8 s it is refused (4011). It is refused at once if two versions are known already.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -92,7 +92,7 @@
                         loadCoordinator);
         loadCoordinator.connect(controller, this::onMisaddressed);
         this.storeState = new SharedStoreState(time);
-        this.resumedStreams = new ResumedStreams(ports, upstreams);
+        this.resumedStreams = new ResumedStreams(ports, upstreams, storeState);
         this.incarnationReports = new IncarnationReports(ports, upstreams);
         this.reachability =
                 new Reachability(time, new Random(settings.instance().hashCode()), ports.orders());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -11,10 +11,13 @@
  */
 final class ResumedStreams {
 
-    /** Interval at which a resumed stream waits for the history of the upstreams to be read. */
+    /** Interval at which a resumed stream waits for the upstreams and their history to be read. */
     private static final Duration HISTORY_CHECK_INTERVAL = Duration.ofMillis(40);
 
-    /** Longest wait for the history. A caller gives up after 2 s without an event. */
+    /**
+     * Longest wait for the upstreams and their history. A caller gives up after 2 s without an
+     * event.
+     */
     private static final Duration MAX_HISTORY_WAIT = Duration.ofMillis(800);
 
     /** Time after a caller's deadline for which it may still resume its stream. */
@@ -23,8 +26,10 @@
     private final StreamOriginExchange exchange;
     private final UpstreamTable upstreams;
     private final ForwardPorts ports;
+    private final SharedStoreState storeState;
 
-    ResumedStreams(ForwardPorts ports, UpstreamTable upstreams) {
+    ResumedStreams(ForwardPorts ports, UpstreamTable upstreams, SharedStoreState storeState) {
+        this.storeState = storeState;
         this.exchange = new StreamOriginExchange(ports);
         this.upstreams = upstreams;
         this.ports = ports;
@@ -37,9 +42,12 @@
     /** Finds where the stream began that a request resumes, and passes it to the receiver. */
     void find(ForwardRequest request, Consumer<FoundOrigin> receiver) {
         Option<String> first = request.resumed().flatMap(ResumedStream::firstRequest);
-        long waitUntil = ports.time().nanoTime() + MAX_HISTORY_WAIT.toNanos();
+        long askedAt = ports.time().nanoTime();
+        if (!first.exists(exchange::isKnown)) {
+            storeState.requestConfirmation();
+        }
         if (first.isEmpty()) {
-            findByVersions(request, waitUntil, receiver);
+            findByVersions(request, askedAt, receiver);
         } else {
             exchange.find(
                     first.get(),
@@ -47,7 +55,7 @@
                         if (found.origin().isDefined()) {
                             receiver.accept(found);
                         } else {
-                            findByVersions(request, waitUntil, receiver);
+                            findByVersions(request, askedAt, receiver);
                         }
                     });
         }
@@ -73,18 +81,27 @@
         }
     }
 
+    /**
+     * @param askedAt monotonic time up to which the upstreams must be known: another instance may
+     *     have begun the stream at one that was listed shortly before
+     */
     private void findByVersions(
-            ForwardRequest request, long waitUntil, Consumer<FoundOrigin> receiver) {
-        boolean mayWait = ports.time().nanoTime() - waitUntil < 0;
-        if (!upstreams.isHistoryRead() && mayWait) {
+            ForwardRequest request, long askedAt, Consumer<FoundOrigin> receiver) {
+        boolean mayWait = ports.time().nanoTime() - askedAt < MAX_HISTORY_WAIT.toNanos();
+        boolean historyRead = upstreams.isHistoryRead();
+        Option<StreamOrigin> only = historyRead || !mayWait ? onlyOrigin(request) : Option.none();
+        boolean current = storeState.isConfirmedUpTo(askedAt);
+        // What has not been read yet can only add versions.
+        boolean decided = historyRead && (current || only.isEmpty());
+        if (mayWait && !decided) {
             ports.scheduler()
                     .after(
                             HISTORY_CHECK_INTERVAL,
-                            () -> findByVersions(request, waitUntil, receiver));
+                            () -> findByVersions(request, askedAt, receiver));
             return;
         }
         receiver.accept(
-                onlyOrigin(request)
+                only.filter(o -> current)
                         .map(o -> FoundOrigin.of(o, OriginSource.ONLY_VERSION, ""))
                         .getOrElse(FoundOrigin.UNKNOWN));
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
@@ -34,12 +34,16 @@
     private long recoveredAt = NEVER;
     private StorePosition readPosition = StorePosition.NONE;
     private long currentAt;
+    private long confirmedAt;
+    private long confirmationWantedAt;
 
     /** Creates the state of an instance that has not read the store. */
     public SharedStoreState(TimeSource time) {
         this.time = time;
         this.collectorDigestAt = time.nanoTime();
         this.currentAt = collectorDigestAt;
+        this.confirmedAt = collectorDigestAt;
+        this.confirmationWantedAt = collectorDigestAt;
     }
 
     /**
@@ -130,6 +134,36 @@
         }
     }
 
+    /**
+     * Asks for a call of the store that begins from now on and returns all changes up to then: what
+     * was read before may be out of date without notice, after a standstill of the process for
+     * example.
+     */
+    public void requestConfirmation() {
+        confirmationWantedAt = time.nanoTime();
+    }
+
+    /** Returns whether a call is wanted that has not been answered yet. */
+    public boolean isConfirmationWanted() {
+        return confirmationWantedAt - confirmedAt > 0;
+    }
+
+    /**
+     * Records that all changes up to a time have been read.
+     *
+     * @param calledAt monotonic time at which the call was sent that has returned them
+     */
+    public void onConfirmed(long calledAt) {
+        if (calledAt - confirmedAt > 0) {
+            confirmedAt = calledAt;
+        }
+    }
+
+    /** Returns whether all changes up to a monotonic time have certainly been read. */
+    boolean isConfirmedUpTo(long nanos) {
+        return confirmedAt - nanos >= 0;
+    }
+
     /**
      * Returns the time in ms since the contents of the store that were read here were last known to
      * be current: by an answer of the store, or by a collector that knew of no newer change.
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
@@ -174,6 +174,11 @@
         out.add(new Effect.SendPeer(instance, envelope, false));
     }
 
+    /** Returns whether the origin of a stream is known here. */
+    boolean isKnown(String firstRequest) {
+        return origins.get(keyOf(firstRequest)).isDefined();
+    }
+
     /** Finds the origin of a stream; asks other instances if it is not known here. */
     void find(String firstRequest, Consumer<FoundOrigin> receiver) {
         long stream = keyOf(firstRequest);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -102,6 +102,7 @@
         private void tick() {
             if (up) {
                 forwarder.onTick();
+                ForwardRig.confirmStore(forwarder, scheduler.time());
                 scheduler.after(TICK, this::tick);
             }
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/ForwardRig.java
@@ -11,6 +11,7 @@
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.node.Effect;
+import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.Ack;
 import org.bronzehill.protocol.generated.BegunStream;
 import org.bronzehill.protocol.generated.BegunStreams;
@@ -33,6 +34,7 @@
     private final List<Effect> effects = new ArrayList<>();
     private final EngineSpec spec;
     private Duration target = Duration.ofMillis(200);
+    private boolean storeAnswers = true;
     private int sequence;
     private int joined;
 
@@ -60,9 +62,24 @@
 
     private void tick() {
         forwarder.onTick();
+        if (storeAnswers) {
+            confirmStore(forwarder, scheduler.time());
+        }
         scheduler.after(TICK, this::tick);
     }
 
+    /** Answers a call of the store that an instance wants, as if nothing had changed. */
+    static void confirmStore(Forwarder instance, TimeSource time) {
+        if (instance.sharedStoreState().isConfirmationWanted()) {
+            instance.sharedStoreState().onConfirmed(time.nanoTime());
+        }
+    }
+
+    /** Partitions the instance from the store. */
+    void cutStore() {
+        storeAnswers = false;
+    }
+
     private RoutingConfiguration configuration() {
         return RoutingConfiguration.of(
                 1,
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.List;
+import org.bronzehill.core.result.ResultCode;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -60,6 +61,31 @@
         assertEquals(second.attempts(), List.of());
     }
 
+    /**
+     * Guards against an instance that was out of step while upstreams of another version joined,
+     * reaches neither the store nor the others when it goes on, and takes what it knew before for
+     * all there is.
+     */
+    @Test
+    public void streamOfUnknownOriginIsRefusedWhileTheStoreDoesNotAnswer() {
+        list("e1", "v1");
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        rig.cutStore();
+        rig.scheduler().advance(Duration.ofSeconds(5));
+        FakeTransport t = resume("begun-elsewhere");
+        rig.scheduler().advance(Duration.ofSeconds(1));
+        assertEquals(t.attempts(), List.of());
+        assertEquals(t.refusedWith(), ResultCode.STREAM_NOT_RESUMABLE);
+    }
+
+    /** Guards against streams of the only version that are lost although the store answers. */
+    @Test
+    public void streamOfUnknownOriginGoesOnAtTheOnlyVersionIfTheStoreAnswers() {
+        list("e1", "v1");
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        assertEquals(resume("begun-elsewhere").attempts().size(), 1);
+    }
+
     /**
      * Guards against a doubt that ends while no record can be read, as in an outage of the store,
      * and the upstream has been started again.
