Keep the rejections of an upstream that states a limit below it

An upstream that states Server-Brittle = N fails if it rejects more than N requests in a second for want of room; its callers then lose what it runs. Cause: the header was not read; a plain service got twice as many requests as it has slots from all instances together, on loads that are some tenths of a second old, and a rejected call went on to the next upstream at once. Change: RejectionLimit. While the statement holds, a plain service gets only what it can begin, each instance has its part of the slots, and leaves the upstream alone for a random time after a rejection, long enough for the whole fleet.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -31,6 +31,7 @@
     private final ForwardSettings settings;
     private final TimeSource time;
     private final Scheduler scheduler;
+    private final RandomGenerator random;
     private final Membership membership;
     private final Effects out;
     private final ForwardListener listener;
@@ -65,6 +66,7 @@
         this.settings = settings;
         this.time = ports.time();
         this.scheduler = ports.scheduler();
+        this.random = random;
         this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
@@ -375,6 +377,8 @@
                     "event=upstream-draining upstream=%s service=%s source=answer",
                     upstream.id(), upstream.upstreamRecord().service());
         }
+        notice.rejectionLimit()
+                .forEach(n -> upstream.rejectionLimit().onStated(n, membership.live().size()));
         notice.pause()
                 .forEach(
                         pause -> {
@@ -470,6 +474,14 @@
 
     /** Records why the upstream of a call has not run the request. */
     void onNotRun(ForwardCall call, NotRunCause cause) {
+        RejectionLimit limit = call.upstream().rejectionLimit();
+        if (cause == NotRunCause.REFUSED && limit.isInForce()) {
+            Duration pause = limit.pauseAfterRejection(random);
+            call.upstream().health().onPauseRequested(pause);
+            LOG.infof(
+                    "event=upstream-pause upstream=%s pause-ms=%d reason=rejection-limit",
+                    call.upstream().id(), pause.toMillis());
+        }
         if (cause == NotRunCause.ADAPTER_MISSING) {
             loadCoordinator.onAdapterMissing(call);
         } else if (cause == NotRunCause.MISADDRESSED) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamChooser.java
@@ -209,7 +209,8 @@
      */
     private static boolean hasCapacity(ChoiceInputs inputs, UpstreamState u) {
         if (inputs.engine().isEmpty()) {
-            return u.totalRequests() < 2 * Math.max(1, u.upstreamRecord().slots());
+            return u.totalRequests() < 2 * Math.max(1, u.upstreamRecord().slots())
+                    && (!u.rejectionLimit().isInForce() || hasRoomWithoutWait(u));
         }
         EngineSpec e = inputs.engine().get();
         return u.requestsExceptOwnWaiting() < e.slots()
@@ -217,6 +218,16 @@
                 && (inputs.answerBegun() || readsSoon(inputs, u));
     }
 
+    /**
+     * Returns whether a plain service that fails if it rejects too much can begin the request at
+     * once. The loads of other instances are known with a delay, so each has its part of the slots.
+     */
+    private static boolean hasRoomWithoutWait(UpstreamState u) {
+        int slots = u.upstreamRecord().slots();
+        return u.ownRequests() < u.rejectionLimit().placesForEach(slots)
+                && u.totalRequests() < slots;
+    }
+
     /**
      * Returns whether the engine reads the prompts that were sent before soon enough. The less of
      * its target a request has left, the less busy an engine must be to get it, since a request
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -24,6 +24,7 @@
     private final TimeSource time;
     private final OutcomeHealth health;
     private final IncarnationCheck incarnation;
+    private final RejectionLimit rejectionLimit;
     private final Map<String, PeerLoad> peerLoads = new HashMap<>();
     private final Map<String, PeerUsage> peerUses = new HashMap<>();
     private final Map<AdapterRef, Integer> ownUses = new HashMap<>();
@@ -77,6 +78,7 @@
         this.nameHash = RendezvousHash.nameHash(upstreamRecord.id());
         this.health = new OutcomeHealth(time);
         this.incarnation = new IncarnationCheck(time);
+        this.rejectionLimit = new RejectionLimit(time);
         this.idleSlots = new IdleSlots(time);
         this.adapterWaitsPausedUntil = time.nanoTime();
         models.addAll(upstreamRecord.models());
@@ -115,6 +117,10 @@
         return health;
     }
 
+    RejectionLimit rejectionLimit() {
+        return rejectionLimit;
+    }
+
     IncarnationCheck incarnation() {
         return incarnation;
     }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -128,6 +128,11 @@
                     new FakeTransport());
         }
 
+        /** Opens a call to the plain upstream whose transport has been prepared by the test. */
+        void call(FakeTransport transport) {
+            call(RequestKind.IDEMPOTENT, ForwardRig.PLAIN, Option.none(), List.of(), transport);
+        }
+
         /** Opens a streamed call to the engines. The call runs until its transport ends it. */
         FakeTransport stream(AdapterRef adapter) {
             return stream(adapter, new FakeTransport());
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamPauseTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UpstreamPauseTest.java
@@ -30,7 +30,7 @@
 
     private static String reject(FakeTransport t, Duration pause) {
         String upstream = t.last().upstream().id();
-        t.call().onNotice(new UpstreamNotice(false, Option.of(pause)));
+        t.call().onNotice(new UpstreamNotice(false, Option.of(pause), Option.none()));
         t.call().onNotRun("status-503", NotRunCause.REFUSED);
         return upstream;
     }
@@ -98,7 +98,7 @@
         ForwardRig one = new ForwardRig(1, 4, Duration.ofMillis(250), 8);
         FakeTransport waiting = one.open(RequestKind.STREAM, 2, Option.of(ForwardRig.adapter(1)));
         FakeTransport base = one.open(RequestKind.STREAM, 2, Option.of(new AdapterRef("m", "")));
-        base.call().onNotice(new UpstreamNotice(false, Option.of(PAUSE)));
+        base.call().onNotice(new UpstreamNotice(false, Option.of(PAUSE), Option.none()));
         one.scheduler().advance(Duration.ofSeconds(1));
         assertEquals(waiting.attempts().size(), 0);
     }
