Move the instances that a call has tried into a class of their own

ForwardCall kept three fields and two bounds for relayed calls. No change of behaviour but one: a call that two instances had no place for is not relayed to a third one after a lost connection either.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -2,8 +2,6 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.result.ResultCode;
 import org.bronzehill.core.result.RunState;
@@ -19,12 +17,6 @@
 
     private static final Logger LOG = Logger.getLogger(ForwardCall.class);
 
-    /** Number of instances without a place after which a call is refused. */
-    private static final int MAX_RELAY_REFUSALS = 2;
-
-    /** Largest number of instances to which a call is relayed, one after the other. */
-    private static final int MAX_RELAY_TRIES = 6;
-
     private ForwardRequest request;
     private final CallTransport transport;
     private final Forwarder forwarder;
@@ -39,9 +31,7 @@
     private final CallStream stream;
     private final AnswerProgress answer = new AnswerProgress();
     private final CallPlace place;
-    private final Set<String> relayTries = new HashSet<>();
-    private String relayInstance = "";
-    private int relayRefusals;
+    private final RelayTries relayTries;
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
         this.request = request;
@@ -52,6 +42,7 @@
         this.openedAt = forwarder.now();
         this.stream = new CallStream(forwarder.resumedStreams());
         this.place = new CallPlace(forwarder, request.promptTokens());
+        this.relayTries = new RelayTries(forwarder.relayPeers());
         this.stallTimer = new StallTimer(forwarder, this);
         this.deadlineTimer = new DeadlineTimer(forwarder, this::onDeadline);
     }
@@ -167,22 +158,19 @@
         return transport.mayRelay()
                 && !answer.hasBegun()
                 && (!attempts.anyMayHaveRun() || mayRunAgain())
-                && relayTries.size() < MAX_RELAY_TRIES
                 && !crashesUpstreams()
                 && !mayNotBegin()
                 && request.deadlineNanos() - forwarder.now() > 0
-                && forwarder.relayPeers().next(relayTries).isDefined();
+                && relayTries.mayTryNext();
     }
 
     /** Relays the call to another instance, because this one is isolated from the upstreams. */
     private void relay() {
         forwarder.queues().remove(this);
-        InstanceRef instance = forwarder.relayPeers().next(relayTries).get();
-        relayInstance = instance.id();
-        relayTries.add(relayInstance);
+        InstanceRef instance = relayTries.next().get();
         state = CallState.RELAYED;
         attempts.onSent();
-        log("relay", "instance-" + relayInstance);
+        log("relay", "instance-" + instance.id());
         transport.relay(instance, Duration.ofNanos(request.deadlineNanos() - forwarder.now()));
     }
 
@@ -206,13 +194,11 @@
         attempts.onNotRun();
         log("relay-not-run", reason);
         state = CallState.DISPATCHING;
-        if (!peerServes) {
-            forwarder.relayPeers().onNotServed(relayInstance);
-            dispatch();
-        } else if (++relayRefusals < MAX_RELAY_REFUSALS) {
-            dispatch();
-        } else {
+        relayTries.onNotRun(peerServes);
+        if (relayTries.isRefused()) {
             refuse(ResultCode.QUEUE_FULL, forwarder.retryAfter(this));
+        } else {
+            dispatch();
         }
     }
 
@@ -434,7 +420,7 @@
     private void onRelayedProgress() {
         if (!answer.hasBegun()) {
             answer.onBegun(forwarder.now());
-            forwarder.relayPeers().onServed(relayInstance);
+            relayTries.onAnswerBegun();
         }
     }
 
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -0,0 +1,64 @@
+package org.bronzehill.core.forward;
+
+import io.vavr.control.Option;
+import java.util.HashSet;
+import java.util.Set;
+import org.bronzehill.core.model.InstanceRef;
+
+/** Instances to which one call has been relayed, one after the other. */
+final class RelayTries {
+
+    /** Largest number of instances that are tried. */
+    private static final int MAX_TRIES = 6;
+
+    /** Number of instances without a place for the call after which no further one is tried. */
+    private static final int MAX_REFUSALS = 2;
+
+    private final RelayPeers peers;
+    private final Set<String> tried = new HashSet<>();
+    private String current = "";
+    private int refusals;
+
+    RelayTries(RelayPeers peers) {
+        this.peers = peers;
+    }
+
+    /** Returns whether another instance may be tried. */
+    boolean mayTryNext() {
+        return tried.size() < MAX_TRIES && refusals < MAX_REFUSALS && peers.next(tried).isDefined();
+    }
+
+    /** Returns the next instance, to which the call is relayed now; empty if there is none. */
+    Option<InstanceRef> next() {
+        Option<InstanceRef> next = peers.next(tried);
+        next.forEach(
+                i -> {
+                    current = i.id();
+                    tried.add(current);
+                });
+        return next;
+    }
+
+    /** Records that the instance has begun to pass on an answer. */
+    void onAnswerBegun() {
+        peers.onServed(current);
+    }
+
+    /**
+     * Records that the instance has not served the call.
+     *
+     * @param servesOthers whether it reaches upstreams, but has no place for the call
+     */
+    void onNotRun(boolean servesOthers) {
+        if (servesOthers) {
+            refusals++;
+        } else {
+            peers.onNotServed(current);
+        }
+    }
+
+    /** Returns whether instances without a place have ended the search. */
+    boolean isRefused() {
+        return refusals >= MAX_REFUSALS;
+    }
+}
