Find out where a stream began also after a relay that has not run

Cause: the lookup was a step of the start, not a condition of the dispatch. Change: a call that resumes a stream is dispatched here only once its origin is known, wherever it comes from. UncertainVersionTest.streamOfUnknownOriginIsRefusedByAnIsolatedInstance is the case without other instances.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -104,17 +104,16 @@
         trial = forwarder.crashDetector().tryTakeTrial(request);
         if (transport.isRelayed() && !forwarder.mayServeRelayed()) {
             refuse(ResultCode.QUEUE_FULL, forwarder.retryAfter(this));
-        } else if (forwarder.reachability().isIsolated() && request.resumed().isDefined()) {
-            // The other instance finds out where the stream began.
-            dispatch();
-        } else if (request.resumed().isDefined()) {
-            state = CallState.AWAITING_ORIGIN;
-            stream.resume(request, this::onOrigin);
         } else {
             dispatch();
         }
     }
 
+    private void findOrigin() {
+        state = CallState.AWAITING_ORIGIN;
+        stream.resume(request, this::onOrigin);
+    }
+
     /**
      * Sends a request that resumes a stream to the service that began it, or refuses the request.
      */
@@ -133,13 +132,27 @@
     }
 
     private void dispatch() {
-        if (!forwarder.reachability().isIsolated()) {
-            dispatch(forwarder.choose(this));
+        boolean originUnknown = request.resumed().isDefined() && !stream.isBound();
+        if (forwarder.reachability().isIsolated() && dispatchIsolated(originUnknown)) {
             return;
         }
-        boolean unbound = request.resumed().isEmpty() || stream.isBound();
+        if (originUnknown) {
+            findOrigin();
+        } else {
+            dispatch(forwarder.choose(this));
+        }
+    }
+
+    /**
+     * Sends the call over a connection that still works, relays it, or refuses it, because this
+     * instance is isolated from the upstreams; returns false if no other instance is known.
+     *
+     * @param originUnknown whether the call resumes a stream and it is not known here where that
+     *     began; an instance to which it is relayed finds out
+     */
+    private boolean dispatchIsolated(boolean originUnknown) {
         Option<UpstreamChooser.Choice> connected =
-                unbound ? forwarder.chooseConnected(this, transport) : Option.none();
+                originUnknown ? Option.none() : forwarder.chooseConnected(this, transport);
         if (connected.isDefined()) {
             dispatch(connected);
         } else if (canRelay()) {
@@ -149,8 +162,9 @@
             state = CallState.DISPATCHING;
             refuse(ResultCode.NO_UPSTREAM, forwarder.retryAfter(this));
         } else {
-            dispatch(forwarder.choose(this));
+            return false;
         }
+        return true;
     }
 
     /** Returns whether the call may be relayed and there is an instance that may serve it. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -17,6 +17,8 @@
  */
 final class FakeEngines implements OrderTransport {
 
+    private boolean connectable = true;
+
     /** Round trip time of an order. */
     private static final Duration ROUND_TRIP = Duration.ofMillis(2);
 
@@ -163,6 +165,16 @@
         return maxUsedSlots;
     }
 
+    /** Lets all further connections that are only opened fail, or succeed. */
+    void setConnectable(boolean value) {
+        connectable = value;
+    }
+
+    @Override
+    public void connect(UpstreamRecord upstream, Consumer<Boolean> reply) {
+        reply.accept(connectable);
+    }
+
     @Override
     public void order(UpstreamRecord upstream, Order order, Consumer<OrderReply> reply) {
         addressees.add(upstream);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Option;
 import java.time.Duration;
@@ -78,6 +79,23 @@
         assertEquals(t.refusedWith(), ResultCode.STREAM_NOT_RESUMABLE);
     }
 
+    /**
+     * Guards against an instance that reaches no upstream and forgets to ask where a stream began.
+     */
+    @Test
+    public void streamOfUnknownOriginIsRefusedByAnIsolatedInstance() {
+        list("e1", "v1");
+        list("e2", "v2");
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        rig.engines().setConnectable(false);
+        begin().call().onUnreachable("connect-timeout");
+        assertTrue(rig.forwarder().reachability().isIsolated());
+        FakeTransport t = resume("begun-elsewhere");
+        rig.scheduler().advance(Duration.ofSeconds(1));
+        assertEquals(t.attempts(), List.of());
+        assertEquals(t.refusedWith(), ResultCode.STREAM_NOT_RESUMABLE);
+    }
+
     /** Guards against streams of the only version that are lost although the store answers. */
     @Test
     public void streamOfUnknownOriginGoesOnAtTheOnlyVersionIfTheStoreAnswers() {
