--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -4,8 +4,6 @@
 import java.time.Duration;
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.result.ResultCode;
-import org.bronzehill.core.result.RunState;
-import org.jboss.logging.Logger;
 
 /**
  * One request of a caller, from its arrival until it is answered or refused.
@@ -13,97 +11,22 @@
  * <p>The transport reports the events of the running attempt. Each report ends the attempt, except
  * {@link #onProgress}, and {@link #onFailureAnswer} if it returns true: a later report ends it.
  */
-public final class ForwardCall {
-
-    private static final Logger LOG = Logger.getLogger(ForwardCall.class);
-
-    private ForwardRequest request;
-    private final CallTransport transport;
-    private final Forwarder forwarder;
-    private final long arrivalNumber;
-    private final long openedAt;
-    private final ExcludedUpstreams excluded;
-    private CallState state = CallState.DISPATCHING;
-    private final DeadlineTimer deadlineTimer;
-    private final StallTimer stallTimer;
-    private final AttemptCounts attempts = new AttemptCounts();
-    private boolean trial;
-    private final CallStream stream;
-    private final AnswerProgress answer = new AnswerProgress();
-    private final CallPlace place;
-    private final RelayTries relayTries;
+public final class ForwardCall extends CallLifecycle {
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
-        this.request = request;
-        this.transport = transport;
-        this.forwarder = forwarder;
-        this.arrivalNumber = number;
-        this.excluded = new ExcludedUpstreams(request.route().kind().isRepeatable());
-        this.openedAt = forwarder.now();
-        this.stream = new CallStream(forwarder.resumedStreams());
-        this.place = new CallPlace(forwarder, request.promptTokens());
-        this.relayTries = new RelayTries(forwarder.relayPeers());
-        this.stallTimer = new StallTimer(forwarder, this);
-        this.deadlineTimer = new DeadlineTimer(forwarder, this::onDeadline);
+        super(request, transport, forwarder, number);
     }
 
-    ForwardRequest request() {
-        return request;
-    }
-
-    /** Returns the position of the call in order of arrival. */
-    long arrivalNumber() {
-        return arrivalNumber;
-    }
-
-    /** Returns the monotonic time limit for waits and retries; the request may be sent later. */
-    long sendDeadlineNanos() {
-        return WaitLimits.sendDeadlineNanos(request, answer.hasBegun());
-    }
-
-    /** Returns the monotonic time until which the call may wait for a place at an upstream. */
-    long queueDeadlineNanos() {
-        return WaitLimits.queueDeadlineNanos(request, answer.hasBegun(), attempts.anyMayHaveRun());
-    }
-
-    boolean hasAnswerBegun() {
-        return answer.hasBegun();
-    }
-
-    ExcludedUpstreams excluded() {
-        return excluded;
-    }
-
-    CallStream stream() {
-        return stream;
-    }
-
-    UpstreamState upstream() {
-        return place.upstream();
-    }
-
-    boolean hasEnded() {
-        return state == CallState.ENDED;
-    }
-
-    boolean isQueued() {
-        return state == CallState.QUEUED;
-    }
-
-    boolean isAwaitingAdapter() {
-        return state == CallState.AWAITING_ADAPTER;
-    }
-
-    /** Returns whether the call was relayed to this instance and has not ended. */
-    boolean isRelayedHere() {
-        return transport.isRelayed();
+    @Override
+    ForwardCall self() {
+        return this;
     }
 
     void start() {
         deadlineTimer.start(request.deadlineNanos());
         trial = forwarder.crashDetector().tryTakeTrial(request);
         if (transport.isRelayed() && !forwarder.mayServeRelayed()) {
-            refuse(ResultCode.QUEUE_FULL, forwarder.retryAfter(this));
+            refuse(ResultCode.QUEUE_FULL, forwarder.placement().retryAfter(this));
         } else {
             dispatch();
         }
@@ -126,11 +49,6 @@
         }
     }
 
-    /** Returns whether the call must be refused because requests like it crash upstreams. */
-    private boolean crashesUpstreams() {
-        return !trial && forwarder.crashDetector().shouldRefuse(request);
-    }
-
     private void dispatch() {
         boolean originUnknown = request.resumed().isDefined() && !stream.isBound();
         if (forwarder.reachability().isIsolated() && dispatchIsolated(originUnknown)) {
@@ -139,7 +57,7 @@
         if (originUnknown) {
             findOrigin();
         } else {
-            dispatch(forwarder.choose(this));
+            dispatch(forwarder.placement().choose(this));
         }
     }
 
@@ -152,7 +70,9 @@
      */
     private boolean dispatchIsolated(boolean originUnknown) {
         Option<UpstreamChooser.Choice> connected =
-                originUnknown ? Option.none() : forwarder.chooseConnected(this, transport);
+                originUnknown
+                        ? Option.none()
+                        : forwarder.placement().chooseConnected(this, transport);
         if (connected.isDefined()) {
             dispatch(connected);
         } else if (canRelay()) {
@@ -160,24 +80,13 @@
         } else if (transport.isRelayed() || forwarder.relayPeers().exist()) {
             forwarder.queues().remove(this);
             state = CallState.DISPATCHING;
-            refuse(ResultCode.NO_UPSTREAM, forwarder.retryAfter(this));
+            refuse(ResultCode.NO_UPSTREAM, forwarder.placement().retryAfter(this));
         } else {
             return false;
         }
         return true;
     }
 
-    /** Returns whether the call may be relayed and there is an instance that may serve it. */
-    private boolean canRelay() {
-        return transport.mayRelay()
-                && !answer.hasBegun()
-                && (!attempts.anyMayHaveRun() || mayRunAgain())
-                && !crashesUpstreams()
-                && !mayNotBegin()
-                && request.deadlineNanos() - forwarder.now() > 0
-                && relayTries.mayTryNext();
-    }
-
     /** Relays the call to another instance, because this one is isolated from the upstreams. */
     private void relay() {
         forwarder.queues().remove(this);
@@ -210,7 +119,7 @@
         state = CallState.DISPATCHING;
         relayTries.onNotRun(peerServes);
         if (relayTries.isRefused()) {
-            refuse(ResultCode.QUEUE_FULL, forwarder.retryAfter(this));
+            refuse(ResultCode.QUEUE_FULL, forwarder.placement().retryAfter(this));
         } else {
             dispatch();
         }
@@ -223,7 +132,7 @@
         if (crashesUpstreams()) {
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
         } else if (mayNotBegin()) {
-            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
+            refuse(ResultCode.DRAINING, forwarder.placement().retryAfter(this));
         } else if (choice.isEmpty()) {
             enqueueOrRefuse();
         } else if (choice.get().adapterReady()) {
@@ -231,7 +140,7 @@
             send();
         } else if (!answer.hasBegun()
                 && !choice.get().isReadyBy(sendDeadlineNanos(), forwarder.now())) {
-            refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
+            refuse(ResultCode.LOAD_FAILED, forwarder.placement().retryAfterMissedLoad(this));
         } else {
             place.reserve(choice.get().upstream(), request);
             state = CallState.AWAITING_ADAPTER;
@@ -241,17 +150,10 @@
         }
     }
 
-    /** Returns whether the call must not reach its first upstream because of a planned stop. */
-    private boolean mayNotBegin() {
-        return !answer.hasBegun()
-                && !attempts.anyMayHaveRun()
-                && forwarder.isExcludedByStop(request, openedAt);
-    }
-
     private void enqueueOrRefuse() {
-        Option<ResultCode> refusal = forwarder.refusalFor(this);
+        Option<ResultCode> refusal = forwarder.placement().refusalFor(this);
         if (refusal.isDefined()) {
-            refuse(refusal.get(), forwarder.retryAfter(this));
+            refuse(refusal.get(), forwarder.placement().retryAfter(this));
             return;
         }
         state = CallState.QUEUED;
@@ -259,11 +161,6 @@
         log("queue");
     }
 
-    private void release() {
-        answer.onDisconnected();
-        place.release(request);
-    }
-
     /** Sends the request after its adapter has been loaded. */
     void onAdapterReady() {
         if (state == CallState.AWAITING_ADAPTER) {
@@ -287,7 +184,7 @@
     void refuseIfLate() {
         if (state == CallState.AWAITING_ADAPTER && forwarder.now() - sendDeadlineNanos() > 0) {
             forwarder.onAdapterWaitAbandoned(this);
-            refuse(ResultCode.LOAD_FAILED, forwarder.retryAfterMissedLoad(this));
+            refuse(ResultCode.LOAD_FAILED, forwarder.placement().retryAfterMissedLoad(this));
         }
     }
 
@@ -306,7 +203,7 @@
             // Instances have learned of the crashes while the request waited.
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
         } else if (mayNotBegin()) {
-            refuse(ResultCode.DRAINING, forwarder.retryAfter(this));
+            refuse(ResultCode.DRAINING, forwarder.placement().retryAfter(this));
         } else {
             sendNow();
         }
@@ -326,7 +223,7 @@
                         attempts.onSent(),
                         upstream().upstreamRecord(),
                         Duration.ofNanos(left),
-                        forwarder.requiredVersion(request),
+                        forwarder.placement().requiredVersion(request),
                         request.route().priority());
         log("send");
         forwarder.latencies().onSent(request);
@@ -345,7 +242,7 @@
         }
         boolean stalled = state == CallState.SENT && upstream() != null && stallTimer.isOverdue();
         Option<UpstreamChooser.Choice> other =
-                stalled && mayRunAgain() ? forwarder.chooseOther(this) : Option.none();
+                stalled && mayRunAgain() ? forwarder.placement().chooseOther(this) : Option.none();
         if (other.isEmpty() || !forwarder.tryTakeRetry(request)) {
             return false;
         }
@@ -485,7 +382,7 @@
         if (allowed && attempts.mayDispatchAgain()) {
             dispatch();
         } else {
-            refuse(ResultCode.NO_UPSTREAM, forwarder.retryAfter(this));
+            refuse(ResultCode.NO_UPSTREAM, forwarder.placement().retryAfter(this));
         }
     }
 
@@ -538,13 +435,6 @@
         }
     }
 
-    private boolean mayRunAgain() {
-        return request.route().kind().isRepeatable()
-                && transport.canContinue()
-                && attempts.mayHaveRun() < request.route().maxAttempts()
-                && forwarder.now() - sendDeadlineNanos() < 0;
-    }
-
     private void retryElsewhere() {
         excluded.passOver(upstream());
         release();
@@ -579,93 +469,4 @@
         }
         end();
     }
-
-    private void onDeadline() {
-        if (state == CallState.ENDED) {
-            return;
-        }
-        if (state.isAttempted()) {
-            transport.cancelAttempt();
-            if (!answer.hasBegun() && state == CallState.SENT) {
-                forwarder.onOutcome(this, false);
-            }
-        }
-        fail(attempts.anyMayHaveRun() ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_HOPELESS);
-    }
-
-    /** Refuses the call if it waits and may not be sent any more because of a planned stop. */
-    void refuseIfExcluded() {
-        if (state.isWaiting() && mayNotBegin()) {
-            refuseWaiting(ResultCode.DRAINING);
-        }
-    }
-
-    /** Answers the call because the process ends; a request that was sent may have run. */
-    void endAtStop() {
-        if (state.isAttempted()) {
-            log("end-of-stop");
-            transport.cancelAttempt();
-            fail(ResultCode.UPSTREAM_FAILED);
-        } else if (state.isWaiting()) {
-            refuseWaiting(ResultCode.DRAINING);
-        }
-    }
-
-    /** Refuses a queued call that can no longer be served. */
-    void refuseWaiting(ResultCode code) {
-        refuse(code, forwarder.retryAfter(this));
-    }
-
-    private void refuse(ResultCode code, Option<Duration> retryAfter) {
-        if (answer.hasBegun()
-                || (attempts.anyMayHaveRun() && code.runState() == RunState.NOT_RUN)) {
-            log("cannot-refuse", "code-" + code.number());
-            fail(ResultCode.UPSTREAM_FAILED);
-            return;
-        }
-        log("refuse", "code-" + code.number());
-        forwarder.onNotCompleted(request, code);
-        stream.onNotContinued(request, ResumeOutcome.REFUSED);
-        end();
-        transport.answerError(code, retryAfter);
-    }
-
-    private void fail(ResultCode code) {
-        log(answer.hasBegun() ? "abort-answer" : "fail", "code-" + code.number());
-        forwarder.onNotCompleted(request, code);
-        end();
-        if (answer.hasBegun()) {
-            transport.abortAnswer(code);
-        } else {
-            stream.onNotContinued(request, ResumeOutcome.FAILED);
-            transport.answerError(code, Option.none());
-        }
-    }
-
-    private void end() {
-        deadlineTimer.cancel();
-        stallTimer.cancel();
-        forwarder.queues().remove(this);
-        release();
-        state = CallState.ENDED;
-        forwarder.onEnded(this);
-    }
-
-    private void log(String decision) {
-        log(decision, "");
-    }
-
-    private void log(String decision, String reason) {
-        if (LOG.isInfoEnabled()) {
-            LOG.info(
-                    CallLogLine.of(request, decision, reason)
-                            .withAge(forwarder.now())
-                            .withAttempts(attempts)
-                            .withUpstream(upstream())
-                            .withStream(stream.found())
-                            .withAnswer(answer)
-                            .withConfiguration(forwarder.configuration().version())
-                            .withStoreAge(forwarder.sharedStoreState().millisSinceCurrent()));
-        }
-    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -36,7 +36,7 @@
     private final Effects out;
     private final ForwardListener listener;
     private final UpstreamTable upstreams;
-    private final UpstreamChooser chooser;
+    private final CallPlacement placement;
     private final RetryAllowances retries;
     private final AdapterWaits waits;
     private final AdapterLoadCoordinator loadCoordinator;
@@ -50,7 +50,6 @@
     private final RelayPeers relayPeers;
     private final CallQueues queues;
     private final WaitingCallTimer waitingCallTimer;
-    private final RetryDelay retryDelay;
     private final AdapterVersions adapterVersions = new AdapterVersions();
     private final LatencyModels latencies =
             new LatencyModels(new AdapterWaitModel(INITIAL_LOAD_TIME));
@@ -67,7 +66,6 @@
         this.time = ports.time();
         this.scheduler = ports.scheduler();
         this.random = random;
-        this.retryDelay = new RetryDelay(time, random);
         this.membership = ports.membership();
         this.out = ports.out();
         this.listener = ports.listener();
@@ -76,7 +74,6 @@
                         time, settings.storeRecoveryGrace(), settings.upstreamHeartbeat());
         this.waitingCallTimer = new WaitingCallTimer(scheduler, this::checkWaitingCalls);
         this.queues = new CallQueues(time, this::choose, upstreams::hasUpstreamFor);
-        this.chooser = new UpstreamChooser(settings.dataCentre(), random);
         this.retries = new RetryAllowances(settings, time);
         this.waits = new AdapterWaits(time, latencies.adapterWait());
         this.loadCoordinator =
@@ -99,6 +96,17 @@
         this.reachability =
                 new Reachability(time, new Random(settings.instance().hashCode()), ports.orders());
         this.relayPeers = new RelayPeers(membership, time, random);
+        this.placement =
+                new CallPlacement(
+                        time,
+                        random,
+                        upstreams,
+                        new UpstreamChooser(settings.dataCentre(), random),
+                        latencies,
+                        queues,
+                        adapterVersions,
+                        reachability,
+                        this::configuration);
         this.loadExchange =
                 new LoadExchange(
                         membership,
@@ -252,27 +260,12 @@
         return scheduler.after(delay, task);
     }
 
-    Option<UpstreamChooser.Choice> choose(ForwardCall call) {
-        Option<UpstreamChooser.Choice> choice = choose(call, call.excluded());
-        if (choice.isEmpty()) {
-            call.excluded().readmitPassedOver();
-        }
-        return choice;
+    private Option<UpstreamChooser.Choice> choose(ForwardCall call) {
+        return placement.choose(call);
     }
 
-    /**
-     * Returns an upstream that can serve a call over a connection that has been used since the
-     * instance was isolated.
-     */
-    Option<UpstreamChooser.Choice> chooseConnected(ForwardCall call, CallTransport transport) {
-        long since = reachability.isolatedSinceNanos();
-        return choose(
-                        call,
-                        call.excluded(),
-                        upstreams.availableTo(call).stream()
-                                .filter(u -> transport.hasConnection(u.upstreamRecord(), since))
-                                .toList())
-                .filter(UpstreamChooser.Choice::adapterReady);
+    CallPlacement placement() {
+        return placement;
     }
 
     Reachability reachability() {
@@ -288,64 +281,6 @@
         return openCalls.stream().filter(ForwardCall::isRelayedHere).count() <= MAX_RELAYED_CALLS;
     }
 
-    /** Returns another upstream than that of a call that can serve the call now. */
-    Option<UpstreamChooser.Choice> chooseOther(ForwardCall call) {
-        return choose(call, call.excluded().and(call.upstream()))
-                .filter(c -> c.isReadyBy(call.sendDeadlineNanos(), now()));
-    }
-
-    private Option<UpstreamChooser.Choice> choose(ForwardCall call, ExcludedUpstreams excluded) {
-        return choose(call, excluded, upstreams.availableTo(call));
-    }
-
-    private Option<UpstreamChooser.Choice> choose(
-            ForwardCall call, ExcludedUpstreams excluded, List<UpstreamState> serving) {
-        ForwardRequest r = call.request();
-        UpstreamChooser.ChoiceInputs inputs =
-                new UpstreamChooser.ChoiceInputs(
-                        r,
-                        configuration.service(r.service()).flatMap(ServiceSpec::engine),
-                        requiredVersion(r).getOrElse(0),
-                        latencies.adapterWait(),
-                        UpstreamChooser.preferredUpstream(r, serving),
-                        latencies.promptReadTime(),
-                        call.hasAnswerBegun(),
-                        Duration.ofNanos(now() - r.arrivedNanos()),
-                        excluded);
-        return chooser.choose(inputs, serving);
-    }
-
-    /** Returns the adapter version that must answer the request; empty if any version may. */
-    Option<Integer> requiredVersion(ForwardRequest request) {
-        return request.adapter().flatMap(adapterVersions::newest);
-    }
-
-    /** Returns why a call without an upstream must be refused now; empty if it may wait. */
-    Option<ResultCode> refusalFor(ForwardCall call) {
-        if (!upstreams.hasUpstreamFor(call)) {
-            return Option.of(ResultCode.NO_UPSTREAM);
-        }
-        return queues.of(call).willMissDeadline(call)
-                ? Option.of(ResultCode.QUEUE_FULL)
-                : Option.none();
-    }
-
-    /** Returns the delay after which the caller should retry; empty if no time is left for it. */
-    Option<Duration> retryAfter(ForwardCall call) {
-        Duration wait = queues.of(call).expectedWait(call);
-        Duration pause = upstreams.shortestRequestedPause(call);
-        return retryDelay.after(call.request(), wait.compareTo(pause) > 0 ? wait : pause);
-    }
-
-    /**
-     * Returns the retry delay for a caller whose adapter would be loaded too late. Many other
-     * adapters must be loaded first and the caller may retry only once, so the timeout as expected
-     * wait makes the delay the longest allowed one before its random reduction.
-     */
-    Option<Duration> retryAfterMissedLoad(ForwardCall call) {
-        return retryDelay.after(call.request(), call.request().route().timeout());
-    }
-
     void enterQueue(ForwardCall call) {
         queues.of(call).add(call);
         waitingCallTimer.start();
@@ -372,21 +307,7 @@
      * from the upstream's record or from answers of their own.
      */
     void onNotice(UpstreamState upstream, UpstreamNotice notice) {
-        if (notice.leaving() && upstream.setLeaving()) {
-            LOG.infof(
-                    "event=upstream-draining upstream=%s service=%s source=answer",
-                    upstream.id(), upstream.upstreamRecord().service());
-        }
-        notice.rejectionLimit()
-                .forEach(n -> upstream.rejectionLimit().onStated(n, membership.live().size()));
-        notice.pause()
-                .forEach(
-                        pause -> {
-                            upstream.health().onPauseRequested(pause);
-                            LOG.infof(
-                                    "event=upstream-pause upstream=%s pause-ms=%d",
-                                    upstream.id(), pause.toMillis());
-                        });
+        upstream.onNotice(notice, membership.live().size());
     }
 
     void onOutcome(ForwardCall call, boolean succeeded) {
@@ -464,7 +385,7 @@
     }
 
     void awaitAdapter(ForwardCall call) {
-        loadCoordinator.awaitAdapter(call, requiredVersion(call.request()).getOrElse(0));
+        loadCoordinator.awaitAdapter(call, placement.requiredVersion(call.request()).getOrElse(0));
         waitingCallTimer.start();
     }
 
@@ -474,13 +395,8 @@
 
     /** Records why the upstream of a call has not run the request. */
     void onNotRun(ForwardCall call, NotRunCause cause) {
-        RejectionLimit limit = call.upstream().rejectionLimit();
-        if (cause == NotRunCause.REFUSED && limit.isInForce()) {
-            Duration pause = limit.pauseAfterRejection(random);
-            call.upstream().health().onPauseRequested(pause);
-            LOG.infof(
-                    "event=upstream-pause upstream=%s pause-ms=%d reason=rejection-limit",
-                    call.upstream().id(), pause.toMillis());
+        if (cause == NotRunCause.REFUSED) {
+            call.upstream().onRejected(random);
         }
         if (cause == NotRunCause.ADAPTER_MISSING) {
             loadCoordinator.onAdapterMissing(call);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/UpstreamState.java
@@ -6,15 +6,19 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.UpstreamLoad;
+import org.jboss.logging.Logger;
 
 /**
  * State of one upstream as known to this instance: its record, load, adapters and request outcomes.
  */
 final class UpstreamState {
 
+    private static final Logger LOG = Logger.getLogger(UpstreamState.class);
+
     /**
      * Time after an order or a call could not reach the upstream in which no new calls wait for
      * adapters there. In this time the claim holder reads the report of the engine about twice.
@@ -121,6 +125,35 @@
         return rejectionLimit;
     }
 
+    /**
+     * Records what the upstream states about itself.
+     *
+     * @param instances number of live instances
+     */
+    void onNotice(UpstreamNotice notice, int instances) {
+        if (notice.leaving() && setLeaving()) {
+            LOG.infof(
+                    "event=upstream-draining upstream=%s service=%s source=answer",
+                    id(), upstreamRecord.service());
+        }
+        notice.rejectionLimit().forEach(n -> rejectionLimit.onStated(n, instances));
+        notice.pause().forEach(pause -> pause(pause, "stated"));
+    }
+
+    /** Records that the upstream has rejected a request for want of room. */
+    void onRejected(RandomGenerator random) {
+        if (rejectionLimit.isInForce()) {
+            pause(rejectionLimit.pauseAfterRejection(random), "rejection-limit");
+        }
+    }
+
+    private void pause(Duration time, String reason) {
+        health.onPauseRequested(time);
+        LOG.infof(
+                "event=upstream-pause upstream=%s pause-ms=%d reason=%s",
+                id(), time.toMillis(), reason);
+    }
+
     IncarnationCheck incarnation() {
         return incarnation;
     }
