--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -485,9 +485,11 @@
         }
     }
 
-    /** Answers all open calls, because the process ends. */
-    public void endOpenCalls() {
-        List.copyOf(openCalls).forEach(ForwardCall::endAtStop);
+    /** Answers all open calls, because the process ends; returns how many there were. */
+    public int endOpenCalls() {
+        List<ForwardCall> open = List.copyOf(openCalls);
+        open.forEach(ForwardCall::endAtStop);
+        return open.size();
     }
 
     /** Returns whether a request may not be sent any more because of a planned stop. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/PlannedStopTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/PlannedStopTest.java
@@ -79,7 +79,7 @@
         ForwardRig rig = stoppingRig();
         FakeTransport sent = rig.open(RequestKind.ONCE_ONLY, 1);
         rig.scheduler().advance(END);
-        rig.forwarder().endOpenCalls();
+        assertEquals(rig.forwarder().endOpenCalls(), 1);
         assertEquals(sent.cancelled(), 1);
         assertEquals(sent.refusedWith(), ResultCode.UPSTREAM_FAILED);
         assertEquals(rig.forwarder().openCalls(), 0);
