Bound the time for which the caller of an unknown stream may have waited

A departure counted for the timeout or the time left, whichever was longer, and 3 s; a stream of a caller that had waited for longer may have begun before. And a caller that has more time left than the timeout needed upstreams observed for as long as that, 13 s and more, of which the history (14 to 16 s less 3 s for late departures) covers too little.

A caller now waits for twice the timeout of the route at most. Departures count for that time; the upstreams must have been observed for what the caller can have waited (the timeout, or twice of it if more than the timeout is left, less what is left). A caller that still waits for longer than that is refused. The three new tests fail on the code before: two streams go on that must not, one is refused that may go on.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -23,6 +23,13 @@
     /** Time after a caller's deadline for which it may still resume its stream. */
     private static final Duration RESUME_MARGIN = Duration.ofSeconds(2);
 
+    /**
+     * Longest time for which a caller waits for its stream, in timeouts of the route. Callers wait
+     * for the timeout unless a configuration has shortened it meanwhile. A stream that could be
+     * older is not continued at the only version that is known.
+     */
+    private static final int MAX_WAIT_TIMEOUTS = 2;
+
     private final StreamOriginExchange exchange;
     private final UpstreamTable upstreams;
     private final ForwardPorts ports;
@@ -121,21 +128,23 @@
     }
 
     /**
-     * Returns the version that has served alone. Departures count for the whole timeout, since a
-     * caller may wait for longer than it. The history of the store may be shorter than that, so the
-     * observation must only cover the time since a caller that waits for the timeout has begun. A
-     * caller that does not name its stream gives no instance the chance to know it, so it is enough
-     * that no other version is known.
+     * Returns the version that has served alone for as long as the stream can be old. The history
+     * of the store may be shorter than the longest wait of a caller, so the upstreams must only
+     * have been observed since a caller that waits for the timeout, or for the longest time if it
+     * still has more than the timeout, has begun. A caller that does not name its stream gives no
+     * instance the chance to know it, so it is enough that no other version is known.
      */
     private Option<String> onlyVersion(String service, ForwardRequest request) {
         Duration timeout = request.route().timeout();
+        Duration longest = timeout.multipliedBy(MAX_WAIT_TIMEOUTS);
         Duration left = request.callerTimeout();
-        boolean withinTimeout = left.compareTo(timeout) < 0;
-        Duration longest = withinTimeout ? timeout : left;
         if (request.firstRequest().isEmpty()) {
             return upstreams.onlyKnownVersion(service, longest);
         }
-        return upstreams.onlyVersion(
-                service, longest, withinTimeout ? timeout.minus(left) : longest);
+        if (left.compareTo(longest) > 0) {
+            return Option.none();
+        }
+        Duration waits = left.compareTo(timeout) < 0 ? timeout : longest;
+        return upstreams.onlyVersion(service, longest, waits.minus(left));
     }
 }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
@@ -146,26 +146,75 @@
         rig.scheduler().advance(Duration.ofSeconds(30));
         rig.forwarder().onUpstreamRemoved("e1");
         rig.scheduler().advance(Duration.ofSeconds(5));
+        // The caller waits for 12 s in all.
+        FakeTransport t = resumeUnknown(Duration.ofSeconds(3), Duration.ofSeconds(2));
+        assertEquals(t.attempts(), List.of());
+    }
+
+    /**
+     * Guards against a stream that goes on at another version because its caller has waited for
+     * longer than the timeout of the route and its version has left before that.
+     */
+    @Test
+    public void departureBeforeTheTimeoutCountsForACallerThatWaitsLonger() {
+        list("e1", "v1");
+        list("e2", "v2");
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        rig.forwarder().onUpstreamRemoved("e1");
+        rig.scheduler().advance(Duration.ofSeconds(14));
+        // The caller waits for 16 s in all.
+        FakeTransport t = resumeUnknown(Duration.ofSeconds(8), Duration.ofSeconds(1));
+        assertEquals(t.attempts(), List.of());
+    }
+
+    /** Guards against a stream whose age has no bound, so that any version may have begun it. */
+    @Test
+    public void streamOfACallerWithoutABoundOnItsWaitIsRefused() {
+        list("e1", "v1");
+        rig.scheduler().advance(Duration.ofSeconds(60));
+        FakeTransport t = resumeUnknown(Duration.ofSeconds(8), Duration.ofSeconds(17));
+        assertEquals(t.attempts(), List.of());
+        assertEquals(t.refusedWith(), ResultCode.STREAM_NOT_RESUMABLE);
+    }
+
+    /**
+     * Guards against streams of a service with one version that are held up for seconds after a
+     * restart of all instances, because their callers have more time left than the route's timeout.
+     */
+    @Test
+    public void youngStreamOfACallerThatWaitsLongerGoesOnAtTheOnlyVersion() {
+        rig.forwarder().onUpstreams(List.of(ForwardRig.engine("e1", 100, "v1", false)));
+        rig.scheduler().advance(Duration.ofSeconds(10));
+        FakeTransport t = resumeUnknown(Duration.ofSeconds(8), Duration.ofSeconds(13));
+        assertEquals(t.attempts().size(), 1);
+    }
+
+    /**
+     * Resumes a stream of unknown origin.
+     *
+     * @param timeout timeout of its route
+     * @param left time for which the caller still waits
+     */
+    private FakeTransport resumeUnknown(Duration timeout, Duration left) {
         Route route =
                 new Route(
                         "r",
                         "h",
                         "/",
                         RequestKind.RESUMABLE_STREAM,
-                        Duration.ofSeconds(3),
+                        timeout,
                         Duration.ofMillis(500),
                         1,
                         List.of(new ServiceShare(ForwardRig.ENGINES, 1)),
                         2,
                         Duration.ofSeconds(2));
-        // The caller waits for 12 s in all, of which 2 s are left.
         ForwardRequest request =
                 new ForwardRequest(
                         "second",
                         route,
                         ForwardRig.ENGINES,
                         rig.scheduler().time().nanoTime(),
-                        Duration.ofSeconds(2),
+                        left,
                         Option.none(),
                         500,
                         200,
@@ -175,6 +224,6 @@
         FakeTransport t = new FakeTransport();
         rig.forwarder().open(request, t);
         rig.scheduler().advance(LOOKUP);
-        assertEquals(t.attempts(), List.of());
+        return t;
     }
 }
