Tell other instances of isolation and of planned stops

Cause: whether another instance is isolated from the upstreams was learned from its refusals only and forgotten after 2 s, and one in its planned stop was never tried, though it reaches the upstreams for seconds. With six of nine instances isolated and the other three stopping, requests were handed about among the isolated ones and refused, as 4003, which is not the cause.

Ruled out: the limit of tries (six) and the limit of relayed requests (256) were not reached.

Change: RelayState, a datagram in which an instance states whether it is isolated and for how long it accepts relayed requests in its stop. It expires, has a version, and is void once a new incarnation is known. RelayPeers does not try isolated instances, takes those in their stop last, and lifts an exclusion when an instance serves again. Without a statement, the learning by refusals stays. A request that no instance can take is refused as 4012 (ISOLATED); its Retry-After is short if another instance serves, since callers come back to others, and its log line names the numbers that decided it. A relayed request that is refused because of a stop is no longer taken for one without a place.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
@@ -40,7 +40,7 @@
         this.openedAt = forwarder.now();
         this.stream = new CallStream(forwarder.resumedStreams());
         this.place = new CallPlace(forwarder, request.promptTokens());
-        this.relayTries = new RelayTries(forwarder.relayPeers());
+        this.relayTries = new RelayTries(forwarder.relays().peers());
         this.stallTimer = new StallTimer(forwarder, self());
         this.deadlineTimer = new DeadlineTimer(forwarder, this::onDeadline);
     }
@@ -127,7 +127,7 @@
                 && !crashesUpstreams()
                 && !mayNotBegin()
                 && request.deadlineNanos() - forwarder.now() > 0
-                && relayTries.mayTryNext();
+                && relayTries.mayTryNext(request.deadlineNanos());
     }
 
     void release() {
@@ -171,6 +171,17 @@
         refuse(code, forwarder.placement().retryAfter(self()));
     }
 
+    /** Refuses the call because this instance is isolated and no other one can take the call. */
+    void refuseIsolated() {
+        if (crashesUpstreams()) {
+            refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
+        } else if (mayNotBegin()) {
+            refuseWaiting(ResultCode.DRAINING);
+        } else {
+            refuse(ResultCode.ISOLATED, forwarder.relays().retryAfter(request));
+        }
+    }
+
     void refuse(ResultCode code, Option<Duration> retryAfter) {
         if (answer.hasBegun()
                 || (attempts.anyMayHaveRun() && code.runState() == RunState.NOT_RUN)) {
@@ -218,6 +229,11 @@
                             .withAttempts(attempts)
                             .withUpstream(upstream())
                             .withStream(stream.found())
+                            .withOtherInstances(
+                                    Option.when(
+                                            forwarder.relays().isIsolated(),
+                                            () -> forwarder.relays().peers().counts()),
+                                    relayTries.count())
                             .withAnswer(answer)
                             .withConfiguration(forwarder.configuration().version())
                             .withStoreAge(forwarder.sharedStoreState().millisSinceCurrent()));
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -1,5 +1,7 @@
 package org.bronzehill.core.forward;
 
+import io.vavr.control.Option;
+
 /** Builds the log line of a decision on a call. Fields appear in the order of the calls. */
 final class CallLogLine {
 
@@ -54,6 +56,23 @@
         return this;
     }
 
+    /**
+     * Adds what the other instances can do for a call of an isolated instance.
+     *
+     * @param others empty if this instance is not isolated
+     * @param tried number of instances to which the call has been relayed
+     */
+    CallLogLine withOtherInstances(Option<RelayPeerCounts> others, int tried) {
+        for (RelayPeerCounts o : others) {
+            append("others-serving", o.serving());
+            append("others-isolated", o.isolated());
+            append("others-stopping", o.stopping());
+            append("others-excluded", o.excluded());
+            append("tried", tried);
+        }
+        return this;
+    }
+
     /** Adds the times of an answer that has begun, and the earlier use of the connection. */
     CallLogLine withAnswer(AnswerProgress answer) {
         if (answer.hasBegun()) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -77,10 +77,10 @@
             dispatch(connected);
         } else if (canRelay()) {
             relay();
-        } else if (transport.isRelayed() || forwarder.relayPeers().exist()) {
+        } else if (transport.isRelayed() || forwarder.relays().peers().exist()) {
             forwarder.queues().remove(this);
             state = CallState.DISPATCHING;
-            refuse(ResultCode.NO_UPSTREAM, forwarder.placement().retryAfter(this));
+            refuseIsolated();
         } else {
             return false;
         }
@@ -90,7 +90,7 @@
     /** Relays the call to another instance, because this one is isolated from the upstreams. */
     private void relay() {
         forwarder.queues().remove(this);
-        InstanceRef instance = relayTries.next().get();
+        InstanceRef instance = relayTries.next(request.deadlineNanos()).get();
         state = CallState.RELAYED;
         attempts.onSent();
         log("relay", "instance-" + instance.id());
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.membership.Membership;
@@ -46,8 +45,7 @@
     private final SharedStoreState storeState;
     private final ResumedStreams resumedStreams;
     private final IncarnationReports incarnationReports;
-    private final Reachability reachability;
-    private final RelayPeers relayPeers;
+    private final Relays relays;
     private final CallQueues queues;
     private final WaitingCallTimer waitingCallTimer;
     private final AdapterVersions adapterVersions = new AdapterVersions();
@@ -93,9 +91,7 @@
         this.storeState = new SharedStoreState(time);
         this.resumedStreams = new ResumedStreams(ports, upstreams, storeState);
         this.incarnationReports = new IncarnationReports(ports, upstreams);
-        this.reachability =
-                new Reachability(time, new Random(settings.instance().hashCode()), ports.orders());
-        this.relayPeers = new RelayPeers(membership, time, random);
+        this.relays = new Relays(settings, ports, random);
         this.placement =
                 new CallPlacement(
                         time,
@@ -105,7 +101,7 @@
                         latencies,
                         queues,
                         adapterVersions,
-                        reachability,
+                        relays.reachability(),
                         this::configuration);
         this.loadExchange =
                 new LoadExchange(
@@ -269,11 +265,12 @@
     }
 
     Reachability reachability() {
-        return reachability;
+        return relays.reachability();
     }
 
-    RelayPeers relayPeers() {
-        return relayPeers;
+    /** Returns the relaying of requests between instances. */
+    public Relays relays() {
+        return relays;
     }
 
     /** Returns whether another request that was relayed to this instance may be served. */
@@ -317,7 +314,7 @@
     void onUnreachable(ForwardCall call) {
         UpstreamState upstream = call.upstream();
         upstream.health().onUnreachable();
-        reachability.onConnectFailed(upstream, upstreams.all());
+        relays.reachability().onConnectFailed(upstream, upstreams.all());
         if (upstream.incarnation().onUnreachable()) {
             incarnationReports.start(upstream);
         }
@@ -422,6 +419,7 @@
             case ADAPTER_STATE -> loadCoordinator.onAdapterState(envelope.getAdapterState());
             case BEGUN_STREAMS, BEGUN_STREAM_QUERY, BEGUN_STREAM_REPLY ->
                     resumedStreams.exchange().onMessage(envelope);
+            case RELAY_STATE -> relays.onMessage(envelope);
             case CRASH_MARKS, PART_CRASHES -> crashDetector.onMessage(envelope);
             default -> membership.onMessage(envelope, out);
         }
@@ -432,7 +430,7 @@
         membership.onTick(out);
         crashDetector.onTick();
         retries.onTick(membership.live().size());
-        reachability.onTick(upstreams.all());
+        relays.onTick(upstreams.all());
         resumedStreams.exchange().onTick();
         upstreams.onTick().forEach(this::onUpstreamDiscarded);
         upstreams.takeDueRecords().forEach(this::onUpstream);
@@ -448,7 +446,7 @@
     /** Returns whether calls still wait. */
     private boolean checkWaitingCalls() {
         loadCoordinator.onTick();
-        if (reachability.isIsolated()) {
+        if (relays.isIsolated()) {
             List.copyOf(openCalls).forEach(ForwardCall::relayIfWaiting);
         }
         queues.refuseHopeless(upstreams::isServed);
@@ -481,6 +479,7 @@
                     () -> List.copyOf(openCalls).forEach(ForwardCall::refuseIfExcluded));
             controller.claims().releaseAll("stop");
             loadExchange.onTick(out);
+            relays.onStop(stop);
             membership.leave(out);
         }
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
@@ -1,13 +1,27 @@
 package org.bronzehill.core.forward;
 
+import org.bronzehill.core.result.ResultCode;
+
 /** Reason why an upstream has not run a request. */
 public enum NotRunCause {
     /** The upstream is full, is draining, or has no time left for the request. */
     REFUSED,
     /** The upstream lacks the adapter, or its required version. */
     ADAPTER_MISSING,
-    /** Another instance, to which the request was relayed, has no upstream for it either. */
+    /** Another instance, to which the request was relayed, cannot send it to any upstream. */
     NO_UPSTREAM,
     /** The address now belongs to another upstream. */
-    MISADDRESSED
+    MISADDRESSED;
+
+    /**
+     * Returns the cause that the refusal of a relayed request has for the instance that has relayed
+     * it. One that reaches no upstream or stops is left alone for a time; one whose upstreams are
+     * full is not.
+     */
+    public static NotRunCause ofRelayed(ResultCode refusal) {
+        return switch (refusal) {
+            case NO_UPSTREAM, ISOLATED, DRAINING -> NO_UPSTREAM;
+            default -> REFUSED;
+        };
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/PlannedStop.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/PlannedStop.java
@@ -39,6 +39,16 @@
         return lastArrivalNanos + (endNanos - lastArrivalNanos) / 2;
     }
 
+    /** Returns the time until which requests that arrive are served whatever their deadline. */
+    long lastArrivalNanos() {
+        return lastArrivalNanos;
+    }
+
+    /** Returns the time at which the process ends all requests. */
+    long endNanos() {
+        return endNanos;
+    }
+
     /**
      * Returns whether a request may not be sent any more: it may outlast the process, or it has
      * arrived so late that its caller would prolong the stop.
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Reachability.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Reachability.java
@@ -28,11 +28,12 @@
     private static final Duration FAILURE_LIFETIME = Duration.ofSeconds(5);
 
     /** Interval between connections that are tried while the instance is isolated. */
-    private static final Duration PROBE_INTERVAL = Duration.ofMillis(300);
+    static final Duration PROBE_INTERVAL = Duration.ofMillis(300);
 
     private final TimeSource time;
     private final RandomGenerator random;
     private final OrderTransport transport;
+    private final Runnable onChanged;
     private final Set<String> failed = new HashSet<>();
     private long failedAt;
     private int probes;
@@ -40,10 +41,15 @@
     private long isolatedSince;
     private long nextProbeAt;
 
-    Reachability(TimeSource time, RandomGenerator random, OrderTransport transport) {
+    /**
+     * @param onChanged called when this instance has become isolated, or is no longer
+     */
+    Reachability(
+            TimeSource time, RandomGenerator random, OrderTransport transport, Runnable onChanged) {
         this.time = time;
         this.random = random;
         this.transport = transport;
+        this.onChanged = onChanged;
     }
 
     /**
@@ -74,6 +80,7 @@
             isolatedSince = now;
             nextProbeAt = now;
             LOG.infof("event=isolated failed-upstreams=%d listed=%d", failed.size(), listed);
+            onChanged.run();
         }
     }
 
@@ -99,6 +106,7 @@
             LOG.infof(
                     "event=isolation-ended after-ms=%d",
                     (time.nanoTime() - isolatedSince) / 1_000_000);
+            onChanged.run();
         }
     }
 
@@ -111,6 +119,11 @@
         return isolatedSince;
     }
 
+    /** Returns how long the instance has been isolated; zero if it is not. */
+    Duration isolatedFor() {
+        return isolated ? Duration.ofNanos(time.nanoTime() - isolatedSince) : Duration.ZERO;
+    }
+
     /** Tries the next connection if one is due. */
     void onTick(Collection<UpstreamState> upstreams) {
         long now = time.nanoTime();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
@@ -2,18 +2,23 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.membership.Peer;
+import org.bronzehill.core.membership.PeerStatus;
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.time.TimeSource;
 
 /**
  * Selects the instances to which an isolated instance relays the requests of its callers. Which
- * other instances reach the upstreams is learned from their answers.
+ * other instances serve them is known from their statements. Where one is missing, because it was
+ * lost or the other instance makes none, it is learned from answers.
  */
 final class RelayPeers {
 
@@ -26,47 +31,160 @@
     /** Number of preferred instances below which others are tried, so that the load is spread. */
     private static final int MIN_PREFERRED = 3;
 
+    /** Time that a request and a statement may take from one instance to another. */
+    private static final Duration TRANSFER_TIME = Duration.ofMillis(100);
+
+    /** Difference between the ends of planned stops up to which the load is spread over both. */
+    private static final Duration SIMILAR_END = Duration.ofSeconds(1);
+
+    /** Time in which a stopped instance is replaced by a new one. */
+    private static final Duration RESTART_TIME = Duration.ofSeconds(1);
+
     private final Membership membership;
     private final TimeSource time;
     private final RandomGenerator random;
-    private final Map<String, Long> excludedUntil = new HashMap<>();
-    private final Map<String, Long> preferredUntil = new HashMap<>();
+    private final RelayStatements statements;
+    private final Map<InstanceRef, Long> excludedUntil = new HashMap<>();
+    private final Map<InstanceRef, Long> preferredUntil = new HashMap<>();
+
+    /** What another instance can do for an isolated one. */
+    enum Role {
+        /** Serves requests, as far as is known. */
+        SERVING,
+        /** Is in its planned stop. */
+        STOPPING,
+        /** Reaches no upstream itself. */
+        ISOLATED,
+        /** Has ended or does not answer. */
+        DOWN
+    }
 
-    RelayPeers(Membership membership, TimeSource time, RandomGenerator random) {
+    RelayPeers(
+            Membership membership,
+            TimeSource time,
+            RandomGenerator random,
+            RelayStatements statements) {
         this.membership = membership;
         this.time = time;
         this.random = random;
+        this.statements = statements;
     }
 
-    /** Returns whether there are other live instances. */
+    private Role roleOf(Peer peer) {
+        if (peer.status() == PeerStatus.DEAD || peer.status() == PeerStatus.SUSPECT) {
+            return Role.DOWN;
+        }
+        Option<RelayStatement> statement = statements.of(peer.id());
+        if (statement.exists(RelayStatement::isolated)) {
+            return Role.ISOLATED;
+        }
+        return peer.status() == PeerStatus.LEAVING || statement.exists(RelayStatement::stopping)
+                ? Role.STOPPING
+                : Role.SERVING;
+    }
+
+    private List<Peer> peers(Role role) {
+        return membership.peers().stream().filter(p -> roleOf(p) == role).toList();
+    }
+
+    /** Returns whether there are other instances that have not ended. */
     boolean exist() {
-        return membership.live().size() > 1;
+        return membership.peers().stream().anyMatch(p -> roleOf(p) != Role.DOWN);
     }
 
-    /** Returns the next instance to be tried; empty if there is none. */
-    Option<InstanceRef> next(Set<String> tried) {
+    /**
+     * Returns the next instance to be tried; empty if there is none. An instance in its planned
+     * stop is the last choice.
+     *
+     * @param deadlineNanos deadline of the request
+     */
+    Option<InstanceRef> next(Set<String> tried, long deadlineNanos) {
         long now = time.nanoTime();
         excludedUntil.values().removeIf(until -> now - until >= 0);
         preferredUntil.values().removeIf(until -> now - until >= 0);
-        List<InstanceRef> candidates =
-                membership.live().stream()
-                        .filter(i -> !i.id().equals(membership.self().id()))
-                        .filter(i -> !tried.contains(i.id()) && !excludedUntil.containsKey(i.id()))
+        Predicate<Peer> mayBeTried =
+                p -> !tried.contains(p.id()) && !excludedUntil.containsKey(p.ref());
+        List<Peer> candidates = peers(Role.SERVING).stream().filter(mayBeTried).toList();
+        List<Peer> preferred =
+                candidates.stream().filter(p -> preferredUntil.containsKey(p.ref())).toList();
+        List<Peer> from = preferred.size() >= MIN_PREFERRED ? preferred : candidates;
+        return from.isEmpty()
+                ? nextStopping(mayBeTried, deadlineNanos + TRANSFER_TIME.toNanos(), now)
+                : Option.of(from.get(random.nextInt(from.size())).ref());
+    }
+
+    /**
+     * Returns one of the stopping instances that accept the request: one that outlasts its
+     * deadline, or else one of those that stop last.
+     */
+    private Option<InstanceRef> nextStopping(
+            Predicate<Peer> mayBeTried, long deadlineNanos, long now) {
+        Map<InstanceRef, Long> timeLeft = new HashMap<>();
+        for (Peer p : peers(Role.STOPPING)) {
+            statements
+                    .of(p.id())
+                    .filter(s -> mayBeTried.test(p) && s.accepts(deadlineNanos, now))
+                    .forEach(s -> timeLeft.put(p.ref(), s.endsAt() - now));
+        }
+        long longest = timeLeft.values().stream().mapToLong(t -> t).max().orElse(0);
+        long enough = Math.min(deadlineNanos - now, longest - SIMILAR_END.toNanos());
+        List<InstanceRef> from =
+                timeLeft.keySet().stream()
+                        .filter(i -> timeLeft.get(i) >= enough)
+                        .sorted(Comparator.comparing(InstanceRef::id))
                         .toList();
-        List<InstanceRef> preferred =
-                candidates.stream().filter(i -> preferredUntil.containsKey(i.id())).toList();
-        List<InstanceRef> from = preferred.size() >= MIN_PREFERRED ? preferred : candidates;
         return from.isEmpty() ? Option.none() : Option.of(from.get(random.nextInt(from.size())));
     }
 
     /** Records that an instance has answered a request with the answer of an upstream. */
-    void onServed(String instance) {
+    void onServed(InstanceRef instance) {
         preferredUntil.put(instance, time.nanoTime() + PREFERENCE_TIME.toNanos());
     }
 
     /** Records that an instance has refused a request, or cannot be reached. */
-    void onNotServed(String instance) {
+    void onNotServed(InstanceRef instance) {
         preferredUntil.remove(instance);
         excludedUntil.put(instance, time.nanoTime() + EXCLUSION_TIME.toNanos());
     }
+
+    /** Records that an instance has stated that it serves requests again. */
+    void onServesAgain(String instance) {
+        excludedUntil.keySet().removeIf(i -> i.id().equals(instance));
+    }
+
+    private boolean isExcluded(Peer peer) {
+        Long until = excludedUntil.get(peer.ref());
+        return until != null && time.nanoTime() - until < 0;
+    }
+
+    /** Returns the numbers of other instances, for the log. */
+    RelayPeerCounts counts() {
+        List<Peer> serving = peers(Role.SERVING);
+        int isolated = peers(Role.ISOLATED).size();
+        int stopping = peers(Role.STOPPING).size();
+        int excluded = (int) serving.stream().filter(this::isExcluded).count();
+        return new RelayPeerCounts(serving.size() - excluded, isolated, stopping, excluded);
+    }
+
+    /**
+     * Returns the time after which an instance may serve requests again: none if another one does
+     * now, since a caller that comes back reaches others than this one.
+     *
+     * @param isolatedFor time for which this instance has been isolated; how long it will last is
+     *     not known, so it is assumed to last as long again
+     */
+    Duration untilServed(Duration isolatedFor) {
+        long now = time.nanoTime();
+        long shortest = isolatedFor.toNanos();
+        for (Peer p : peers(Role.SERVING)) {
+            shortest = Math.min(shortest, isExcluded(p) ? excludedUntil.get(p.ref()) - now : 0);
+        }
+        for (Peer p : peers(Role.STOPPING)) {
+            Option<RelayStatement> stop = statements.of(p.id());
+            if (stop.isDefined()) {
+                shortest = Math.min(shortest, stop.get().endsAt() - now + RESTART_TIME.toNanos());
+            }
+        }
+        return Duration.ofNanos(Math.max(0, shortest));
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -16,25 +16,32 @@
 
     private final RelayPeers peers;
     private final Set<String> tried = new HashSet<>();
-    private String current = "";
+    private InstanceRef current;
     private int refusals;
 
     RelayTries(RelayPeers peers) {
         this.peers = peers;
     }
 
+    /** Returns the number of instances to which the call has been relayed. */
+    int count() {
+        return tried.size();
+    }
+
     /** Returns whether another instance may be tried. */
-    boolean mayTryNext() {
-        return tried.size() < MAX_TRIES && refusals < MAX_REFUSALS && peers.next(tried).isDefined();
+    boolean mayTryNext(long deadlineNanos) {
+        return tried.size() < MAX_TRIES
+                && refusals < MAX_REFUSALS
+                && peers.next(tried, deadlineNanos).isDefined();
     }
 
     /** Returns the next instance, to which the call is relayed now; empty if there is none. */
-    Option<InstanceRef> next() {
-        Option<InstanceRef> next = peers.next(tried);
+    Option<InstanceRef> next(long deadlineNanos) {
+        Option<InstanceRef> next = peers.next(tried, deadlineNanos);
         next.forEach(
                 i -> {
-                    current = i.id();
-                    tried.add(current);
+                    current = i;
+                    tried.add(i.id());
                 });
         return next;
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/result/ResultCode.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/result/ResultCode.java
@@ -86,6 +86,16 @@
             Resend.NOW,
             503,
             "it is not certain which upstreams can continue the stream"),
+    /**
+     * The instance can open no connection to any upstream, and none of the other instances that it
+     * knows can take the request.
+     */
+    ISOLATED(
+            4012,
+            RunState.NOT_RUN,
+            Resend.LATER,
+            503,
+            "no upstream can be reached from here or through another instance"),
 
     /**
      * The upstream failed while running the request, or the instance that holds its lease is dead
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -37,6 +37,7 @@
     private final Random random = new Random(5);
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final List<String> engineIds = new ArrayList<>();
+    private final List<UpstreamRecord> listed = new ArrayList<>();
     private final FakeEngines engines;
     private final EngineSpec spec;
     private int sequence;
@@ -54,6 +55,9 @@
         int partition;
         boolean up = true;
 
+        /** Whether connections to upstreams can be opened. */
+        boolean reachesUpstreams = true;
+
         private Node(String id, String dataCentre, int port) {
             int link = linkMbps.applyAsInt(Integer.parseInt(id.substring(1)));
             ref = new InstanceRef(id, scheduler.time().millis(), id, port, dataCentre, "r", link);
@@ -78,6 +82,7 @@
                             CallerLimits.INITIAL));
             List<UpstreamRecord> records = new ArrayList<>();
             records.add(ForwardRig.plain("p1", 100));
+            records.addAll(listed);
             engineIds.forEach(e -> records.add(ForwardRig.engine(e, false)));
             forwarder.onUpstreams(records);
             // Spreads the ticks, so that those of different instances do not coincide.
@@ -91,6 +96,11 @@
                     engines.order(u, order, reply);
                 }
 
+                @Override
+                public void connect(UpstreamRecord u, Consumer<Boolean> reply) {
+                    scheduler.after(DELAY, () -> reply.accept(reachesUpstreams));
+                }
+
                 @Override
                 public void readReport(UpstreamRecord u, Consumer<Option<InventoryReport>> reply) {
                     reports++;
@@ -169,6 +179,11 @@
             return transport;
         }
 
+        /** Opens a call to the plain upstream that its caller waits for until a time limit. */
+        void open(RequestKind kind, Duration limit, CallTransport transport) {
+            open(kind, ForwardRig.PLAIN, Option.none(), List.of(), Option.none(), limit, transport);
+        }
+
         private FakeTransport call(
                 RequestKind kind,
                 String service,
@@ -185,7 +200,18 @@
                 Option<AdapterRef> adapter,
                 List<Long> sharedParts,
                 Option<ResumedStream> resumed,
-                FakeTransport transport) {
+                CallTransport transport) {
+            open(kind, service, adapter, sharedParts, resumed, CALL_LIMIT, transport);
+        }
+
+        private void open(
+                RequestKind kind,
+                String service,
+                Option<AdapterRef> adapter,
+                List<Long> sharedParts,
+                Option<ResumedStream> resumed,
+                Duration limit,
+                CallTransport transport) {
             Route route =
                     new Route(
                             "r",
@@ -204,7 +230,7 @@
                             route,
                             route.serviceAt(0),
                             scheduler.time().nanoTime(),
-                            CALL_LIMIT,
+                            limit,
                             adapter,
                             0,
                             0,
@@ -366,6 +392,12 @@
         nodes.values().forEach(n -> n.forwarder.onUpstream(listed));
     }
 
+    /** Lists a further upstream at all instances, also at those that are started later. */
+    void list(UpstreamRecord upstream) {
+        listed.add(upstream);
+        nodes.values().forEach(n -> n.forwarder.onUpstream(upstream));
+    }
+
     /** Restarts an engine under its identifier. The instances hear of it one after the other. */
     void restartEngine(int number) {
         String id = engineIds.get(number);
--- /dev/null
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
@@ -0,0 +1,163 @@
+package org.bronzehill.core.forward;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.bronzehill.core.result.ResultCode;
+import org.testng.annotations.Test;
+
+/** Tests what instances tell each other about isolation and planned stops, with their load. */
+public class RelayStateFleetTest {
+
+    /** Interval between the requests of all callers together. */
+    private static final Duration INTERVAL = Duration.ofMillis(10);
+
+    private static final Duration SHORT = Duration.ofSeconds(2);
+    private static final Duration LONG = Duration.ofSeconds(10);
+
+    /** Time in which an instance notices its isolation and the others hear of it. */
+    private static final Duration NOTICED = Duration.ofSeconds(1);
+
+    private static RequestKind kind(int request) {
+        return request % 2 == 0 ? RequestKind.IDEMPOTENT : RequestKind.ONCE_ONLY;
+    }
+
+    /** Sends requests in turn to the instances with the given numbers that run. */
+    private static RelayFleet.Outcomes play(
+            RelayFleet fleet, List<Integer> numbers, Duration limit, Duration time) {
+        RelayFleet.Outcomes outcomes = new RelayFleet.Outcomes();
+        long count = time.dividedBy(INTERVAL);
+        for (int i = 0; i < count; i++) {
+            FleetRig.Node node = fleet.rig().node(numbers.get(i % numbers.size()));
+            fleet.request(node, kind(i / numbers.size()), limit, outcomes);
+            fleet.rig().scheduler().advance(INTERVAL);
+        }
+        return outcomes;
+    }
+
+    private static void isolate(RelayFleet fleet, List<Integer> numbers) {
+        numbers.forEach(n -> fleet.rig().node(n).reachesUpstreams = false);
+    }
+
+    private static List<Integer> numbers(int from, int to) {
+        return IntStream.range(from, to).boxed().toList();
+    }
+
+    /** Returns the failures that callers bear at instances in such a state. */
+    private static int tolerated(RelayFleet.Outcomes outcomes) {
+        return 10 + outcomes.opened / 50;
+    }
+
+    private static void assertServed(RelayFleet.Outcomes o) {
+        assertTrue(o.opened - o.served <= tolerated(o), o.toString());
+    }
+
+    /**
+     * Guards against requests that are handed about among isolated instances while the only ones
+     * that reach upstreams are in their planned stop.
+     */
+    @Test
+    public void stoppingInstancesServeTheRequestsOfIsolatedOnes() {
+        RelayFleet fleet = new RelayFleet(9, 3);
+        List<Integer> isolated = numbers(0, 6);
+        numbers(6, 9).forEach(fleet::stop);
+        isolate(fleet, isolated);
+        play(fleet, isolated, LONG, NOTICED);
+        fleet.relayed = 0;
+        RelayFleet.Outcomes early = play(fleet, isolated, LONG, Duration.ofMillis(1300));
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertServed(early);
+        // Each request is relayed once.
+        assertTrue(fleet.relayed <= early.opened + tolerated(early), "relayed " + fleet.relayed);
+        RelayFleet.Outcomes late = play(fleet, isolated, SHORT, Duration.ofMillis(1800));
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertServed(late);
+    }
+
+    /**
+     * Guards against a data centre that serves nobody while the instances of others are stopped.
+     */
+    @Test
+    public void dataCentreIsServedWhileOthersAreStoppedInTurn() {
+        RelayFleet fleet = new RelayFleet(8, 2);
+        List<Integer> isolated = List.of(0, 2, 4, 6);
+        List<Integer> others = List.of(1, 3, 5, 7);
+        Duration gap = Duration.ofMillis(1500);
+        for (int i = 0; i < others.size(); i++) {
+            int number = others.get(i);
+            Duration begin = gap.multipliedBy(i).plusMillis(1);
+            fleet.rig().scheduler().after(begin, () -> fleet.stop(number));
+            Duration end = begin.plusSeconds(7);
+            fleet.rig().scheduler().after(end, () -> fleet.rig().kill(number));
+            fleet.rig().scheduler().after(end.plusSeconds(1), () -> fleet.rig().restart(number));
+        }
+        isolate(fleet, isolated);
+        play(fleet, isolated, SHORT, NOTICED);
+        RelayFleet.Outcomes o = play(fleet, isolated, SHORT, Duration.ofSeconds(12));
+        fleet.rig().scheduler().advance(SHORT);
+        assertServed(o);
+    }
+
+    /** Guards against a caller that is told to wait although another instance would serve it. */
+    @Test
+    public void refusalSaysThatNoInstanceReachesTheUpstreams() {
+        RelayFleet fleet = new RelayFleet(4, 2);
+        List<Integer> all = numbers(0, 4);
+        isolate(fleet, all);
+        play(fleet, all, LONG, Duration.ofSeconds(2));
+        fleet.relayed = 0;
+        RelayFleet.Outcomes o = play(fleet, all, LONG, Duration.ofMillis(500));
+        assertEquals(o.codes.keySet(), Set.of(ResultCode.ISOLATED), o.toString());
+        assertEquals(fleet.relayed, 0);
+        // The isolation has lasted for two seconds, so it is not expected to end at once.
+        assertTrue(o.lastRetryAfter.get().toMillis() >= 900, o.lastRetryAfter.toString());
+    }
+
+    /** Guards against instances that are left out although they reach the upstreams again. */
+    @Test
+    public void endOfTheIsolationIsKnownAtOnce() {
+        RelayFleet fleet = new RelayFleet(4, 2);
+        List<Integer> all = numbers(0, 4);
+        isolate(fleet, all);
+        play(fleet, all, LONG, Duration.ofSeconds(2));
+        fleet.rig().node(3).reachesUpstreams = true;
+        fleet.rig()
+                .scheduler()
+                .advance(Reachability.PROBE_INTERVAL.plus(FleetRig.TICK).plusMillis(10));
+        RelayFleet.Outcomes o = play(fleet, numbers(0, 3), LONG, Duration.ofSeconds(1));
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertEquals(o.served, o.opened, o.toString());
+    }
+
+    /** Guards against lost messages that make an instance forget what others have stated. */
+    @Test
+    public void lostMessagesAreMadeUpFor() {
+        RelayFleet fleet = new RelayFleet(9, 3);
+        fleet.rig().setLoss(0.2);
+        List<Integer> isolated = numbers(0, 6);
+        numbers(6, 9).forEach(fleet::stop);
+        isolate(fleet, isolated);
+        play(fleet, isolated, LONG, NOTICED);
+        RelayFleet.Outcomes o = play(fleet, isolated, LONG, Duration.ofMillis(1300));
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertServed(o);
+    }
+
+    /** Guards against a state that outlives the process which stated it. */
+    @Test
+    public void restartedInstanceIsNotTakenForIsolated() {
+        RelayFleet fleet = new RelayFleet(4, 2);
+        List<Integer> all = numbers(0, 4);
+        isolate(fleet, all);
+        play(fleet, all, LONG, Duration.ofSeconds(2));
+        fleet.rig().restart(3);
+        fleet.rig().scheduler().advance(Duration.ofMillis(5));
+        RelayFleet.Outcomes o = play(fleet, numbers(0, 3), LONG, Duration.ofSeconds(1));
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertEquals(o.served, o.opened, o.toString());
+    }
+}
