Allow for the transfer time when a stopping instance is chosen

A request that was sent just before the last arrival of another instance's planned stop arrived after it, was refused, and excluded that instance for 2 s. Both limits are now compared with the time of arrival.

Tests beside it: instances that make no statements, as of an earlier build, are still learned from refusals; a caller is told to come back at once if there are instances that have not been tried.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
@@ -31,7 +31,7 @@
     /** Number of preferred instances below which others are tried, so that the load is spread. */
     private static final int MIN_PREFERRED = 3;
 
-    /** Time that a request and a statement may take from one instance to another. */
+    /** Time that a statement and a request may take between two instances, together. */
     private static final Duration TRANSFER_TIME = Duration.ofMillis(100);
 
     /** Difference between the ends of planned stops up to which the load is spread over both. */
@@ -109,7 +109,7 @@
                 candidates.stream().filter(p -> preferredUntil.containsKey(p.ref())).toList();
         List<Peer> from = preferred.size() >= MIN_PREFERRED ? preferred : candidates;
         return from.isEmpty()
-                ? nextStopping(mayBeTried, deadlineNanos + TRANSFER_TIME.toNanos(), now)
+                ? nextStopping(mayBeTried, deadlineNanos)
                 : Option.of(from.get(random.nextInt(from.size())).ref());
     }
 
@@ -117,17 +117,18 @@
      * Returns one of the stopping instances that accept the request: one that outlasts its
      * deadline, or else one of those that stop last.
      */
-    private Option<InstanceRef> nextStopping(
-            Predicate<Peer> mayBeTried, long deadlineNanos, long now) {
+    private Option<InstanceRef> nextStopping(Predicate<Peer> mayBeTried, long deadlineNanos) {
+        long arrival = time.nanoTime() + TRANSFER_TIME.toNanos();
+        long deadlineThere = deadlineNanos + TRANSFER_TIME.toNanos();
         Map<InstanceRef, Long> timeLeft = new HashMap<>();
         for (Peer p : peers(Role.STOPPING)) {
             statements
                     .of(p.id())
-                    .filter(s -> mayBeTried.test(p) && s.accepts(deadlineNanos, now))
-                    .forEach(s -> timeLeft.put(p.ref(), s.endsAt() - now));
+                    .filter(s -> mayBeTried.test(p) && s.accepts(deadlineThere, arrival))
+                    .forEach(s -> timeLeft.put(p.ref(), s.endsAt() - arrival));
         }
         long longest = timeLeft.values().stream().mapToLong(t -> t).max().orElse(0);
-        long enough = Math.min(deadlineNanos - now, longest - SIMILAR_END.toNanos());
+        long enough = Math.min(deadlineThere - arrival, longest - SIMILAR_END.toNanos());
         List<InstanceRef> from =
                 timeLeft.keySet().stream()
                         .filter(i -> timeLeft.get(i) >= enough)
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayStatement.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayStatement.java
@@ -53,11 +53,14 @@
     }
 
     /**
-     * Returns whether the stopping instance accepts a request that is relayed to it now.
+     * Returns whether the stopping instance accepts a request.
      *
-     * @param deadlineNanos deadline of the request, with the time that it takes to get there
+     * @param deadlineNanos deadline of the request there
+     * @param arrivalNanos monotonic time at which the request arrives there
      */
-    boolean accepts(long deadlineNanos, long now) {
-        return now - acceptsAnyUntil < 0 || (now - acceptsUntil < 0 && deadlineNanos - endsAt <= 0);
+    boolean accepts(long deadlineNanos, long arrivalNanos) {
+        boolean endsBefore = deadlineNanos - endsAt <= 0;
+        return arrivalNanos - acceptsAnyUntil < 0
+                || (arrivalNanos - acceptsUntil < 0 && endsBefore);
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
@@ -16,7 +16,7 @@
 public final class Relays {
 
     private final TimeSource time;
-    private final RandomGenerator random;
+    private final RetryDelay retryDelay;
     private final Reachability reachability;
     private final RelayStatements statements;
     private final RelayStateExchange exchange;
@@ -26,7 +26,7 @@
 
     Relays(ForwardSettings settings, ForwardPorts ports, RandomGenerator random) {
         this.time = ports.time();
-        this.random = random;
+        this.retryDelay = new RetryDelay(time, random);
         this.statements = new RelayStatements(ports.membership(), time);
         this.exchange =
                 new RelayStateExchange(
@@ -94,7 +94,7 @@
                 isolatedFor.compareTo(Reachability.PROBE_INTERVAL) > 0
                         ? isolatedFor
                         : Reachability.PROBE_INTERVAL;
-        return new RetryDelay(time, random).after(request, peers.untilServed(assumed));
+        return retryDelay.after(request, peers.untilServed(assumed));
     }
 
     /** Returns whether requests that arrive now may be served in the planned stop. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,6 +43,7 @@
     private final EngineSpec spec;
     private int sequence;
     private double loss;
+    private final Set<Envelope.BodyCase> droppedKinds = EnumSet.noneOf(Envelope.BodyCase.class);
     private Option<byte[]> fingerprint = Option.none();
 
     /** One instance. */
@@ -306,6 +308,7 @@
         if (from == to
                 || !from.up
                 || from.partition != to.partition
+                || droppedKinds.contains(envelope.getBodyCase())
                 || random.nextDouble() < loss) {
             return;
         }
@@ -338,6 +341,11 @@
         loss = part;
     }
 
+    /** Drops all messages of a kind from now on, as if no instance knew it. */
+    void drop(Envelope.BodyCase kind) {
+        droppedKinds.add(kind);
+    }
+
     /** Runs the fleet and checks that no two instances may send orders to the same engine. */
     void run(Duration time) {
         for (long left = time.toMillis(); left > 0; left -= 50) {
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.bronzehill.core.result.ResultCode;
+import org.bronzehill.protocol.generated.Envelope;
 import org.testng.annotations.Test;
 
 /** Tests what instances tell each other about isolation and planned stops, with their load. */
@@ -160,4 +161,32 @@
         fleet.rig().scheduler().advance(Duration.ofMillis(300));
         assertEquals(o.served, o.opened, o.toString());
     }
+
+    /** Guards against instances that depend on statements which an earlier build does not make. */
+    @Test
+    public void withoutStatementsInstancesLearnFromRefusals() {
+        RelayFleet fleet = new RelayFleet(9, 3);
+        fleet.rig().drop(Envelope.BodyCase.RELAY_STATE);
+        List<Integer> isolated = numbers(0, 6);
+        isolate(fleet, isolated);
+        play(fleet, isolated, LONG, NOTICED);
+        RelayFleet.Outcomes o = play(fleet, isolated, LONG, Duration.ofSeconds(5));
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertServed(o);
+    }
+
+    /** Guards against a caller that is kept waiting although others than those tried serve. */
+    @Test
+    public void callerComesBackSoonIfAnotherInstanceServes() {
+        RelayFleet fleet = new RelayFleet(12, 3);
+        fleet.rig().drop(Envelope.BodyCase.RELAY_STATE);
+        List<Integer> all = numbers(0, 12);
+        isolate(fleet, all);
+        RelayFleet.Outcomes o = new RelayFleet.Outcomes();
+        fleet.request(fleet.rig().node(0), RequestKind.ONCE_ONLY, LONG, o);
+        fleet.rig().scheduler().advance(Duration.ofMillis(50));
+        // Six others have been tried and five have not.
+        assertEquals(o.codes.keySet(), Set.of(ResultCode.ISOLATED), o.toString());
+        assertTrue(o.lastRetryAfter.get().toMillis() <= 50, o.lastRetryAfter.toString());
+    }
 }
