Keep relaying to an instance that lacks upstreams for one request

Cause: an instance that answered a relayed request as 4003 was left out for 2 s by the one that had relayed it, for all requests. 4003 also means that the service of this request has no upstream there, or that the retry budget is used up, so under load the only instance that served was left out.

Change: only an instance that refuses as isolated or stopping is left out. One that refuses as 4003 counts as one without a place for this request, as a full one does. If no other is left, the request is refused as 4003, not as 4012, since upstreams are reached.

Measured: RelayStateFleetTest.instanceWithoutUpstreamsOfOneServiceServesTheOthers fails with the earlier mapping (three requests of the service refused as isolated, the request of the other service not relayed).

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
@@ -177,6 +177,8 @@
             refuse(ResultCode.CRASHES_UPSTREAMS, Option.none());
         } else if (mayNotBegin()) {
             refuseWaiting(ResultCode.DRAINING);
+        } else if (relayTries.isAnyWithoutPlace()) {
+            refuseWaiting(ResultCode.NO_UPSTREAM);
         } else {
             refuse(ResultCode.ISOLATED, forwarder.relays().retryAfter(request));
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
@@ -15,12 +15,12 @@
 
     /**
      * Returns the cause that the refusal of a relayed request has for the instance that has relayed
-     * it. One that reaches no upstream or stops is left alone for a time; one whose upstreams are
-     * full is not.
+     * it. One that reaches no upstream or stops is left alone for a time. One whose upstreams do
+     * not take the request may serve others: they may be full, or of another service.
      */
     public static NotRunCause ofRelayed(ResultCode refusal) {
         return switch (refusal) {
-            case NO_UPSTREAM, ISOLATED, DRAINING -> NO_UPSTREAM;
+            case ISOLATED, DRAINING -> NO_UPSTREAM;
             default -> REFUSED;
         };
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -64,6 +64,11 @@
         }
     }
 
+    /** Returns whether an instance that reaches upstreams had no place for the call. */
+    boolean isAnyWithoutPlace() {
+        return refusals > 0;
+    }
+
     /** Returns whether instances without a place have ended the search. */
     boolean isRefused() {
         return refusals >= MAX_REFUSALS;
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -181,9 +181,9 @@
             return transport;
         }
 
-        /** Opens a call to the plain upstream that its caller waits for until a time limit. */
-        void open(RequestKind kind, Duration limit, CallTransport transport) {
-            open(kind, ForwardRig.PLAIN, Option.none(), List.of(), Option.none(), limit, transport);
+        /** Opens a call to a service that its caller waits for until a time limit. */
+        void open(RequestKind kind, String service, Duration limit, CallTransport transport) {
+            open(kind, service, Option.none(), List.of(), Option.none(), limit, transport);
         }
 
         private FakeTransport call(
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayFleet.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayFleet.java
@@ -78,8 +78,18 @@
 
     /** Sends a request of a caller to an instance. */
     void request(FleetRig.Node node, RequestKind kind, Duration limit, Outcomes outcomes) {
+        request(node, kind, ForwardRig.PLAIN, limit, outcomes);
+    }
+
+    /** Sends a request of a caller for a service to an instance. */
+    void request(
+            FleetRig.Node node,
+            RequestKind kind,
+            String service,
+            Duration limit,
+            Outcomes outcomes) {
         outcomes.opened++;
-        node.open(kind, limit, new Link(node, Option.none(), outcomes));
+        node.open(kind, service, limit, new Link(node, Option.none(), outcomes));
     }
 
     /** Begins the planned stop of an instance. */
@@ -150,8 +160,9 @@
                     DELAY,
                     () -> {
                         relayed++;
-                        RequestKind kind = call.request().route().kind();
-                        other.open(kind, timeLimit, new Link(other, Option.of(this), outcomes));
+                        ForwardRequest r = call.request();
+                        Link link = new Link(other, Option.of(this), outcomes);
+                        other.open(r.route().kind(), r.service(), timeLimit, link);
                     });
         }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.bronzehill.core.result.ResultCode;
@@ -189,4 +190,22 @@
         assertEquals(o.codes.keySet(), Set.of(ResultCode.ISOLATED), o.toString());
         assertTrue(o.lastRetryAfter.get().toMillis() <= 50, o.lastRetryAfter.toString());
     }
+
+    /** Guards against an instance that is left out because it lacks upstreams of one service. */
+    @Test
+    public void instanceWithoutUpstreamsOfOneServiceServesTheOthers() {
+        RelayFleet fleet = new RelayFleet(2, 1);
+        FleetRig.Node node = fleet.rig().node(0);
+        isolate(fleet, List.of(0));
+        play(fleet, List.of(0), LONG, NOTICED);
+        RelayFleet.Outcomes o = new RelayFleet.Outcomes();
+        for (int i = 0; i < 3; i++) {
+            fleet.request(node, RequestKind.ONCE_ONLY, ForwardRig.ENGINES, LONG, o);
+            fleet.rig().scheduler().advance(Duration.ofMillis(10));
+        }
+        assertEquals(o.codes, Map.of(ResultCode.NO_UPSTREAM, 3));
+        fleet.request(node, RequestKind.ONCE_ONLY, LONG, o);
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertEquals(o.served, 1, o.toString());
+    }
 }
