Ask suspected and stopping instances where a stream began, and tell them

Cause: only live instances were asked and told. Instances in a planned stop, which answer up to its end, were not asked either. Ruled out: announcements at the start, since all entries had known each other. Change: instances that are suspected or stop are asked (three at most) and, in a small fleet, told. In a larger one they are told if fewer than three others are live. event=stream-origin-unanswered states the number of live ones.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StreamOriginExchange.java
@@ -10,7 +10,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.bronzehill.core.membership.Membership;
+import org.bronzehill.core.membership.Peer;
+import org.bronzehill.core.membership.PeerStatus;
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.model.RendezvousHash;
 import org.bronzehill.core.node.Effect;
@@ -42,9 +46,9 @@
     static final int COPIES = 3;
 
     /**
-     * Number of instances that are asked: in a small fleet those that have run longest, else those
-     * that are first in the order. Those with a copy are among the first four of the remaining
-     * ones, unless instances have been started since.
+     * Number of live instances that are asked: in a small fleet those that have run longest, else
+     * those that are first in the order. Those with a copy are among the first four of the
+     * remaining ones, unless instances have been started since.
      */
     static final int MAX_ASKED = 5;
 
@@ -103,24 +107,55 @@
         return RendezvousHash.nameHash(firstRequest);
     }
 
-    private List<InstanceRef> others() {
-        String self = membership.self().id();
-        return membership.live().stream().filter(i -> !i.id().equals(self)).toList();
+    /** Returns the other instances that may receive new work. */
+    private List<InstanceRef> live() {
+        return others(PeerStatus::isLive);
+    }
+
+    /**
+     * Returns those that do not, but may still answer: the ones that stop, and those that are
+     * suspected to have failed because they, or this instance, were held up.
+     */
+    private List<InstanceRef> doubtful() {
+        return others(s -> !s.isLive() && s != PeerStatus.DEAD);
+    }
+
+    private List<InstanceRef> others(Predicate<PeerStatus> wanted) {
+        return membership.peers().stream()
+                .filter(p -> wanted.test(p.status()))
+                .map(Peer::ref)
+                .toList();
     }
 
     private List<InstanceRef> keepersOf(long stream) {
-        List<InstanceRef> others = others();
-        return others.size() < MAX_SMALL_FLEET_SIZE ? others : ranked(stream, others, COPIES);
+        List<InstanceRef> live = live();
+        List<InstanceRef> doubtful = doubtful();
+        if (live.size() + doubtful.size() < MAX_SMALL_FLEET_SIZE) {
+            return concat(live, doubtful);
+        }
+        List<InstanceRef> first = ranked(stream, live, COPIES);
+        return concat(first, ranked(stream, doubtful, COPIES - first.size()));
     }
 
     private List<InstanceRef> likelyToKnow(long stream) {
-        List<InstanceRef> others = others();
-        return others.size() < MAX_SMALL_FLEET_SIZE
-                ? others.stream()
-                        .sorted(Comparator.comparingLong(InstanceRef::incarnation))
-                        .limit(MAX_ASKED)
-                        .toList()
-                : ranked(stream, others, MAX_ASKED);
+        List<InstanceRef> live = live();
+        List<InstanceRef> doubtful = doubtful();
+        if (live.size() + doubtful.size() < MAX_SMALL_FLEET_SIZE) {
+            return concat(oldest(live, MAX_ASKED), oldest(doubtful, COPIES));
+        }
+        return concat(ranked(stream, live, MAX_ASKED), ranked(stream, doubtful, COPIES));
+    }
+
+    /** Returns those that have run longest. */
+    private static List<InstanceRef> oldest(List<InstanceRef> instances, int limit) {
+        return instances.stream()
+                .sorted(Comparator.comparingLong(InstanceRef::incarnation))
+                .limit(limit)
+                .toList();
+    }
+
+    private static List<InstanceRef> concat(List<InstanceRef> first, List<InstanceRef> second) {
+        return Stream.concat(first.stream(), second.stream()).toList();
     }
 
     /** Returns the first instances in the rendezvous order of a stream. */
@@ -209,8 +244,8 @@
         boolean mayFindOthers = starting && asked.isEmpty();
         if (!mayFindOthers && (inquiry.unanswered.isEmpty() || inquiry.rounds == MAX_ROUNDS)) {
             LOG.infof(
-                    "event=stream-origin-unanswered asked=%d rounds=%d unanswered=%s",
-                    asked.size(), inquiry.rounds, inquiry.unanswered);
+                    "event=stream-origin-unanswered asked=%d live=%d rounds=%d unanswered=%s",
+                    asked.size(), live().size(), inquiry.rounds, inquiry.unanswered);
             end(stream, FoundOrigin.UNKNOWN);
             return;
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/StreamOriginFleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/StreamOriginFleetTest.java
@@ -14,6 +14,9 @@
 
     private static final Duration SETTLED = Duration.ofSeconds(4);
 
+    /** Time without answers after which others are suspected to have failed, but not given up. */
+    private static final Duration SUSPECTED = Duration.ofMillis(2500);
+
     /** More than a question takes, with all its repeats. */
     private static final Duration LOOKUP = Duration.ofMillis(400);
 
@@ -155,6 +158,60 @@
         assertContinuedAt(resumed, begun);
     }
 
+    /** Guards against streams that are refused because others answered no probes for a moment. */
+    @Test
+    public void suspectedInstancesAreAsked() {
+        FleetRig rig = fleet(3);
+        FakeTransport begun = begin(rig.node(1));
+        rig.run(ROUND_TRIP);
+        rig.kill(2);
+        FleetRig.Node started = rig.restart(0);
+        rig.list("e1", "v1");
+        rig.list("e2", "v2");
+        rig.run(SETTLED);
+        started.partition = 1;
+        rig.runPartitioned(SUSPECTED);
+        assertTrue(started.membership.live().size() == 1, "not suspected");
+        started.partition = 0;
+        FakeTransport resumed = started.resume(idOf(begun));
+        rig.run(LOOKUP);
+        assertContinuedAt(resumed, begun);
+    }
+
+    /** The same for reports of streams that begin meanwhile. */
+    @Test
+    public void suspectedInstancesAreTold() {
+        FleetRig rig = fleet(3);
+        rig.node(1).partition = 1;
+        rig.runPartitioned(SUSPECTED);
+        assertTrue(rig.node(1).membership.live().size() == 1, "not suspected");
+        rig.node(1).partition = 0;
+        FakeTransport begun = begin(rig.node(1));
+        rig.kill(1);
+        rig.run(ROUND_TRIP);
+        FakeTransport resumed = rig.node(0).resume(idOf(begun));
+        rig.run(LOOKUP);
+        assertContinuedAt(resumed, begun);
+    }
+
+    /** Guards against streams that only an instance knows which is about to stop. */
+    @Test
+    public void stoppingInstanceIsAsked() {
+        FleetRig rig = fleet(3);
+        FakeTransport begun = begin(rig.node(1));
+        rig.run(ROUND_TRIP);
+        rig.kill(2);
+        FleetRig.Node started = rig.restart(0);
+        rig.list("e1", "v1");
+        rig.list("e2", "v2");
+        rig.run(SETTLED);
+        rig.node(1).forwarder.drain(Duration.ofSeconds(2), Duration.ofSeconds(7));
+        rig.run(ROUND_TRIP);
+        FakeTransport resumed = started.resume(idOf(begun));
+        rig.run(LOOKUP);
+        assertContinuedAt(resumed, begun);
+    }
+
     /** Guards against lost messages that make a stream unknown. */
     @Test
     public void lostMessagesAreMadeUpFor() {
