--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberRow.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberRow.java
@@ -102,6 +102,11 @@
         timelyAcks = 0;
     }
 
+    /** Adds what was not known of the same incarnation. */
+    void complete(InstanceRef known) {
+        ref = known;
+    }
+
     void applyRefutation(int newRefutationNumber) {
         refutationNumber = newRefutationNumber;
         health = Health.UP;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/membership/MemberTable.java
@@ -133,6 +133,11 @@
         if (update.getRefutation() < row.refutationNumber()) {
             return;
         }
+        if (row.ref().linkMbps() == 0 && update.getLinkMbps() != 0) {
+            // An instance of an earlier build has passed the row on without this field.
+            row.complete(ref(update));
+            invalidateViews();
+        }
         PeerStatus before = row.status();
         boolean newer = update.getRefutation() > row.refutationNumber();
         if (newer) {
