--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -44,6 +44,7 @@
     private int sequence;
     private double loss;
     private final Set<Envelope.BodyCase> droppedKinds = EnumSet.noneOf(Envelope.BodyCase.class);
+    private Consumer<Envelope> sentListener = envelope -> {};
     private Option<byte[]> fingerprint = Option.none();
 
     /** One instance. */
@@ -322,6 +323,7 @@
                     whole.getBodyCase() + " of " + whole.getSerializedSize() + " bytes");
         }
         from.sentBytes += whole.getSerializedSize();
+        sentListener.accept(whole);
         scheduler.after(
                 DELAY,
                 () -> {
@@ -336,6 +338,11 @@
         fingerprint = Option.of(common);
     }
 
+    /** Passes all further messages to a listener too. */
+    void onSent(Consumer<Envelope> listener) {
+        sentListener = listener;
+    }
+
     /** Drops the given part of all messages from now on. */
     void setLoss(double part) {
         loss = part;
