Continue a begun stream elsewhere only after 1.5 s of silence

It was taken from a sound engine after 1.2 s, the other one answered its continuation with 500, and the stream was broken off, although the first engine would have gone on.

Ruled out: a fault of the relay; the entry to which the request had been relayed moved it, with an attempt left and both engines reachable.

Change: 1.5 s at least once the first event was passed on, the longest time that leaves half a second for an event of the other engine before callers give up after 2 s (StallTimeoutsTest). Before the first event it stays at 1.2 s: a failure then has a complete answer.

SilentUpstreamTest.streamThatHasBegunOutlastsASilenceOfASecondOrSo fails without the change. What the longer wait costs where an engine is gone for good was not measured.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimeouts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/StallTimeouts.java
@@ -17,9 +17,15 @@
     /** Multiple of the average latency after which an answer counts as stalled. */
     private static final int LATENCY_MULTIPLE = 5;
 
-    /** Minimum time without an event before a resumable stream is continued by another upstream. */
+    /** Minimum time without a first event before a stream is begun by another upstream. */
     private static final Duration MIN_EVENT_TIMEOUT = Duration.ofMillis(1200);
 
+    /**
+     * Minimum time without an event before a resumable stream is continued by another upstream.
+     * Sound upstreams may be silent for a second or so, and the other one may fail to continue.
+     */
+    private static final Duration MIN_CONTINUATION_TIMEOUT = Duration.ofMillis(1500);
+
     /**
      * Time without an event before a resumable stream is continued by another upstream, as part of
      * the time after which callers abandon it. Slow streams with long pauses are thus not cut, and
@@ -32,10 +38,11 @@
     Duration timeout(Route route, boolean answerBegun) {
         if (route.kind().isStream()) {
             long scaled = (long) (route.eventTimeout().toNanos() * EVENT_TIMEOUT_FRACTION);
-            Duration events = Collections.max(List.of(MIN_EVENT_TIMEOUT, Duration.ofNanos(scaled)));
+            Duration events = Duration.ofNanos(scaled);
             return answerBegun
-                    ? events
-                    : Collections.max(List.of(route.target().multipliedBy(2), events));
+                    ? Collections.max(List.of(MIN_CONTINUATION_TIMEOUT, events))
+                    : Collections.max(
+                            List.of(route.target().multipliedBy(2), MIN_EVENT_TIMEOUT, events));
         }
         return Collections.max(
                 List.of(
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/SilentUpstreamTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/SilentUpstreamTest.java
@@ -94,6 +94,23 @@
         assertNull(t.refusedWith());
     }
 
+    /**
+     * Guards against a stream that is taken from a sound engine and broken off, because the other
+     * one cannot continue it.
+     */
+    @Test
+    public void streamThatHasBegunOutlastsASilenceOfASecondOrSo() {
+        ForwardRig rig = rig();
+        FakeTransport t =
+                rig.open(RequestKind.RESUMABLE_STREAM, 2, Option.of(new AdapterRef("m", "")));
+        t.call().onProgress();
+        rig.scheduler().advance(Duration.ofMillis(1450));
+        assertEquals(t.cancelled(), 0);
+        assertEquals(t.attempts().size(), 1);
+        rig.scheduler().advance(Duration.ofMillis(100));
+        assertEquals(t.attempts().size(), 2);
+    }
+
     /**
      * Guards against a stream that fails because the upstream that was tried in place of a silent
      * one turns it away.
