--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 import java.util.function.IntUnaryOperator;
 import org.bronzehill.core.membership.Membership;
 import org.bronzehill.core.model.InstanceRef;
@@ -34,6 +35,7 @@
     private static final Duration CALL_LIMIT = Duration.ofMinutes(5);
 
     private final IntUnaryOperator linkMbps;
+    private final IntPredicate withoutLinks;
     private final VirtualScheduler scheduler = new VirtualScheduler();
     private final Random random = new Random(5);
     private final Map<String, Node> nodes = new LinkedHashMap<>();
@@ -62,7 +64,8 @@
         boolean reachesUpstreams = true;
 
         private Node(String id, String dataCentre, int port) {
-            int link = linkMbps.applyAsInt(Integer.parseInt(id.substring(1)));
+            int number = Integer.parseInt(id.substring(1));
+            int link = withoutLinks.test(number) ? 0 : linkMbps.applyAsInt(number);
             ref = new InstanceRef(id, scheduler.time().millis(), id, port, dataCentre, "r", link);
             membership = Membership.create(ref, scheduler.time(), new Random(id.hashCode()));
             ForwardSettings settings = TestSettings.in(dataCentre, id);
@@ -265,7 +268,22 @@
      *     Mbit/s; 0 if it is not known
      */
     FleetRig(int size, int dataCentres, int engineCount, int slots, IntUnaryOperator linkMbps) {
+        this(size, dataCentres, engineCount, slots, linkMbps, number -> false);
+    }
+
+    /**
+     * @param withoutLinks returns whether the instance with the given number neither states nor
+     *     reads the bandwidths of links, as those of an earlier build
+     */
+    FleetRig(
+            int size,
+            int dataCentres,
+            int engineCount,
+            int slots,
+            IntUnaryOperator linkMbps,
+            IntPredicate withoutLinks) {
         this.linkMbps = linkMbps;
+        this.withoutLinks = withoutLinks;
         spec = ForwardRig.spec(slots);
         engines = new FakeEngines(scheduler, Duration.ofMillis(250), 40);
         for (int i = 1; i <= engineCount; i++) {
@@ -313,6 +331,9 @@
                 || random.nextDouble() < loss) {
             return;
         }
+        if (knowsNoLinks(from) || knowsNoLinks(to)) {
+            removeLinks(envelope);
+        }
         Envelope whole =
                 envelope.setFrom(from.ref.id())
                         .setFromIncarnation(from.ref.incarnation())
@@ -333,6 +354,30 @@
                 });
     }
 
+    private boolean knowsNoLinks(Node node) {
+        return withoutLinks.test(Integer.parseInt(node.ref.id().substring(1)));
+    }
+
+    private static void removeLinks(Envelope.Builder envelope) {
+        switch (envelope.getBodyCase()) {
+            case PING ->
+                    envelope.getPingBuilder()
+                            .getUpdatesBuilderList()
+                            .forEach(MemberUpdate.Builder::clearLinkMbps);
+            case ACK ->
+                    envelope.getAckBuilder()
+                            .getUpdatesBuilderList()
+                            .forEach(MemberUpdate.Builder::clearLinkMbps);
+            case PING_REQUEST ->
+                    envelope.getPingRequestBuilder()
+                            .getUpdatesBuilderList()
+                            .forEach(MemberUpdate.Builder::clearLinkMbps);
+            default -> {
+                // Other messages state no links.
+            }
+        }
+    }
+
     /** Gives all further requests the same fingerprint. */
     void setFingerprint(byte[] common) {
         fingerprint = Option.of(common);
