--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -104,6 +105,48 @@
         assertServed(o);
     }
 
+    /**
+     * Guards against a data centre that serves nobody while all instances are stopped in turn, its
+     * own last. Requests come to instances that are not in their stop, half of them with deadlines
+     * beyond any stop.
+     */
+    @Test
+    public void dataCentreIsServedWhileAllAreStoppedInTurn() {
+        RelayFleet fleet = new RelayFleet(9, 2);
+        List<Integer> isolated = List.of(1, 3, 5, 7);
+        List<Integer> order = List.of(0, 2, 4, 6, 8, 1, 3, 5, 7);
+        Set<Integer> stopped = new HashSet<>();
+        for (int i = 0; i < order.size(); i++) {
+            int number = order.get(i);
+            Duration begin = Duration.ofMillis(1500).multipliedBy(i).plusMillis(1);
+            VirtualScheduler scheduler = fleet.rig().scheduler();
+            scheduler.after(begin, () -> stopped.add(number));
+            scheduler.after(begin, () -> fleet.stop(number));
+            Duration end = begin.plusMillis(6900);
+            scheduler.after(end, () -> fleet.rig().kill(number));
+            scheduler.after(
+                    end.plusMillis(1700),
+                    () -> {
+                        fleet.rig().restart(number).reachesUpstreams = !isolated.contains(number);
+                        stopped.remove(number);
+                    });
+        }
+        fleet.rig().scheduler().advance(Duration.ofSeconds(1));
+        isolate(fleet, isolated);
+        play(fleet, isolated, SHORT, NOTICED);
+        RelayFleet.Outcomes o = new RelayFleet.Outcomes();
+        for (int i = 0; i < Duration.ofSeconds(9).dividedBy(INTERVAL); i++) {
+            int number = isolated.get(i % isolated.size());
+            if (!stopped.contains(number)) {
+                Duration limit = i / isolated.size() % 2 == 0 ? SHORT : LONG;
+                fleet.request(fleet.rig().node(number), kind(i / 8), limit, o);
+            }
+            fleet.rig().scheduler().advance(INTERVAL);
+        }
+        fleet.rig().scheduler().advance(SHORT);
+        assertServed(o);
+    }
+
     /** Guards against a caller that is told to wait although another instance would serve it. */
     @Test
     public void refusalSaysThatNoInstanceReachesTheUpstreams() {
