--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
@@ -25,6 +25,9 @@
     /** Time in which an instance notices its isolation and the others hear of it. */
     private static final Duration NOTICED = Duration.ofSeconds(1);
 
+    /** Bound on all control traffic of an instance. */
+    private static final int MAX_CONTROL_BYTES_PER_SECOND = 20_000;
+
     private static RequestKind kind(int request) {
         return request % 2 == 0 ? RequestKind.IDEMPOTENT : RequestKind.ONCE_ONLY;
     }
@@ -251,4 +254,26 @@
         fleet.rig().scheduler().advance(Duration.ofMillis(300));
         assertEquals(o.served, 1, o.toString());
     }
+
+    /** Guards against statements that take more than the bound on control traffic. */
+    @Test
+    public void statementsStayWithinTheBoundOnControlTraffic() {
+        RelayFleet fleet = new RelayFleet(60, 3);
+        List<Integer> isolated = numbers(0, 40);
+        isolate(fleet, isolated);
+        for (int second = 0; second < 4; second++) {
+            fleet.rig().clearReceived();
+            play(fleet, isolated, SHORT, Duration.ofSeconds(1));
+            // What collectors send for others is bounded by their links.
+            Set<FleetRig.Node> collectors = Set.copyOf(fleet.rig().collectors());
+            long most =
+                    fleet.rig().up().stream()
+                            .filter(n -> !collectors.contains(n))
+                            .mapToLong(n -> n.sentBytes)
+                            .max()
+                            .getAsLong();
+            assertTrue(most < MAX_CONTROL_BYTES_PER_SECOND, second + ": " + most + " bytes");
+        }
+        assertEquals(fleet.rig().node(50).forwarder.relays().isolatedOthers(), 40);
+    }
 }
