Name both instances in the log lines of a relayed request

Callers saw a 502 or a broken-off stream from an instance that had relayed their request, and the logs did not tell who had dropped it: the taking instance logged the request like one of its own callers, the relaying one named the other instance in its "decision=relay" line only, and the upstream whose answer it passed on nowhere.

All lines of a call now have relayed-by (at the taking instance), relayed-to and relayed-upstream (at the relaying one), rejections and dropped requests too.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
@@ -97,7 +97,7 @@
 
     /** Returns whether the call was relayed to this instance and has not ended. */
     boolean isRelayedHere() {
-        return transport.isRelayed();
+        return transport.relayedBy().isDefined();
     }
 
     /** Returns whether the call must be refused because requests like it crash upstreams. */
@@ -229,6 +229,8 @@
                     CallLogLine.of(request, decision, reason)
                             .withAge(forwarder.now())
                             .withAttempts(attempts)
+                            .withRelayedBy(transport.relayedBy())
+                            .withRelayedTo(relayTries, state == CallState.RELAYED)
                             .withUpstream(upstream())
                             .withStream(stream.found())
                             .withOtherInstances(
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -30,6 +30,25 @@
         return append("turned-away", attempts.notRun());
     }
 
+    /** Adds the instance that has relayed the request to this one. */
+    CallLogLine withRelayedBy(Option<String> instance) {
+        instance.forEach(i -> line.append(" relayed-by=").append(i));
+        return this;
+    }
+
+    /**
+     * Adds the instance that has the request, and the upstream whose answer it passes on.
+     *
+     * @param relayed whether another instance has the request
+     */
+    CallLogLine withRelayedTo(RelayTries tries, boolean relayed) {
+        if (relayed) {
+            line.append(" relayed-to=").append(tries.current());
+            line.append(tries.upstream().isEmpty() ? "" : " relayed-upstream=" + tries.upstream());
+        }
+        return this;
+    }
+
     /** Adds the adapter and the upstream; {@code own} counts this instance's requests there. */
     CallLogLine withUpstream(UpstreamState upstream) {
         request.adapter().forEach(a -> line.append(" adapter=").append(a.key()));
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallTransport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallTransport.java
@@ -27,9 +27,12 @@
         return false;
     }
 
-    /** Returns whether the request was relayed to this instance. */
-    default boolean isRelayed() {
-        return false;
+    /**
+     * Returns the identifier of the instance that has relayed the request to this one; empty if it
+     * came from a caller.
+     */
+    default Option<String> relayedBy() {
+        return Option.none();
     }
 
     /** Returns whether a connection to an upstream is idle that has been used since a time. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -25,7 +25,7 @@
     void start() {
         deadlineTimer.start(request.deadlineNanos());
         trial = forwarder.crashDetector().tryTakeTrial(request);
-        if (transport.isRelayed() && !forwarder.mayServeRelayed()) {
+        if (isRelayedHere() && !forwarder.mayServeRelayed()) {
             refuse(ResultCode.QUEUE_FULL, forwarder.placement().retryAfter(this));
         } else {
             dispatch();
@@ -77,7 +77,7 @@
             dispatch(connected);
         } else if (canRelay()) {
             relay();
-        } else if (transport.isRelayed() || forwarder.relays().peers().exist()) {
+        } else if (isRelayedHere() || forwarder.relays().peers().exist()) {
             forwarder.queues().remove(this);
             state = CallState.DISPATCHING;
             refuseIsolated();
@@ -292,6 +292,7 @@
 
     /** Records what the upstream of another instance states about itself in a relayed answer. */
     public void onRelayedNotice(String upstreamId, UpstreamNotice notice) {
+        relayTries.onAnswering(upstreamId);
         UpstreamState named = forwarder.upstreams().get(upstreamId);
         if (named != null) {
             forwarder.onNotice(named, notice);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -17,6 +17,7 @@
     private final RelayPeers peers;
     private final Set<String> tried = new HashSet<>();
     private InstanceRef current;
+    private String upstream = "";
     private int refusals;
 
     RelayTries(RelayPeers peers) {
@@ -41,11 +42,27 @@
         next.forEach(
                 i -> {
                     current = i;
+                    upstream = "";
                     tried.add(i.id());
                 });
         return next;
     }
 
+    /** Returns the instance to which the call was relayed last; empty if it was not relayed. */
+    String current() {
+        return current == null ? "" : current.id();
+    }
+
+    /** Returns the upstream whose answer that instance passes on; empty if it is not known. */
+    String upstream() {
+        return upstream;
+    }
+
+    /** Records which upstream's answer the instance passes on; empty if it does not say. */
+    void onAnswering(String answeringUpstream) {
+        upstream = answeringUpstream;
+    }
+
     /** Records that the instance has begun to pass on an answer. */
     void onAnswerBegun() {
         peers.onServed(current);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayFleet.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayFleet.java
@@ -172,8 +172,8 @@
         }
 
         @Override
-        public boolean isRelayed() {
-            return relayedBy.isDefined();
+        public Option<String> relayedBy() {
+            return relayedBy.map(Object::toString);
         }
 
         @Override
