Keep a stream at a silent upstream if an isolated instance reaches no other

An instance that is isolated knows that no new connection opens, but the choice did not ask: the sound attempt was cancelled, the new connection refused, and the begun answer aborted. A begun answer is not relayed, so there is no other way.

Change: while the instance is isolated, only an upstream with a connection that has worked since takes a stalled call, as at the first attempt.

Not mended: a stream that is moved before the isolation is noticed.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallPlacement.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallPlacement.java
@@ -58,19 +58,28 @@
      * instance was isolated.
      */
     Option<UpstreamChooser.Choice> chooseConnected(ForwardCall call, CallTransport transport) {
-        long since = reachability.isolatedSinceNanos();
-        return choose(
-                        call,
-                        call.excluded(),
-                        upstreams.availableTo(call).stream()
-                                .filter(u -> transport.hasConnection(u.upstreamRecord(), since))
-                                .toList())
+        return choose(call, call.excluded(), connectedTo(call, transport))
                 .filter(UpstreamChooser.Choice::adapterReady);
     }
 
-    /** Returns another upstream than that of a call that can serve the call now. */
-    Option<UpstreamChooser.Choice> chooseOther(ForwardCall call) {
-        return choose(call, call.excluded().and(call.upstream()))
+    /** Returns the upstreams to which a connection is idle that has worked during the isolation. */
+    private List<UpstreamState> connectedTo(ForwardCall call, CallTransport transport) {
+        long since = reachability.isolatedSinceNanos();
+        return upstreams.availableTo(call).stream()
+                .filter(u -> transport.hasConnection(u.upstreamRecord(), since))
+                .toList();
+    }
+
+    /**
+     * Returns another upstream than that of a call that can serve the call now. While this instance
+     * is isolated, only one with a connection that works can.
+     */
+    Option<UpstreamChooser.Choice> chooseOther(ForwardCall call, CallTransport transport) {
+        List<UpstreamState> serving =
+                reachability.isIsolated()
+                        ? connectedTo(call, transport)
+                        : upstreams.availableTo(call);
+        return choose(call, call.excluded().and(call.upstream()), serving)
                 .filter(c -> c.isReadyBy(call.sendDeadlineNanos(), time.nanoTime()));
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -242,7 +242,9 @@
         }
         boolean stalled = state == CallState.SENT && upstream() != null && stallTimer.isOverdue();
         Option<UpstreamChooser.Choice> other =
-                stalled && mayRunAgain() ? forwarder.placement().chooseOther(this) : Option.none();
+                stalled && mayRunAgain()
+                        ? forwarder.placement().chooseOther(this, transport)
+                        : Option.none();
         if (other.isEmpty() || !forwarder.tryTakeRetry(request)) {
             return false;
         }
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeTransport.java
@@ -13,6 +13,7 @@
     private ForwardCall call;
     private int cancelled;
     private boolean canContinue = true;
+    private boolean connected;
     private ResultCode refusedWith;
     private Option<Duration> retryAfter = Option.none();
     private ResultCode abortedWith;
@@ -39,6 +40,16 @@
         return canContinue;
     }
 
+    @Override
+    public boolean hasConnection(UpstreamRecord upstream, long sinceNanos) {
+        return connected;
+    }
+
+    /** Makes all upstreams have connections that are idle and work. */
+    void setConnected() {
+        connected = true;
+    }
+
     void setCanContinue(boolean value) {
         canContinue = value;
     }
