--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -359,23 +359,14 @@
     }
 
     private static void removeLinks(Envelope.Builder envelope) {
-        switch (envelope.getBodyCase()) {
-            case PING ->
-                    envelope.getPingBuilder()
-                            .getUpdatesBuilderList()
-                            .forEach(MemberUpdate.Builder::clearLinkMbps);
-            case ACK ->
-                    envelope.getAckBuilder()
-                            .getUpdatesBuilderList()
-                            .forEach(MemberUpdate.Builder::clearLinkMbps);
-            case PING_REQUEST ->
-                    envelope.getPingRequestBuilder()
-                            .getUpdatesBuilderList()
-                            .forEach(MemberUpdate.Builder::clearLinkMbps);
-            default -> {
-                // Other messages state no links.
-            }
-        }
+        List<MemberUpdate.Builder> updates =
+                switch (envelope.getBodyCase()) {
+                    case PING -> envelope.getPingBuilder().getUpdatesBuilderList();
+                    case ACK -> envelope.getAckBuilder().getUpdatesBuilderList();
+                    case PING_REQUEST -> envelope.getPingRequestBuilder().getUpdatesBuilderList();
+                    default -> List.of();
+                };
+        updates.forEach(MemberUpdate.Builder::clearLinkMbps);
     }
 
     /** Gives all further requests the same fingerprint. */
