Relay to suspected instances when no other one can take a request

Cause: an instance that does not answer probes for 0.75 s is suspected and receives no new work, and RelayPeers took the same list for the instances that may serve a request of an isolated one. An isolated one then relayed nothing and queued what it could not send.

Ruled out: relaying to those that have been given up. Suspected ones are tried after all others, and exist() does not count them, so that a call that they do not take is handled as before.

Change: a suspected instance is the last choice, unless it has stated that it is isolated or stopping. others-suspected in the log lines.

Cost: one that is gone takes 0.7 s until the connection fails, one that is frozen accepts it, so a request that must not be repeated ends with 504 in place of 503.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLogLine.java
@@ -87,6 +87,7 @@
             append("others-isolated", o.isolated());
             append("others-stopping", o.stopping());
             append("others-excluded", o.excluded());
+            append("others-suspected", o.suspected());
             append("tried", tried);
         }
         return this;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeerCounts.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeerCounts.java
@@ -7,5 +7,6 @@
  * @param isolated those that reach no upstream either
  * @param stopping those in their planned stop
  * @param excluded those that have lately refused a request, or could not be reached
+ * @param suspected those that have not answered probes lately
  */
-record RelayPeerCounts(int serving, int isolated, int stopping, int excluded) {}
+record RelayPeerCounts(int serving, int isolated, int stopping, int excluded, int suspected) {}
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
@@ -55,7 +55,9 @@
         STOPPING,
         /** Reaches no upstream itself. */
         ISOLATED,
-        /** Has ended or does not answer. */
+        /** Has not answered probes lately: it, or this instance, may have been held up. */
+        SUSPECTED,
+        /** Has ended. */
         DOWN
     }
 
@@ -71,13 +73,17 @@
     }
 
     private Role roleOf(Peer peer) {
-        if (peer.status() == PeerStatus.DEAD || peer.status() == PeerStatus.SUSPECT) {
+        if (peer.status() == PeerStatus.DEAD) {
             return Role.DOWN;
         }
         Option<RelayStatement> statement = statements.of(peer.id());
         if (statement.exists(RelayStatement::isolated)) {
             return Role.ISOLATED;
         }
+        if (peer.status() == PeerStatus.SUSPECT) {
+            // One that was stopping has probably ended.
+            return statement.exists(RelayStatement::stopping) ? Role.DOWN : Role.SUSPECTED;
+        }
         return peer.status() == PeerStatus.LEAVING || statement.exists(RelayStatement::stopping)
                 ? Role.STOPPING
                 : Role.SERVING;
@@ -87,14 +93,19 @@
         return membership.peers().stream().filter(p -> roleOf(p) == role).toList();
     }
 
-    /** Returns whether there are other instances that have not ended. */
+    /**
+     * Returns whether there are other instances that have not ended. Suspected ones do not count,
+     * since they may be tried in vain.
+     */
     boolean exist() {
-        return membership.peers().stream().anyMatch(p -> roleOf(p) != Role.DOWN);
+        return membership.peers().stream()
+                .map(this::roleOf)
+                .anyMatch(r -> r != Role.DOWN && r != Role.SUSPECTED);
     }
 
     /**
-     * Returns the next instance to be tried; empty if there is none. An instance in its planned
-     * stop is the last choice.
+     * Returns the next instance to be tried; empty if there is none. Instances in their planned
+     * stop are tried after those that serve, and suspected ones last.
      *
      * @param deadlineNanos deadline of the request
      */
@@ -108,8 +119,14 @@
         List<Peer> preferred =
                 candidates.stream().filter(p -> preferredUntil.containsKey(p.ref())).toList();
         List<Peer> from = preferred.size() >= MIN_PREFERRED ? preferred : candidates;
+        return anyOf(from)
+                .orElse(() -> nextStopping(mayBeTried, deadlineNanos))
+                .orElse(() -> anyOf(peers(Role.SUSPECTED).stream().filter(mayBeTried).toList()));
+    }
+
+    private Option<InstanceRef> anyOf(List<Peer> from) {
         return from.isEmpty()
-                ? nextStopping(mayBeTried, deadlineNanos)
+                ? Option.none()
                 : Option.of(from.get(random.nextInt(from.size())).ref());
     }
 
@@ -164,7 +181,9 @@
         int isolated = peers(Role.ISOLATED).size();
         int stopping = peers(Role.STOPPING).size();
         int excluded = (int) serving.stream().filter(this::isExcluded).count();
-        return new RelayPeerCounts(serving.size() - excluded, isolated, stopping, excluded);
+        int suspected = peers(Role.SUSPECTED).size();
+        return new RelayPeerCounts(
+                serving.size() - excluded, isolated, stopping, excluded, suspected);
     }
 
     /**
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
@@ -25,6 +25,9 @@
     /** Time in which an instance notices its isolation and the others hear of it. */
     private static final Duration NOTICED = Duration.ofSeconds(1);
 
+    /** Time without answers after which others are suspected to have failed, but not given up. */
+    private static final Duration SUSPECTED = Duration.ofMillis(2500);
+
     /** Bound on all control traffic of an instance. */
     private static final int MAX_CONTROL_BYTES_PER_SECOND = 20_000;
 
@@ -150,6 +153,24 @@
         assertServed(o);
     }
 
+    /**
+     * Guards against an isolated instance that serves nobody because it got no answers to its
+     * probes for a moment: the others may still take its requests.
+     */
+    @Test
+    public void suspectedInstancesServeTheRequestsOfIsolatedOnes() {
+        RelayFleet fleet = new RelayFleet(3, 1);
+        isolate(fleet, List.of(0));
+        play(fleet, List.of(0), LONG, NOTICED);
+        FleetRig.Node node = fleet.rig().node(0);
+        node.partition = 1;
+        fleet.rig().runPartitioned(SUSPECTED);
+        assertEquals(node.membership.live().size(), 1, "not suspected");
+        RelayFleet.Outcomes o = play(fleet, List.of(0), LONG, Duration.ofMillis(300));
+        fleet.rig().scheduler().advance(Duration.ofMillis(300));
+        assertEquals(o.served, o.opened, o.toString());
+    }
+
     /** Guards against a caller that is told to wait although another instance would serve it. */
     @Test
     public void refusalSaysThatNoInstanceReachesTheUpstreams() {
