Relay a request again if the instance that took it is lost

Callers of an isolated instance got 502, or a stream that broke off, when the instance to which their request had been relayed was killed or ended its grace period, also for requests that may be repeated: a lost relay connection failed the call at once.

Such a request is relayed again now, within the retry budget and maxAttempts. A stream that has begun goes on after its last event: the relayed request names itself in Resumes, so that the next instance finds out which software version began it; ids stay consecutive, head and signature those of the first upstream. At the end of its grace period an instance closes relayed requests instead of answering 502. Failures that it answers are final, since it has tried again itself.

Not bounded exactly: how many upstreams a lost instance has tried is not known; one is assumed.

Once-only requests still run once, and no stream goes on at another version.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
@@ -119,17 +119,6 @@
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
 
-    /** Returns whether the call may be relayed and there is an instance that may serve it. */
-    boolean canRelay() {
-        return transport.mayRelay()
-                && !answer.hasBegun()
-                && (!attempts.anyMayHaveRun() || mayRunAgain())
-                && !crashesUpstreams()
-                && !mayNotBegin()
-                && request.deadlineNanos() - forwarder.now() > 0
-                && relayTries.mayTryNext(request.deadlineNanos());
-    }
-
     void release() {
         answer.onDisconnected();
         place.release(request);
@@ -160,7 +149,12 @@
         if (state.isAttempted()) {
             log("end-of-stop");
             transport.cancelAttempt();
-            fail(ResultCode.UPSTREAM_FAILED);
+            if (isRelayedHere()) {
+                // A failure would end the request, which the other instance may relay again.
+                abort(ResultCode.UPSTREAM_FAILED);
+            } else {
+                fail(ResultCode.UPSTREAM_FAILED);
+            }
         } else if (state.isWaiting()) {
             refuseWaiting(ResultCode.DRAINING);
         }
@@ -199,15 +193,23 @@
     }
 
     void fail(ResultCode code) {
-        log(answer.hasBegun() ? "abort-answer" : "fail", "code-" + code.number());
-        forwarder.onNotCompleted(request, code);
-        end();
         if (answer.hasBegun()) {
-            transport.abortAnswer(code);
-        } else {
-            stream.onNotContinued(request, ResumeOutcome.FAILED);
-            transport.answerError(code, Option.none());
+            abort(code);
+            return;
         }
+        log("fail", "code-" + code.number());
+        forwarder.onNotCompleted(request, code);
+        end();
+        stream.onNotContinued(request, ResumeOutcome.FAILED);
+        transport.answerError(code, Option.none());
+    }
+
+    /** Ends the call by closing the connection of its caller. */
+    private void abort(ResultCode code) {
+        log("abort-answer", "code-" + code.number());
+        forwarder.onNotCompleted(request, code);
+        end();
+        transport.abortAnswer(code);
     }
 
     void end() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
-import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.result.ResultCode;
 
 /**
@@ -11,7 +10,7 @@
  * <p>The transport reports the events of the running attempt. Each report ends the attempt, except
  * {@link #onProgress}, and {@link #onFailureAnswer} if it returns true: a later report ends it.
  */
-public final class ForwardCall extends CallLifecycle {
+public final class ForwardCall extends RelayableCall {
 
     ForwardCall(ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
         super(request, transport, forwarder, number);
@@ -49,7 +48,8 @@
         }
     }
 
-    private void dispatch() {
+    @Override
+    void dispatch() {
         boolean originUnknown = request.resumed().isDefined() && !stream.isBound();
         if (forwarder.reachability().isIsolated() && dispatchIsolated(originUnknown)) {
             return;
@@ -87,44 +87,6 @@
         return true;
     }
 
-    /** Relays the call to another instance, because this one is isolated from the upstreams. */
-    private void relay() {
-        forwarder.queues().remove(this);
-        InstanceRef instance = relayTries.next(request.deadlineNanos()).get();
-        state = CallState.RELAYED;
-        attempts.onSent();
-        log("relay", "instance-" + instance.id());
-        transport.relay(instance, Duration.ofNanos(request.deadlineNanos() - forwarder.now()));
-    }
-
-    /** Relays the call if it waits here although this instance is isolated from the upstreams. */
-    void relayIfWaiting() {
-        if (state.isWaiting() && canRelay()) {
-            if (state == CallState.AWAITING_ADAPTER) {
-                forwarder.onAdapterWaitAbandoned(this);
-            }
-            release();
-            relay();
-        }
-    }
-
-    /**
-     * Handles a relayed call that the other instance has not run, and relays it to the next one.
-     *
-     * @param peerServes whether the other instance reaches upstreams but has no place for the call
-     */
-    private void onRelayNotRun(String reason, boolean peerServes) {
-        attempts.onNotRun();
-        log("relay-not-run", reason);
-        state = CallState.DISPATCHING;
-        relayTries.onNotRun(peerServes);
-        if (relayTries.isRefused()) {
-            refuse(ResultCode.QUEUE_FULL, forwarder.placement().retryAfter(this));
-        } else {
-            dispatch();
-        }
-    }
-
     /** Assigns the call to the chosen upstream, or queues or refuses it if that is not possible. */
     void dispatch(Option<UpstreamChooser.Choice> choice) {
         forwarder.queues().remove(this);
@@ -257,26 +219,6 @@
         return true;
     }
 
-    /** Relays a call whose upstream is silent because this instance is isolated. */
-    private boolean relayIfStalled() {
-        boolean stalled =
-                forwarder.reachability().isIsolated()
-                        && state == CallState.SENT
-                        && upstream() != null
-                        && stallTimer.isOverdue()
-                        && mayRunAgain()
-                        && canRelay();
-        if (!stalled) {
-            return false;
-        }
-        log("stalled");
-        transport.cancelAttempt();
-        forwarder.onOutcome(this, false);
-        release();
-        relay();
-        return true;
-    }
-
     /** Records how many requests the connection of the running attempt has carried before. */
     public void onConnected(int earlierRequests) {
         if (state == CallState.SENT && earlierRequests == 0) {
@@ -331,13 +273,6 @@
         stallTimer.onProgress();
     }
 
-    private void onRelayedProgress() {
-        if (!answer.hasBegun()) {
-            answer.onBegun(forwarder.now());
-            relayTries.onAnswerBegun();
-        }
-    }
-
     /** Handles a request that could not be delivered because no connection was opened. */
     public void onUnreachable(String reason) {
         if (state == CallState.RELAYED) {
@@ -417,8 +352,7 @@
     /** Handles the loss of the connection to the upstream; the request may have run. */
     public void onConnectionLost(String reason) {
         if (state == CallState.RELAYED) {
-            log("connection-lost", reason);
-            fail(ResultCode.UPSTREAM_FAILED);
+            onRelayLost(reason);
             return;
         }
         if (state != CallState.SENT) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardRequest.java
@@ -36,10 +36,19 @@
 
     /** Returns the request for another of its route's services. */
     ForwardRequest withService(String other) {
+        return with(other, resumed);
+    }
+
+    /** Returns the request as one that resumes its own stream, which was begun elsewhere. */
+    ForwardRequest resumingItself() {
+        return with(service, Option.of(new ResumedStream(Option.of(id))));
+    }
+
+    private ForwardRequest with(String otherService, Option<ResumedStream> otherResumed) {
         return new ForwardRequest(
                 id,
                 route,
-                other,
+                otherService,
                 arrivedNanos,
                 callerTimeout,
                 adapter,
@@ -47,7 +56,7 @@
                 outputTokens,
                 fingerprint,
                 sharedParts,
-                resumed);
+                otherResumed);
     }
 
     /**
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -68,6 +68,11 @@
         peers.onServed(current);
     }
 
+    /** Records that the connection to the instance was lost. */
+    void onLost() {
+        peers.onNotServed(current);
+    }
+
     /**
      * Records that the instance has not served the call.
      *
--- /dev/null
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -0,0 +1,120 @@
+package org.bronzehill.core.forward;
+
+import java.time.Duration;
+import org.bronzehill.core.model.InstanceRef;
+import org.bronzehill.core.result.ResultCode;
+
+/** Call that is relayed to other instances while this one is isolated from the upstreams. */
+abstract class RelayableCall extends CallLifecycle {
+
+    RelayableCall(
+            ForwardRequest request, CallTransport transport, Forwarder forwarder, long number) {
+        super(request, transport, forwarder, number);
+    }
+
+    /** Sends the call to an upstream, relays it, queues it or refuses it. */
+    abstract void dispatch();
+
+    /** Returns whether the call may be relayed and there is an instance that may serve it. */
+    boolean canRelay() {
+        return transport.mayRelay()
+                && (!attempts.anyMayHaveRun() || mayRunAgain())
+                && !crashesUpstreams()
+                && !mayNotBegin()
+                && request.deadlineNanos() - forwarder.now() > 0
+                && relayTries.mayTryNext(request.deadlineNanos());
+    }
+
+    /** Relays the call to another instance, because this one is isolated from the upstreams. */
+    void relay() {
+        forwarder.queues().remove(self());
+        InstanceRef instance = relayTries.next(request.deadlineNanos()).get();
+        state = CallState.RELAYED;
+        attempts.onSent();
+        log("relay", "instance-" + instance.id());
+        transport.relay(instance, Duration.ofNanos(request.deadlineNanos() - forwarder.now()));
+    }
+
+    /** Relays the call if it waits here although this instance is isolated from the upstreams. */
+    void relayIfWaiting() {
+        if (state.isWaiting() && canRelay()) {
+            if (state == CallState.AWAITING_ADAPTER) {
+                forwarder.onAdapterWaitAbandoned(self());
+            }
+            release();
+            relay();
+        }
+    }
+
+    /**
+     * Handles a relayed call that the other instance has not run, and relays it to the next one.
+     *
+     * @param peerServes whether the other instance reaches upstreams but has no place for the call
+     */
+    void onRelayNotRun(String reason, boolean peerServes) {
+        attempts.onNotRun();
+        log("relay-not-run", reason);
+        state = CallState.DISPATCHING;
+        relayTries.onNotRun(peerServes);
+        if (relayTries.isRefused()) {
+            refuse(ResultCode.QUEUE_FULL, forwarder.placement().retryAfter(self()));
+        } else {
+            dispatch();
+        }
+    }
+
+    /** Relays a call whose upstream is silent because this instance is isolated. */
+    boolean relayIfStalled() {
+        boolean stalled =
+                forwarder.reachability().isIsolated()
+                        && state == CallState.SENT
+                        && upstream() != null
+                        && stallTimer.isOverdue()
+                        && mayRunAgain()
+                        && canRelay();
+        if (!stalled) {
+            return false;
+        }
+        log("stalled");
+        transport.cancelAttempt();
+        forwarder.onOutcome(self(), false);
+        release();
+        relay();
+        return true;
+    }
+
+    /** Records that the other instance has passed on a part of the answer. */
+    void onRelayedProgress() {
+        if (!answer.hasBegun()) {
+            answer.onBegun(forwarder.now());
+            relayTries.onAnswerBegun();
+        }
+    }
+
+    /**
+     * Handles the loss of the connection to another instance, and relays the request to the next
+     * one if it may run again. How often the lost one has sent it is not known; once is assumed.
+     */
+    void onRelayLost(String reason) {
+        log("connection-lost", reason);
+        relayTries.onLost();
+        boolean again = mayRunAgain() && !crashesUpstreams() && forwarder.tryTakeRetry(request);
+        if (!again) {
+            fail(ResultCode.UPSTREAM_FAILED);
+            return;
+        }
+        if (answer.hasBegun() && request.resumed().isEmpty() && !stream.isBound()) {
+            request = request.resumingItself();
+        }
+        state = CallState.DISPATCHING;
+        dispatch();
+    }
+
+    /** Handles an answer of the instance to which the call was relayed that reports a failure. */
+    public void onRelayFailed(String reason) {
+        if (state == CallState.RELAYED) {
+            log("relay-failed", reason);
+            fail(ResultCode.UPSTREAM_FAILED);
+        }
+    }
+}
