Let a begun stream go back when its last upstream fails to continue it

The instance was cut off from all upstreams by a path that accepts connections and passes nothing on. After 1.5 s of silence it moved the stream to the other upstream, whose answer came as the cut ended: a complete 500. Both attempts of the route were used, so the instance broke the answer off, although the first upstream could go on.

Cause: maxAttempts was read as a number of attempts. It is the number of upstreams to which a request may be sent, so an upstream that has run it may run it again.

Ruled out: a longer wait before the move (callers leave after 2 s); no move at all (an upstream that has failed silently would end the stream); keeping the silent attempt open beside the new one (two attempts for each call in the transport, for a rarer gain).

Change: a stream that has begun and may go to no further upstream goes back once to one that has run it before, within the retry budget and unless the request is known to crash upstreams. A request without an answer does not.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
@@ -119,6 +119,19 @@
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
 
+    /**
+     * Returns whether a stream may go back to an upstream that has run it before. The limit of the
+     * route is one of upstreams, so it allows this, and without it an answer that has begun would
+     * be broken off.
+     */
+    boolean mayReturn() {
+        return answer.hasBegun()
+                && !stream.hasReturned()
+                && request.route().kind().isRepeatable()
+                && transport.canContinue()
+                && forwarder.now() - sendDeadlineNanos() < 0;
+    }
+
     void release() {
         answer.onDisconnected();
         place.release(request);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
@@ -1,6 +1,8 @@
 package org.bronzehill.core.forward;
 
 import io.vavr.control.Option;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -13,6 +15,8 @@
     private final ResumedStreams streams;
     private FoundOrigin found = FoundOrigin.UNKNOWN;
     private UpstreamState server;
+    private final Set<String> ranAt = new HashSet<>();
+    private boolean returned;
 
     CallStream(ResumedStreams streams) {
         this.streams = streams;
@@ -52,7 +56,25 @@
         streams.count(request, outcome, found);
     }
 
-    /** Returns whether only some upstreams may answer. */
+    /** Records that an upstream may have run the request. */
+    void onRan(UpstreamState upstream) {
+        ranAt.add(upstream.incarnationKey());
+    }
+
+    /** Returns whether the call has been restricted to upstreams that may have run the request. */
+    boolean hasReturned() {
+        return returned;
+    }
+
+    /**
+     * Restricts the call to upstreams that may have run the request, because it may be sent to no
+     * others.
+     */
+    void returnToEarlier() {
+        returned = true;
+    }
+
+    /** Returns whether only upstreams of the software version that began the stream may answer. */
     boolean isBound() {
         return found.origin().isDefined();
     }
@@ -64,9 +86,12 @@
 
     /** Returns whether an upstream may answer the call. */
     boolean allows(UpstreamState upstream) {
-        return !isBound()
-                || upstream.incarnation().isCertain()
-                        && (found.origin().get().fits(upstream.upstreamRecord())
-                                || upstream == server);
+        boolean withinLimit = !returned || ranAt.contains(upstream.incarnationKey());
+        boolean fits =
+                !isBound()
+                        || upstream.incarnation().isCertain()
+                                && (found.origin().get().fits(upstream.upstreamRecord())
+                                        || upstream == server);
+        return withinLimit && fits;
     }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -213,8 +213,7 @@
         log("stalled");
         transport.cancelAttempt();
         forwarder.onOutcome(this, false);
-        excluded.passOver(upstream());
-        release();
+        leaveUpstream();
         dispatch(other);
         return true;
     }
@@ -363,19 +362,30 @@
         forwarder
                 .crashDetector()
                 .onConnectionLost(upstream(), request, place.sentAt(), answer.hasBegun());
-        if (mayRunAgain()
-                && !forwarder.crashDetector().shouldRefuse(request)
-                && forwarder.tryTakeRetry(request)) {
-            retryElsewhere();
-        } else {
+        boolean again = mayRunAgain();
+        if (!(again || mayReturn())
+                || forwarder.crashDetector().shouldRefuse(request)
+                || !forwarder.tryTakeRetry(request)) {
             fail(ResultCode.UPSTREAM_FAILED);
+            return;
         }
+        if (!again) {
+            stream.returnToEarlier();
+            excluded.readmitPassedOver();
+        }
+        retryElsewhere();
     }
 
     private void retryElsewhere() {
+        leaveUpstream();
+        dispatch();
+    }
+
+    /** Ends an attempt after which the request may run at another upstream. */
+    private void leaveUpstream() {
+        stream.onRan(upstream());
         excluded.passOver(upstream());
         release();
-        dispatch();
     }
 
     /** Ends the call after the complete answer was passed on. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
@@ -11,7 +11,8 @@
  * @param target target latency, for streams until the first event
  * @param priority 0 is the most urgent
  * @param services services that share the requests; at least one
- * @param maxAttempts largest number of attempts in which upstreams may run one request
+ * @param maxAttempts largest number of upstreams that may run one request, and of attempts until
+ *     its answer begins
  * @param eventTimeout time without an event after which callers abandon a stream
  */
 public record Route(
