Relay until the configuration by which callers were served is in force

What callers saw: a configuration that went back.

Cause: an instance does not know by which version the requests that it relays are served, and decides by its isolation alone whether to relay.

Change: the answer to a relayed request states the version (the header between instances that the request has already, kept from callers). The relaying instance states the newest one of the last 5 s in its next requests, so an instance that is behind refuses them, and goes on relaying while its own is older. If no instance takes a request, it is served as before, not refused. Ruled out: the versions that all messages state, because being behind others is the normal state during each change and would make every instance relay.

An earlier build, which states no version, gets none in the answer. IsolatedInstanceTest, RelayInStopTest, LostRelayTest and MixedBuildsTest pass.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -51,7 +51,8 @@
     @Override
     void dispatch() {
         boolean originUnknown = request.resumed().isDefined() && !stream.isBound();
-        if (forwarder.reachability().isIsolated() && dispatchIsolated(originUnknown)) {
+        if ((forwarder.reachability().isIsolated() || isConfigurationBehind())
+                && dispatchElsewhere(originUnknown)) {
             return;
         }
         if (originUnknown) {
@@ -61,23 +62,30 @@
         }
     }
 
+    /** Returns whether callers have been served by a newer configuration than that in force. */
+    private boolean isConfigurationBehind() {
+        return forwarder.relays().newestConfiguration() > forwarder.configuration().version();
+    }
+
     /**
      * Sends the call over a connection that still works, relays it, or refuses it, because this
-     * instance is isolated from the upstreams; returns false if no other instance is known.
+     * instance is isolated from the upstreams, or was until shortly before and has not read the
+     * configuration by which its callers were served; returns false if no other instance is known.
      *
      * @param originUnknown whether the call resumes a stream and it is not known here where that
      *     began; an instance to which it is relayed finds out
      */
-    private boolean dispatchIsolated(boolean originUnknown) {
+    private boolean dispatchElsewhere(boolean originUnknown) {
         Option<UpstreamChooser.Choice> connected =
-                originUnknown
+                originUnknown || isConfigurationBehind()
                         ? Option.none()
                         : forwarder.placement().chooseConnected(this, transport);
         if (connected.isDefined()) {
             dispatch(connected);
         } else if (canRelay()) {
             relay();
-        } else if (isRelayedHere() || forwarder.relays().peers().exist()) {
+        } else if (forwarder.reachability().isIsolated()
+                && (isRelayedHere() || forwarder.relays().peers().exist())) {
             forwarder.queues().remove(this);
             state = CallState.DISPATCHING;
             refuseIsolated();
@@ -233,6 +241,14 @@
         }
     }
 
+    /**
+     * Records by which version of the configuration another instance has served a relayed request;
+     * 0 if it does not state one.
+     */
+    public void onRelayedConfiguration(long version) {
+        forwarder.relays().onConfigurationUsed(version);
+    }
+
     /** Records what the upstream of another instance states about itself in a relayed answer. */
     public void onRelayedNotice(String upstreamId, UpstreamNotice notice) {
         relayTries.onAnswering(upstreamId);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
@@ -21,6 +21,7 @@
     private final RelayStatements statements;
     private final RelayStateExchange exchange;
     private final RelayPeers peers;
+    private final RelayedConfiguration configuration;
     private PlannedStop stop = PlannedStop.NONE;
     private boolean withdrawn;
 
@@ -38,6 +39,7 @@
                         ports.orders(),
                         exchange::onChanged);
         this.peers = new RelayPeers(ports.membership(), time, random, statements);
+        this.configuration = new RelayedConfiguration(time);
     }
 
     private RelayState.Builder ownState() {
@@ -64,6 +66,19 @@
         return peers;
     }
 
+    /**
+     * Returns the newest version of the configuration by which other instances have lately served
+     * requests that this one relayed; 0 if there was none.
+     */
+    public long newestConfiguration() {
+        return configuration.newest();
+    }
+
+    /** Records the version of the configuration by which a relayed request was served. */
+    void onConfigurationUsed(long version) {
+        configuration.onUsed(version);
+    }
+
     void onMessage(Envelope envelope) {
         String from = envelope.getFrom();
         exchange.onMessage(envelope);
