Keep to the relaying instance's time limit for relayed requests

Cause: a request that another instance had relayed was decoded like one of a caller, so the shorter of the stated time and the route's timeoutMs of the taking instance counted. The two may have read the configuration seconds apart. The relaying instance answers the caller and states what is left by its own configuration and the caller's deadline; the other one ended the request earlier.

Callers cannot extend the timeout by their own deadline.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Route.java
@@ -34,6 +34,21 @@
         }
     }
 
+    /** Returns the route with another time limit for its answers. */
+    public Route withTimeout(Duration other) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                kind,
+                other,
+                target,
+                priority,
+                services,
+                maxAttempts,
+                eventTimeout);
+    }
+
     /** Returns whether requests of the route may be sent to a service. */
     boolean allows(String service) {
         return services.stream().anyMatch(s -> s.service().equals(service));
