Try an instance that does not know the sender yet again after 0.3 s

Cause: an instance that has just started and is isolated is refused by the others until they know it. The refusal states no-upstream, as that of an instance that reaches none, so each of them was left out for 2 s, although it is introduced within some tenths of a second.

Ruled out: another value of Bronzehill-Not-Executed (earlier builds take an unknown one for a full instance, and two of them end the search); the refusal's Retry-After (that of isolated instances is for the caller and shorter than their exclusion should be). Isolated instances are still left out (isolatedInstanceIsLeftOut).

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -291,7 +291,7 @@
     /** Handles a request that could not be delivered because no connection was opened. */
     public void onUnreachable(String reason) {
         if (state == CallState.RELAYED) {
-            onRelayNotRun(reason, false);
+            onRelayNotRun(reason, NotRunCause.NO_UPSTREAM);
             return;
         }
         if (state != CallState.SENT) {
@@ -312,7 +312,7 @@
      */
     public void onNotRun(String reason, NotRunCause cause) {
         if (state == CallState.RELAYED) {
-            onRelayNotRun(reason, cause != NotRunCause.NO_UPSTREAM);
+            onRelayNotRun(reason, cause);
             return;
         }
         if (state != CallState.SENT) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
@@ -8,8 +8,13 @@
     REFUSED,
     /** The upstream lacks the adapter, or its required version. */
     ADAPTER_MISSING,
-    /** Another instance, to which the request was relayed, cannot send it to any upstream. */
+    /**
+     * Another instance, to which the request was relayed, cannot send it to any upstream, or cannot
+     * be reached.
+     */
     NO_UPSTREAM,
+    /** Another instance does not know this one yet, which has just started. */
+    UNKNOWN_SENDER,
     /** The address now belongs to another upstream. */
     MISADDRESSED;
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
@@ -25,6 +25,9 @@
     /** Time for which an instance that has refused a request, or cannot be reached, is left out. */
     private static final Duration EXCLUSION_TIME = Duration.ofSeconds(2);
 
+    /** Time in which another instance gets to know this one, which has just started. */
+    private static final Duration INTRODUCTION_TIME = Duration.ofMillis(300);
+
     /** Time for which an instance that has served a request is preferred. */
     private static final Duration PREFERENCE_TIME = Duration.ofSeconds(5);
 
@@ -161,8 +164,17 @@
 
     /** Records that an instance has refused a request, or cannot be reached. */
     void onNotServed(InstanceRef instance) {
+        exclude(instance, EXCLUSION_TIME);
+    }
+
+    /** Records that an instance does not know this one yet. */
+    void onUnknownTo(InstanceRef instance) {
+        exclude(instance, INTRODUCTION_TIME);
+    }
+
+    private void exclude(InstanceRef instance, Duration period) {
         preferredUntil.remove(instance);
-        excludedUntil.put(instance, time.nanoTime() + EXCLUSION_TIME.toNanos());
+        excludedUntil.put(instance, time.nanoTime() + period.toNanos());
     }
 
     /** Records that an instance has stated that it serves requests again. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -73,16 +73,12 @@
         peers.onNotServed(current);
     }
 
-    /**
-     * Records that the instance has not served the call.
-     *
-     * @param servesOthers whether it reaches upstreams, but has no place for the call
-     */
-    void onNotRun(boolean servesOthers) {
-        if (servesOthers) {
-            refusals++;
-        } else {
-            peers.onNotServed(current);
+    /** Records that the instance has not served the call. */
+    void onNotRun(NotRunCause cause) {
+        switch (cause) {
+            case NO_UPSTREAM -> peers.onNotServed(current);
+            case UNKNOWN_SENDER -> peers.onUnknownTo(current);
+            default -> refusals++;
         }
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -48,14 +48,12 @@
 
     /**
      * Handles a relayed call that the other instance has not run, and relays it to the next one.
-     *
-     * @param peerServes whether the other instance reaches upstreams but has no place for the call
      */
-    void onRelayNotRun(String reason, boolean peerServes) {
+    void onRelayNotRun(String reason, NotRunCause cause) {
         attempts.onNotRun();
         log("relay-not-run", reason);
         state = CallState.DISPATCHING;
-        relayTries.onNotRun(peerServes);
+        relayTries.onNotRun(cause);
         if (relayTries.isRefused()) {
             refuse(ResultCode.QUEUE_FULL, forwarder.placement().retryAfter(self()));
         } else {
