Tell callers whether instances were full or lacked an upstream

Cause: an isolated instance did not look at why others refused a relayed request. After one refusal and no further candidate it told its caller 4003 (no upstream), also if the other one was full (3002, its 256 places or its upstreams); after two refusals it told 3002, also if both had no upstream. Retry-After came from its own queues, which are empty while it is isolated (0.05 s at most).

Ruled out: a new header.

Change: a refusal with 429 counts as one of a full instance (NotRunCause.FULL). The shortest delay that full instances state is the expected wait for the caller's Retry-After, which is bounded by the time left as before.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
@@ -185,12 +185,23 @@
         } else if (mayNotBegin()) {
             refuseWaiting(ResultCode.DRAINING);
         } else if (relayTries.isAnyWithoutPlace()) {
-            refuseWaiting(ResultCode.NO_UPSTREAM);
+            refuseWithoutPlace();
         } else {
             refuse(ResultCode.ISOLATED, forwarder.relays().retryAfter(request));
         }
     }
 
+    /** Refuses the call because other instances that reach upstreams do not take it. */
+    void refuseWithoutPlace() {
+        if (relayTries.isAnyFull()) {
+            refuse(
+                    ResultCode.QUEUE_FULL,
+                    forwarder.relays().retryAfter(request, relayTries.untilPlace()));
+        } else {
+            refuseWaiting(ResultCode.NO_UPSTREAM);
+        }
+    }
+
     void refuse(ResultCode code, Option<Duration> retryAfter) {
         if (answer.hasBegun()
                 || (attempts.anyMayHaveRun() && code.runState() == RunState.NOT_RUN)) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ExcludedUpstreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ExcludedUpstreams.java
@@ -62,7 +62,7 @@
         return switch (cause) {
             case REFUSED -> refused.add(upstream.incarnationKey());
             case ADAPTER_MISSING -> lackedAdapter.add(upstream.incarnationKey());
-            case MISADDRESSED, NO_UPSTREAM, UNKNOWN_SENDER -> true;
+            case MISADDRESSED, NO_UPSTREAM, UNKNOWN_SENDER, FULL -> true;
         };
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/NotRunCause.java
@@ -15,6 +15,8 @@
     NO_UPSTREAM,
     /** Another instance does not know this one yet, which has just started. */
     UNKNOWN_SENDER,
+    /** Another instance, or all upstreams that it could use, have no place for the request. */
+    FULL,
     /** The address now belongs to another upstream. */
     MISADDRESSED;
 
@@ -26,6 +28,7 @@
     public static NotRunCause ofRelayed(ResultCode refusal) {
         return switch (refusal) {
             case ISOLATED, DRAINING -> NO_UPSTREAM;
+            case QUEUE_FULL -> FULL;
             default -> REFUSED;
         };
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 import org.bronzehill.core.model.InstanceRef;
@@ -19,6 +20,8 @@
     private InstanceRef current;
     private String upstream = "";
     private int refusals;
+    private boolean full;
+    private Duration untilPlace = Duration.ZERO;
 
     RelayTries(RelayPeers peers) {
         this.peers = peers;
@@ -78,10 +81,31 @@
         switch (cause) {
             case NO_UPSTREAM -> peers.onNotServed(current);
             case UNKNOWN_SENDER -> peers.onUnknownTo(current);
+            case FULL -> {
+                refusals++;
+                full = true;
+            }
             default -> refusals++;
         }
     }
 
+    /** Records the delay after which a full instance may have a place for the call. */
+    void onDelayStated(Duration delay) {
+        if (untilPlace.isZero() || delay.compareTo(untilPlace) < 0) {
+            untilPlace = delay;
+        }
+    }
+
+    /** Returns whether an instance has refused the call because it was full. */
+    boolean isAnyFull() {
+        return full;
+    }
+
+    /** Returns the shortest delay that full instances have stated; zero if they state none. */
+    Duration untilPlace() {
+        return untilPlace;
+    }
+
     /** Returns whether an instance that reaches upstreams had no place for the call. */
     boolean isAnyWithoutPlace() {
         return refusals > 0;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -1,5 +1,6 @@
 package org.bronzehill.core.forward;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import org.bronzehill.core.model.InstanceRef;
 import org.bronzehill.core.result.ResultCode;
@@ -46,6 +47,18 @@
         }
     }
 
+    /**
+     * Handles the refusal of an instance that has no place for the call.
+     *
+     * @param delay time after which it may have one; empty if it does not say
+     */
+    public void onRelayFull(String reason, Option<Duration> delay) {
+        if (state == CallState.RELAYED) {
+            delay.forEach(relayTries::onDelayStated);
+            onRelayNotRun(reason, NotRunCause.FULL);
+        }
+    }
+
     /**
      * Handles a relayed call that the other instance has not run, and relays it to the next one.
      */
@@ -55,7 +68,7 @@
         state = CallState.DISPATCHING;
         relayTries.onNotRun(cause);
         if (relayTries.isRefused()) {
-            refuse(ResultCode.QUEUE_FULL, forwarder.placement().retryAfter(self()));
+            refuseWithoutPlace();
         } else {
             dispatch();
         }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
@@ -112,6 +112,16 @@
         return retryDelay.after(request, peers.untilServed(assumed));
     }
 
+    /**
+     * Returns the delay after which the caller of a request should retry that other instances have
+     * no place for; empty if no time is left for it.
+     *
+     * @param expected shortest delay that these instances have stated
+     */
+    Option<Duration> retryAfter(ForwardRequest request, Duration expected) {
+        return retryDelay.after(request, expected);
+    }
+
     /** Returns whether requests that arrive now may be served in the planned stop. */
     public boolean isAccepting() {
         return !withdrawn
