Keep relaying to an instance whose upstream has broken off an answer

Cause: since an instance is left out for all relayed requests for 2 s once the connection of one is lost. The taking instance closes it too when the upstream ends a stream early, so one faulty answer excluded the only instance that served.

Ruled out: no mark at all (LostRelayTest.cutAtAnyByteLosesNothing failed: an instance that breaks off every answer stayed preferred).

Change: an instance that breaks off an answer that it has begun is tried after the others for 2 s. One whose connection is lost before that is left out as before, and one that has ended refuses the next connection.

Test: LostRelayTest.instanceWhoseUpstreamBreaksOffAStreamServesOtherRequests failed before (503). LostRelayTest, RelayState*Test, IsolatedInstanceTest pass.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
@@ -48,6 +48,7 @@
     private final RandomGenerator random;
     private final RelayStatements statements;
     private final Map<InstanceRef, Long> excludedUntil = new HashMap<>();
+    private final Map<InstanceRef, Long> avoidedUntil = new HashMap<>();
     private final Map<InstanceRef, Long> preferredUntil = new HashMap<>();
 
     /** What another instance can do for an isolated one. */
@@ -107,18 +108,23 @@
     }
 
     /**
-     * Returns the next instance to be tried; empty if there is none. Instances in their planned
-     * stop are tried after those that serve, and suspected ones last.
+     * Returns the next instance to be tried; empty if there is none. Of those that serve, the ones
+     * that have broken off an answer are tried after the others; then come instances in their
+     * planned stop, and suspected ones last.
      *
      * @param deadlineNanos deadline of the request
      */
     Option<InstanceRef> next(Set<String> tried, long deadlineNanos) {
         long now = time.nanoTime();
         excludedUntil.values().removeIf(until -> now - until >= 0);
+        avoidedUntil.values().removeIf(until -> now - until >= 0);
         preferredUntil.values().removeIf(until -> now - until >= 0);
         Predicate<Peer> mayBeTried =
                 p -> !tried.contains(p.id()) && !excludedUntil.containsKey(p.ref());
-        List<Peer> candidates = peers(Role.SERVING).stream().filter(mayBeTried).toList();
+        List<Peer> serving = peers(Role.SERVING).stream().filter(mayBeTried).toList();
+        List<Peer> sound =
+                serving.stream().filter(p -> !avoidedUntil.containsKey(p.ref())).toList();
+        List<Peer> candidates = sound.isEmpty() ? serving : sound;
         List<Peer> preferred =
                 candidates.stream().filter(p -> preferredUntil.containsKey(p.ref())).toList();
         List<Peer> from = preferred.size() >= MIN_PREFERRED ? preferred : candidates;
@@ -162,6 +168,15 @@
         preferredUntil.put(instance, time.nanoTime() + PREFERENCE_TIME.toNanos());
     }
 
+    /**
+     * Records that an instance has broken off an answer: it has failed, or the upstream that
+     * answered.
+     */
+    void onBrokenOff(InstanceRef instance) {
+        preferredUntil.remove(instance);
+        avoidedUntil.put(instance, time.nanoTime() + EXCLUSION_TIME.toNanos());
+    }
+
     /** Records that an instance has refused a request, or cannot be reached. */
     void onNotServed(InstanceRef instance) {
         exclude(instance, EXCLUSION_TIME);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayTries.java
@@ -19,6 +19,7 @@
     private final Set<String> tried = new HashSet<>();
     private InstanceRef current;
     private String upstream = "";
+    private boolean answering;
     private int refusals;
     private boolean full;
     private Duration untilPlace = Duration.ZERO;
@@ -46,6 +47,7 @@
                 i -> {
                     current = i;
                     upstream = "";
+                    answering = false;
                     tried.add(i.id());
                 });
         return next;
@@ -66,14 +68,21 @@
         upstream = answeringUpstream;
     }
 
-    /** Records that the instance has begun to pass on an answer. */
-    void onAnswerBegun() {
-        peers.onServed(current);
+    /** Records that the instance has passed on a part of an answer. */
+    void onProgress() {
+        if (!answering) {
+            answering = true;
+            peers.onServed(current);
+        }
     }
 
     /** Records that the connection to the instance was lost. */
     void onLost() {
-        peers.onNotServed(current);
+        if (answering) {
+            peers.onBrokenOff(current);
+        } else {
+            peers.onNotServed(current);
+        }
     }
 
     /** Records that the instance has not served the call. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -98,8 +98,8 @@
     void onRelayedProgress() {
         if (!answer.hasBegun()) {
             answer.onBegun(forwarder.now());
-            relayTries.onAnswerBegun();
         }
+        relayTries.onProgress();
     }
 
     /**
