Tell callers that the deadline has passed if it passed at the other instance

Cause: both instances end a relayed request at the same moment. If the 504 of the taking one arrives before the timer of the relaying one has run, the caller was told 502 (5001) in place of 504 (5003).

RelayRefusalTest.deadlineThatPassesAtTheOtherInstanceIsTold fails before each time.

Ruled out: an early end. The time that is stated is rounded down by less than a millisecond.

Change: a 504 of the other instance ends the request as DEADLINE_PASSED; other failures stay 5001.

Result: RelayRefusalTest, RelayedDeadlineTest and IsolatedInstanceTest passed.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -121,11 +121,16 @@
         dispatch();
     }
 
-    /** Handles an answer of the instance to which the call was relayed that reports a failure. */
-    public void onRelayFailed(String reason) {
+    /**
+     * Handles an answer of the instance to which the call was relayed that reports a failure.
+     *
+     * @param status HTTP status of the answer; the deadline may pass there a little earlier
+     */
+    public void onRelayFailed(int status) {
         if (state == CallState.RELAYED) {
-            log("relay-failed", reason);
-            fail(ResultCode.UPSTREAM_FAILED);
+            log("relay-failed", "status-" + status);
+            boolean late = status == ResultCode.DEADLINE_PASSED.httpStatus();
+            fail(late ? ResultCode.DEADLINE_PASSED : ResultCode.UPSTREAM_FAILED);
         }
     }
 }
