Take answers, not opened connections, as evidence of reaching upstreams

Cause: an instance that is cut off from all upstreams by a middlebox which accepts connections never counted as isolated. A connection that opened cleared the failures, losses and silence did not count, and a probe that opened ended the state.

MiddleboxTest, real sockets: /look/ got no 200 within 8 s, both kinds.

Change: a probe reads the report of an upstream over a new connection and counts only if an answer begins, whatever it says. A request that is lost on a new connection before any upstream has answered since it was sent, or 0.7 s without any answer after a request was sent, only raises the suspicion. Then upstreams are probed one after the other, every 0.3 s. Three of them in a row without an answer isolate the instance if nothing came from any upstream over any connection for 0.5 s since the first one failed. The rule for connections that do not open stays, but only an answer on a new connection refutes it. The state ends with an answer. The log line states `unopened`.

Weighed: - Losses and silence of requests as failures: a request that crashes each upstream, a slow prompt, or a sound silence of a second of all upstreams would isolate. Probes need no place and run nothing. - Upstreams at their limit of connections reset new ones, probes included: answers on open connections refute the isolation, and it takes 0.5 s. Hence a middlebox that leaves open connections alive is not noticed while these are answered. - One or two listed upstreams: they may have crashed, and other instances fare no better, so the new rule takes three. - All upstreams down at once: all instances become isolated, refuse with 4012 and serve again one probe after the first answer; resets of 0.4 s isolate nobody. - healthPath as the probe: it waits for a place. - Price: a probe was a connection, now it is a report too, as often as before while connections fail; besides, one for each request that is slow while nothing else is answered. - Requests that may not be repeated are handled as before: one that was sent and lost is not sent again.

Tests of the fleet set the state of paths with UpstreamPaths instead of `reachesUpstreams`, and fake probes answer instead of opening; what these tests assert is unchanged.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/AnswerProgress.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/AnswerProgress.java
@@ -48,6 +48,11 @@
         return earlierRequests != NOT_CONNECTED;
     }
 
+    /** Returns whether the running attempt has a connection that had carried no other request. */
+    boolean isOnNewConnection() {
+        return earlierRequests == 0;
+    }
+
     /** Returns how many requests the connection of the running attempt has carried before. */
     int earlierRequests() {
         return earlierRequests;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -199,6 +199,7 @@
         forwarder.latencies().onSent(request);
         place.prompt().begin(upstream());
         stallTimer.start();
+        forwarder.reachability().onSent();
         transport.send(attempt);
     }
 
@@ -228,19 +229,21 @@
 
     /** Records how many requests the connection of the running attempt has carried before. */
     public void onConnected(int earlierRequests) {
-        if (state == CallState.SENT && earlierRequests == 0) {
-            forwarder.reachability().onConnected();
-        }
         answer.onConnected(earlierRequests);
     }
 
     /** Records what the upstream of the running attempt states about itself. */
     public void onNotice(UpstreamNotice notice) {
         if (state == CallState.SENT) {
+            onUpstreamReached();
             forwarder.onNotice(upstream(), notice);
         }
     }
 
+    private void onUpstreamReached() {
+        forwarder.reachability().onAnswer(answer.isOnNewConnection(), place.sentAt());
+    }
+
     /**
      * Records by which version of the configuration another instance has served a relayed request;
      * 0 if it does not state one.
@@ -275,6 +278,7 @@
             onRelayedProgress();
             return;
         }
+        onUpstreamReached();
         place.prompt().end();
         if (answer.hasBegun()) {
             answer.onContinued(stallTimer.silentNanos());
@@ -318,6 +322,7 @@
         if (state != CallState.SENT) {
             return;
         }
+        onUpstreamReached();
         forwarder.onNotRun(this, cause);
         if (!excluded.onNotRun(upstream(), cause)) {
             log("ambiguous-refusal", reason);
@@ -374,6 +379,7 @@
             return;
         }
         log("connection-lost", reason);
+        forwarder.reachability().onLost(answer.isOnNewConnection(), place.sentAt());
         forwarder.onOutcome(this, false);
         forwarder
                 .crashDetector()
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderTransport.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/OrderTransport.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.util.function.Consumer;
 
 /** Sends orders to engines and reads their reports. */
@@ -9,9 +10,13 @@
     /** Sends an order. The reply arrives later on the same thread. */
     void order(UpstreamRecord upstream, Order order, Consumer<OrderReply> reply);
 
-    /** Opens a connection and closes it. The reply tells whether it was opened. */
-    default void connect(UpstreamRecord upstream, Consumer<Boolean> reply) {
-        reply.accept(true);
+    /**
+     * Asks for something on a new connection and closes it. What the answer says does not matter.
+     *
+     * @param timeLimit time after which an answer no longer counts
+     */
+    default void probe(UpstreamRecord upstream, Duration timeLimit, Consumer<ProbeResult> reply) {
+        reply.accept(ProbeResult.ANSWERED);
     }
 
     /** Reads a report. The result is empty if none could be read. */
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FakeEngines.java
@@ -165,14 +165,14 @@
         return maxUsedSlots;
     }
 
-    /** Lets all further connections that are only opened fail, or succeed. */
+    /** Lets all further probes fail because no connection opens, or be answered. */
     void setConnectable(boolean value) {
         connectable = value;
     }
 
     @Override
-    public void connect(UpstreamRecord upstream, Consumer<Boolean> reply) {
-        reply.accept(connectable);
+    public void probe(UpstreamRecord upstream, Duration limit, Consumer<ProbeResult> reply) {
+        reply.accept(connectable ? ProbeResult.ANSWERED : ProbeResult.NOT_OPENED);
     }
 
     @Override
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/FleetRig.java
@@ -60,8 +60,7 @@
         int partition;
         boolean up = true;
 
-        /** Whether connections to upstreams can be opened. */
-        boolean reachesUpstreams = true;
+        final UpstreamPaths paths = new UpstreamPaths(scheduler);
 
         private Node(String id, String dataCentre, int port) {
             int number = Integer.parseInt(id.substring(1));
@@ -103,8 +102,8 @@
                 }
 
                 @Override
-                public void connect(UpstreamRecord u, Consumer<Boolean> reply) {
-                    scheduler.after(DELAY, () -> reply.accept(reachesUpstreams));
+                public void probe(UpstreamRecord u, Duration limit, Consumer<ProbeResult> reply) {
+                    paths.probe(u, limit, reply);
                 }
 
                 @Override
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayFleet.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayFleet.java
@@ -114,15 +114,17 @@
 
         /** Reports an event of the running attempt after a delay, unless it has ended by then. */
         private void report(Duration delay, Runnable event) {
+            rig.scheduler().after(delay, later(event));
+        }
+
+        /** Returns a task that reports an event of the running attempt if it has not ended. */
+        private Runnable later(Runnable event) {
             int begun = attempt;
-            rig.scheduler()
-                    .after(
-                            delay,
-                            () -> {
-                                if (node.up && begun == attempt) {
-                                    event.run();
-                                }
-                            });
+            return () -> {
+                if (node.up && begun == attempt) {
+                    event.run();
+                }
+            };
         }
 
         @Override
@@ -133,10 +135,19 @@
         @Override
         public void send(Attempt sent) {
             attempt++;
-            if (node.reachesUpstreams) {
-                report(RUN_TIME, this::succeed);
-            } else {
+            UpstreamPaths.Path path = node.paths.to(sent.upstream().id());
+            if (path == UpstreamPaths.Path.REFUSED) {
                 report(DELAY, () -> call.onUnreachable("connect-failed"));
+                return;
+            }
+            report(DELAY, () -> call.onConnected(0));
+            switch (path) {
+                case OPEN -> report(RUN_TIME, this::succeed);
+                case RESET -> report(DELAY, () -> call.onConnectionLost("reset"));
+                case PAUSED -> node.paths.onOpen(later(this::succeed));
+                default -> {
+                    // The upstream never answers.
+                }
             }
         }
 
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayStateFleetTest.java
@@ -49,7 +49,7 @@
     }
 
     private static void isolate(RelayFleet fleet, List<Integer> numbers) {
-        numbers.forEach(n -> fleet.rig().node(n).reachesUpstreams = false);
+        numbers.forEach(n -> fleet.rig().node(n).paths.set(UpstreamPaths.Path.REFUSED));
     }
 
     private static List<Integer> numbers(int from, int to) {
@@ -133,7 +133,10 @@
             scheduler.after(
                     end.plusMillis(1700),
                     () -> {
-                        fleet.rig().restart(number).reachesUpstreams = !isolated.contains(number);
+                        FleetRig.Node restarted = fleet.rig().restart(number);
+                        if (isolated.contains(number)) {
+                            restarted.paths.set(UpstreamPaths.Path.REFUSED);
+                        }
                         stopped.remove(number);
                     });
         }
@@ -193,7 +196,7 @@
         List<Integer> all = numbers(0, 4);
         isolate(fleet, all);
         play(fleet, all, LONG, Duration.ofSeconds(2));
-        fleet.rig().node(3).reachesUpstreams = true;
+        fleet.rig().node(3).paths.set(UpstreamPaths.Path.OPEN);
         fleet.rig()
                 .scheduler()
                 .advance(Reachability.PROBE_INTERVAL.plus(FleetRig.TICK).plusMillis(10));
