Serve by the older configuration rather than refuse while the newer spreads

What callers would see: an instance whose isolation has ended, or which is isolated, refuses requests that it, or others, could serve. It asks all others for the newest version that one of them has used, most of them have not read it yet and refuse (4007), and two refusals end the search.

An instance that is not isolated tries one other, then serves the request itself; refusals end the search only while it is isolated. If it is isolated and no other takes the request, it still uses a connection that works.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -51,7 +51,7 @@
     @Override
     void dispatch() {
         boolean originUnknown = request.resumed().isDefined() && !stream.isBound();
-        if ((forwarder.reachability().isIsolated() || isConfigurationBehind())
+        if ((forwarder.reachability().isIsolated() || isOutdated())
                 && dispatchElsewhere(originUnknown)) {
             return;
         }
@@ -62,7 +62,15 @@
         }
     }
 
-    /** Returns whether callers have been served by a newer configuration than that in force. */
+    /**
+     * Returns whether another instance should serve the call, because callers have been served by a
+     * newer configuration than that in force. Only one is tried: it is better to serve by the older
+     * configuration here than to refuse the call.
+     */
+    private boolean isOutdated() {
+        return isConfigurationBehind() && relayTries.count() == 0;
+    }
+
     private boolean isConfigurationBehind() {
         return forwarder.relays().newestConfiguration() > forwarder.configuration().version();
     }
@@ -76,23 +84,39 @@
      *     began; an instance to which it is relayed finds out
      */
     private boolean dispatchElsewhere(boolean originUnknown) {
+        boolean behind = isConfigurationBehind();
+        if (!behind && dispatchConnected(originUnknown)) {
+            return true;
+        }
+        if (canRelay()) {
+            relay();
+            return true;
+        }
+        if (!forwarder.reachability().isIsolated()) {
+            return false;
+        }
+        if (behind && dispatchConnected(originUnknown)) {
+            return true;
+        }
+        if (!isRelayedHere() && !forwarder.relays().peers().exist()) {
+            return false;
+        }
+        forwarder.queues().remove(this);
+        state = CallState.DISPATCHING;
+        refuseIsolated();
+        return true;
+    }
+
+    /** Sends the call over a connection that still works, if there is one. */
+    private boolean dispatchConnected(boolean originUnknown) {
         Option<UpstreamChooser.Choice> connected =
-                originUnknown || isConfigurationBehind()
+                originUnknown
                         ? Option.none()
                         : forwarder.placement().chooseConnected(this, transport);
         if (connected.isDefined()) {
             dispatch(connected);
-        } else if (canRelay()) {
-            relay();
-        } else if (forwarder.reachability().isIsolated()
-                && (isRelayedHere() || forwarder.relays().peers().exist())) {
-            forwarder.queues().remove(this);
-            state = CallState.DISPATCHING;
-            refuseIsolated();
-        } else {
-            return false;
         }
-        return true;
+        return connected.isDefined();
     }
 
     /** Assigns the call to the chosen upstream, or queues or refuses it if that is not possible. */
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -67,7 +67,7 @@
         log("relay-not-run", reason);
         state = CallState.DISPATCHING;
         relayTries.onNotRun(cause);
-        if (relayTries.isRefused()) {
+        if (relayTries.isRefused() && forwarder.reachability().isIsolated()) {
             refuseWithoutPlace();
         } else {
             dispatch();
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayedConfiguration.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayedConfiguration.java
@@ -12,8 +12,15 @@
     /** Time within which a configuration is in force at all instances that reach the store. */
     private static final Duration LIFETIME = Duration.ofSeconds(5);
 
+    /**
+     * Time in which instances that reach the store read a new configuration. Until then, those that
+     * have not read it are not passed over, since most of them may not have.
+     */
+    private static final Duration SPREAD_TIME = Duration.ofSeconds(2);
+
     private final TimeSource time;
     private long newest;
+    private long firstUsedAt;
     private long usedAt;
 
     RelayedConfiguration(TimeSource time) {
@@ -22,7 +29,11 @@
 
     /** Records the version by which another instance has served a request. */
     void onUsed(long version) {
-        if (version >= newest()) {
+        long known = newest();
+        if (version > known) {
+            firstUsedAt = time.nanoTime();
+        }
+        if (version >= known) {
             newest = version;
             usedAt = time.nanoTime();
         }
@@ -32,4 +43,9 @@
     long newest() {
         return time.nanoTime() - usedAt < LIFETIME.toNanos() ? newest : 0;
     }
+
+    /** Returns the oldest version by which others may serve requests; 0 if any may. */
+    long required() {
+        return time.nanoTime() - firstUsedAt >= SPREAD_TIME.toNanos() ? newest() : 0;
+    }
 }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
@@ -70,10 +70,15 @@
      * Returns the newest version of the configuration by which other instances have lately served
      * requests that this one relayed; 0 if there was none.
      */
-    public long newestConfiguration() {
+    long newestConfiguration() {
         return configuration.newest();
     }
 
+    /** Returns the oldest version by which other instances may serve requests; 0 if any may. */
+    public long requiredConfiguration() {
+        return configuration.required();
+    }
+
     /** Records the version of the configuration by which a relayed request was served. */
     void onConfigurationUsed(long version) {
         configuration.onUsed(version);
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayedConfigurationTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/RelayedConfigurationTest.java
@@ -23,4 +23,17 @@
         configuration.onUsed(6);
         assertEquals(configuration.newest(), 6);
     }
+
+    /** Guards against refusals by most instances while a new configuration spreads. */
+    @Test
+    public void otherInstancesHaveTimeToReadTheVersion() {
+        configuration.onUsed(7);
+        scheduler.advance(Duration.ofMillis(1900));
+        configuration.onUsed(7);
+        assertEquals(configuration.required(), 0);
+        scheduler.advance(Duration.ofMillis(100));
+        assertEquals(configuration.required(), 7);
+        scheduler.advance(Duration.ofSeconds(5));
+        assertEquals(configuration.required(), 0);
+    }
 }
