Keep an opened connection as evidence against refused ones

And while no upstream was listed, an isolation began and ended at each tick: the upstreams that had not answered were kept.

Change: a request's new connection that opens clears the refusals again, unless the instance is isolated already; behind a middlebox the other rule, without answers, decides. An empty list clears all failures.

Tests: ReachabilityTest; connectionsThatOpenBetweenFailuresRefuteIsolation failed before without that call, isolationDoesNotReturnWhileNoUpstreamIsListed failed (34 changes of the state, not 2). MiddleboxFleetTest, RelayState*Test, Isolated*Test and MiddleboxTest pass.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -253,6 +253,9 @@
 
     /** Records how many requests the connection of the running attempt has carried before. */
     public void onConnected(int earlierRequests) {
+        if (state == CallState.SENT && earlierRequests == 0) {
+            forwarder.reachability().onOpened();
+        }
         answer.onConnected(earlierRequests);
     }
 
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Reachability.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Reachability.java
@@ -111,6 +111,16 @@
         }
     }
 
+    /**
+     * Records that a new connection was opened: not all upstreams refuse connections. Behind a
+     * middlebox this proves nothing, so it does not end an isolation.
+     */
+    void onOpened() {
+        if (!isolated) {
+            unopened.clear();
+        }
+    }
+
     /** Records that a request was sent to an upstream. */
     void onSent() {
         if (!awaiting) {
@@ -273,10 +283,15 @@
         if (awaiting && now - awaitingSince >= SUSPICIOUS_SILENCE.toNanos()) {
             suspect();
         }
-        isolateIfUnanswered(listed);
-        if (isolated && listed.isEmpty()) {
-            endIsolation();
+        if (listed.isEmpty()) {
+            unopened.clear();
+            unanswered.clear();
+            suspected = false;
+            if (isolated) {
+                endIsolation();
+            }
         }
+        isolateIfUnanswered(listed);
         boolean due = (isolated || suspected) && now - nextProbeAt >= 0;
         List<UpstreamState> candidates =
                 !due ? List.of() : isolated ? List.copyOf(listed) : unprobed(listed);
