--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
@@ -160,7 +160,7 @@
     }
 
     /** Returns whether all changes up to a monotonic time have certainly been read. */
-    boolean isConfirmedUpTo(long nanos) {
+    public boolean isConfirmedUpTo(long nanos) {
         return confirmedAt - nanos >= 0;
     }
 
