Let a relayed stream go back to the upstream that has run it

Change: the upstream that the other instance has named counts as one that has run the stream, and the stream goes back to it if no further upstream is allowed. While the instance is isolated it still ends, since nothing is relayed a second time then.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallStream.java
@@ -61,6 +61,11 @@
         ranAt.add(upstream.incarnationKey());
     }
 
+    /** Returns whether any upstream is known that may have run the request. */
+    boolean hasRunAtKnownUpstream() {
+        return !ranAt.isEmpty();
+    }
+
     /** Returns whether the call has been restricted to upstreams that may have run the request. */
     boolean hasReturned() {
         return returned;
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -103,17 +103,24 @@
     }
 
     /**
-     * Handles the loss of the connection to another instance, and relays the request to the next
-     * one if it may run again. How often the lost one has sent it is not known; once is assumed.
+     * Handles the loss of the connection to another instance. The request is relayed to the next
+     * one if it may run again. How often the lost one has sent it is not known; once is assumed. A
+     * stream that may not be sent to further upstreams can go back to the one that has run it.
      */
     void onRelayLost(String reason) {
         log("connection-lost", reason);
         relayTries.onLost();
-        boolean again = mayRunAgain() && !crashesUpstreams() && forwarder.tryTakeRetry(request);
-        if (!again) {
+        Option.of(forwarder.upstreams().get(relayTries.upstream())).forEach(stream::onRan);
+        boolean again = mayRunAgain();
+        boolean returns = !again && mayReturn() && stream.hasRunAtKnownUpstream();
+        if (!(again || returns) || crashesUpstreams() || !forwarder.tryTakeRetry(request)) {
             fail(ResultCode.UPSTREAM_FAILED);
             return;
         }
+        if (returns) {
+            stream.returnToEarlier();
+            excluded.readmitPassedOver();
+        }
         if (answer.hasBegun() && request.resumed().isEmpty() && !stream.isBound()) {
             request = request.resumingItself();
         }
