Relay to instances that are known to have the configuration in use

Cause: an instance that is behind relays to one other instance first, and chose it blindly; that one was behind too and refused (4007), so the request was served by the older configuration although a third instance had the newer one. In the first 2 s after a change, when older configurations are not refused yet, relayed requests went back and forth between versions. Ruled out: the lifetime of what is known of relayed answers (5 s); the request came after 3.2 s. Change: all messages between instances state the version in force. Instances that have stated the one by which callers must be served are tried first, also those in their planned stop; the others only then. No new message or field.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Forwarder.java
@@ -91,7 +91,7 @@
         this.storeState = new SharedStoreState(time);
         this.resumedStreams = new ResumedStreams(ports, upstreams, storeState);
         this.incarnationReports = new IncarnationReports(ports, upstreams);
-        this.relays = new Relays(settings, ports, random);
+        this.relays = new Relays(settings, ports, random, () -> configuration.version());
         this.placement =
                 new CallPlacement(
                         time,
@@ -405,6 +405,7 @@
     /** Handles a message from another instance. */
     public void onMessage(Envelope envelope) {
         String from = envelope.getFrom();
+        relays.peerConfigurations().onMessage(envelope);
         switch (envelope.getBodyCase()) {
             case LOAD_SHARE -> {
                 loadExchange.onShare(from, envelope.getLoadShare(), out);
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayPeers.java
@@ -47,6 +47,7 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final RelayStatements statements;
+    private final Predicate<Peer> hasConfiguration;
     private final Map<InstanceRef, Long> excludedUntil = new HashMap<>();
     private final Map<InstanceRef, Long> avoidedUntil = new HashMap<>();
     private final Map<InstanceRef, Long> preferredUntil = new HashMap<>();
@@ -65,15 +66,21 @@
         DOWN
     }
 
+    /**
+     * @param hasConfiguration whether an instance is known to have the configuration by which
+     *     callers of this one must be served
+     */
     RelayPeers(
             Membership membership,
             TimeSource time,
             RandomGenerator random,
-            RelayStatements statements) {
+            RelayStatements statements,
+            Predicate<Peer> hasConfiguration) {
         this.membership = membership;
         this.time = time;
         this.random = random;
         this.statements = statements;
+        this.hasConfiguration = hasConfiguration;
     }
 
     private Role roleOf(Peer peer) {
@@ -108,9 +115,10 @@
     }
 
     /**
-     * Returns the next instance to be tried; empty if there is none. Of those that serve, the ones
-     * that have broken off an answer are tried after the others; then come instances in their
-     * planned stop, and suspected ones last.
+     * Returns the next instance to be tried; empty if there is none. Those that are not known to
+     * have the configuration come after the others, since they may refuse. Of those that serve, the
+     * ones that have broken off an answer are tried last; then come instances in their planned
+     * stop, and in the end suspected ones.
      *
      * @param deadlineNanos deadline of the request
      */
@@ -121,6 +129,12 @@
         preferredUntil.values().removeIf(until -> now - until >= 0);
         Predicate<Peer> mayBeTried =
                 p -> !tried.contains(p.id()) && !excludedUntil.containsKey(p.ref());
+        return nextReachable(mayBeTried.and(hasConfiguration), deadlineNanos)
+                .orElse(() -> nextReachable(mayBeTried, deadlineNanos))
+                .orElse(() -> anyOf(peers(Role.SUSPECTED).stream().filter(mayBeTried).toList()));
+    }
+
+    private Option<InstanceRef> nextReachable(Predicate<Peer> mayBeTried, long deadlineNanos) {
         List<Peer> serving = peers(Role.SERVING).stream().filter(mayBeTried).toList();
         List<Peer> sound =
                 serving.stream().filter(p -> !avoidedUntil.containsKey(p.ref())).toList();
@@ -128,9 +142,7 @@
         List<Peer> preferred =
                 candidates.stream().filter(p -> preferredUntil.containsKey(p.ref())).toList();
         List<Peer> from = preferred.size() >= MIN_PREFERRED ? preferred : candidates;
-        return anyOf(from)
-                .orElse(() -> nextStopping(mayBeTried, deadlineNanos))
-                .orElse(() -> anyOf(peers(Role.SUSPECTED).stream().filter(mayBeTried).toList()));
+        return anyOf(from).orElse(() -> nextStopping(mayBeTried, deadlineNanos));
     }
 
     private Option<InstanceRef> anyOf(List<Peer> from) {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/Relays.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Random;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.bronzehill.core.time.TimeSource;
 import org.bronzehill.protocol.generated.Envelope;
@@ -22,10 +23,18 @@
     private final RelayStateExchange exchange;
     private final RelayPeers peers;
     private final RelayedConfiguration configuration;
+    private final PeerConfigurations peerConfigurations;
     private PlannedStop stop = PlannedStop.NONE;
     private boolean withdrawn;
 
-    Relays(ForwardSettings settings, ForwardPorts ports, RandomGenerator random) {
+    /**
+     * @param ownVersion returns the version of the configuration in force; 0 if none has been read
+     */
+    Relays(
+            ForwardSettings settings,
+            ForwardPorts ports,
+            RandomGenerator random,
+            LongSupplier ownVersion) {
         this.time = ports.time();
         this.retryDelay = new RetryDelay(time, random);
         this.statements = new RelayStatements(ports.membership(), time);
@@ -38,8 +47,18 @@
                         new Random(settings.instance().hashCode()),
                         ports.orders(),
                         exchange::onChanged);
-        this.peers = new RelayPeers(ports.membership(), time, random, statements);
         this.configuration = new RelayedConfiguration(time);
+        this.peerConfigurations = new PeerConfigurations(ports.membership());
+        this.peers =
+                new RelayPeers(
+                        ports.membership(),
+                        time,
+                        random,
+                        statements,
+                        p ->
+                                peerConfigurations.has(
+                                        p,
+                                        Math.max(ownVersion.getAsLong(), configuration.newest())));
     }
 
     private RelayState.Builder ownState() {
@@ -62,6 +81,10 @@
         return reachability;
     }
 
+    PeerConfigurations peerConfigurations() {
+        return peerConfigurations;
+    }
+
     RelayPeers peers() {
         return peers;
     }
@@ -95,6 +118,7 @@
     void onTick(Collection<UpstreamState> upstreams) {
         reachability.onTick(upstreams);
         statements.onTick();
+        peerConfigurations.onTick();
         exchange.onTick();
     }
 
