Look for the history of upstreams several times after a hold-up

Cause: the wait for the store is 0.8 s by the clock, and the hold-up used it up before the call of the store was made. Change: five checks, 0.2 s, in any case, which is the time of two ticks; the call is made by a tick. Otherwise as before. Measured: UncertainVersionTest.streamOfUnknownOriginGoesOnIfTheStoreAnswersAfterAHoldUp failed before (4011) and passes.

--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ResumedStreams.java
@@ -20,6 +20,12 @@
      */
     private static final Duration MAX_HISTORY_WAIT = Duration.ofMillis(800);
 
+    /**
+     * Number of checks in any case. After the process was held up, the store needs the time of two
+     * ticks to answer.
+     */
+    private static final int MIN_HISTORY_CHECKS = 5;
+
     /** Time after a caller's deadline for which it may still resume its stream. */
     private static final Duration RESUME_MARGIN = Duration.ofSeconds(2);
 
@@ -54,7 +60,7 @@
             storeState.requestConfirmation();
         }
         if (first.isEmpty()) {
-            findByVersions(request, askedAt, receiver);
+            findByVersions(request, askedAt, 0, receiver);
         } else {
             exchange.find(
                     first.get(),
@@ -62,7 +68,7 @@
                         if (found.origin().isDefined()) {
                             receiver.accept(found);
                         } else {
-                            findByVersions(request, askedAt, receiver);
+                            findByVersions(request, askedAt, 0, receiver);
                         }
                     });
         }
@@ -91,10 +97,13 @@
     /**
      * @param askedAt monotonic time up to which the upstreams must be known: another instance may
      *     have begun the stream at one that was listed shortly before
+     * @param checks number of earlier checks
      */
     private void findByVersions(
-            ForwardRequest request, long askedAt, Consumer<FoundOrigin> receiver) {
-        boolean mayWait = ports.time().nanoTime() - askedAt < MAX_HISTORY_WAIT.toNanos();
+            ForwardRequest request, long askedAt, int checks, Consumer<FoundOrigin> receiver) {
+        boolean mayWait =
+                checks < MIN_HISTORY_CHECKS
+                        || ports.time().nanoTime() - askedAt < MAX_HISTORY_WAIT.toNanos();
         boolean historyRead = upstreams.isHistoryRead();
         Option<StreamOrigin> only = historyRead || !mayWait ? onlyOrigin(request) : Option.none();
         boolean current = storeState.isConfirmedUpTo(askedAt);
@@ -104,7 +113,7 @@
             ports.scheduler()
                     .after(
                             HISTORY_CHECK_INTERVAL,
-                            () -> findByVersions(request, askedAt, receiver));
+                            () -> findByVersions(request, askedAt, checks + 1, receiver));
             return;
         }
         receiver.accept(
--- a/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
+++ b/bronzehill-core/src/test/java/org/bronzehill/core/forward/UncertainVersionTest.java
@@ -1,6 +1,7 @@
 package org.bronzehill.core.forward;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Option;
@@ -104,6 +105,25 @@
         assertEquals(resume("begun-elsewhere").attempts().size(), 1);
     }
 
+    /**
+     * Guards against a stream that is refused because the process was held up for as long as the
+     * answer of the store is waited for.
+     */
+    @Test
+    public void streamOfUnknownOriginGoesOnIfTheStoreAnswersAfterAHoldUp() {
+        list("e1", "v1");
+        rig.scheduler().advance(Duration.ofSeconds(30));
+        rig.cutStore();
+        FakeTransport t = new FakeTransport();
+        rig.resume("begun-elsewhere", t);
+        rig.scheduler().time().advance(Duration.ofMillis(1500));
+        rig.scheduler().advance(Duration.ofMillis(110));
+        rig.forwarder().sharedStoreState().onConfirmed(rig.scheduler().time().nanoTime());
+        rig.scheduler().advance(Duration.ofMillis(100));
+        assertNull(t.refusedWith());
+        assertEquals(t.attempts().size(), 1);
+    }
+
     /**
      * Guards against a doubt that ends while no record can be read, as in an outage of the store,
      * and the upstream has been started again.
