--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/CallLifecycle.java
@@ -112,10 +112,14 @@
                 && forwarder.isExcludedByStop(request, openedAt);
     }
 
+    /** Returns whether the request may be sent to a further upstream. */
     boolean mayRunAgain() {
+        return mayBeRepeated() && attempts.mayHaveRun() < request.route().maxAttempts();
+    }
+
+    private boolean mayBeRepeated() {
         return request.route().kind().isRepeatable()
                 && transport.canContinue()
-                && attempts.mayHaveRun() < request.route().maxAttempts()
                 && forwarder.now() - sendDeadlineNanos() < 0;
     }
 
@@ -125,11 +129,13 @@
      * be broken off.
      */
     boolean mayReturn() {
-        return answer.hasBegun()
-                && !stream.hasReturned()
-                && request.route().kind().isRepeatable()
-                && transport.canContinue()
-                && forwarder.now() - sendDeadlineNanos() < 0;
+        return answer.hasBegun() && !stream.hasReturned() && mayBeRepeated();
+    }
+
+    /** Restricts the call to upstreams that have run the request. */
+    void returnToEarlierUpstreams() {
+        stream.returnToEarlier();
+        excluded.readmitPassedOver();
     }
 
     void release() {
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/ForwardCall.java
@@ -419,8 +419,7 @@
             return;
         }
         if (!again) {
-            stream.returnToEarlier();
-            excluded.readmitPassedOver();
+            returnToEarlierUpstreams();
         }
         retryElsewhere();
     }
--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/RelayableCall.java
@@ -118,8 +118,7 @@
             return;
         }
         if (returns) {
-            stream.returnToEarlier();
-            excluded.readmitPassedOver();
+            returnToEarlierUpstreams();
         }
         if (answer.hasBegun() && request.resumed().isEmpty() && !stream.isBound()) {
             request = request.resumingItself();
