--- a/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
+++ b/bronzehill-core/src/main/java/org/bronzehill/core/forward/SharedStoreState.java
@@ -96,7 +96,8 @@
         return ownPosition.orLater(peerPosition);
     }
 
-    boolean isResponding() {
+    /** Returns whether the store has answered the last call of this instance. */
+    public boolean isResponding() {
         return responding;
     }
 
