Add review case 6: streams go on at another software version

Runners that crash during an outage of the store and come back under their identifiers with another version continue streams of the old version: only a connection that cannot be opened raises a doubt.

--- a/review/standins-2/Caller.java
+++ b/review/standins-2/Caller.java
@@ -1,3 +1,4 @@
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -17,6 +18,7 @@
      * Answer to a request.
      *
      * @param status 0 if the connection ended without a complete answer
+     * @param body what has been read, also if the answer is not complete
      */
     record Answer(int status, String body, String problem, boolean closes) {
         boolean isSuccess() {
@@ -57,6 +59,7 @@
             String method, String path, String id, String headers, byte[] body, int deadlineMs) {
         record.line("client sends %s %s %s with %d bytes", id, method, path, body.length);
         Answer answer;
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
         try {
             socket.setSoTimeout(deadlineMs);
             String head =
@@ -71,18 +74,19 @@
             if (answered == null) {
                 answer = new Answer(0, "", "closed", true);
             } else {
-                String text = new String(Http.readBody(in, answered), StandardCharsets.UTF_8);
+                Http.readBody(in, answered, read);
                 answer =
                         new Answer(
                                 Integer.parseInt(answered.second()),
-                                text,
+                                read.toString(StandardCharsets.UTF_8),
                                 "",
                                 answered.get("connection").equalsIgnoreCase("close"));
             }
         } catch (java.net.SocketTimeoutException e) {
-            answer = new Answer(0, "", "no answer within the deadline", true);
+            String text = read.toString(StandardCharsets.UTF_8);
+            answer = new Answer(0, text, "no answer within the deadline", true);
         } catch (IOException e) {
-            answer = new Answer(0, "", e.toString(), true);
+            answer = new Answer(0, read.toString(StandardCharsets.UTF_8), e.toString(), true);
         }
         record.line(
                 "client of %s gets %d %s",
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -57,19 +57,28 @@
 
     /** Reads a body with a length or in chunks. */
     static byte[] readBody(InputStream in, Head head) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        readBody(in, head, body);
+        return body.toByteArray();
+    }
+
+    /** Reads a body; if it is broken off, what has been read before stands in the given place. */
+    static void readBody(InputStream in, Head head, ByteArrayOutputStream body)
+            throws IOException {
         if (head.get("transfer-encoding").equalsIgnoreCase("chunked")) {
-            ByteArrayOutputStream body = new ByteArrayOutputStream();
             while (true) {
                 int size = Integer.parseInt(readLine(in, false).split(";")[0].trim(), 16);
                 body.writeBytes(readExactly(in, size));
                 readLine(in, false);
                 if (size == 0) {
-                    return body.toByteArray();
+                    return;
                 }
             }
         }
         String length = head.get("content-length");
-        return length.isEmpty() ? new byte[0] : readExactly(in, Integer.parseInt(length));
+        if (!length.isEmpty()) {
+            body.writeBytes(readExactly(in, Integer.parseInt(length)));
+        }
     }
 
     private static byte[] readExactly(InputStream in, int size) throws IOException {
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -23,6 +23,7 @@
     static final String MODEL = "m0";
 
     private static final int LOAD_MS = 250;
+    private static final int MODEL_LOAD_MS = 600;
     private static final int MAX_COMING = 4;
 
     /** Receives the orders that were accepted. */
@@ -39,14 +40,20 @@
     private final Store store;
     private final Record record;
     private final Orders orders;
-    private final ServerSocket listener;
-    private final long born = System.currentTimeMillis();
+    private final java.net.InetSocketAddress address;
+    private final Set<Socket> connections = new HashSet<>();
+    private ServerSocket listener;
+    private long born = System.currentTimeMillis();
+    private String version = "v1";
+    private boolean holdsModel;
+    private long modelDueAt;
     private final Set<String> resident = new HashSet<>();
     private final Map<String, Long> coming = new TreeMap<>();
     private final Map<String, Integer> inUse = new TreeMap<>();
     private long seq;
     private long highestFencing;
     private int running;
+    private int events;
     private String recorded = "";
 
     /**
@@ -74,14 +81,59 @@
         this.store = store;
         this.record = record;
         this.orders = orders;
+        holdsModel = adapterSlots > 0;
         listener = new ServerSocket(0, 512, InetAddress.getByName(host));
+        address = new java.net.InetSocketAddress(host, listener.getLocalPort());
         publish();
-        Threads.start(id, this::accept);
+        ServerSocket first = listener;
+        Threads.start(id, () -> accept(first));
         Threads.start(id + "-heartbeat", this::beat);
     }
 
+    /** Makes the runner answer with streams of events, one each workMs. */
+    Runner streaming(int numberOfEvents) {
+        events = numberOfEvents;
+        return this;
+    }
+
     String address() {
-        return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    /**
+     * Crashes, and starts again under the same identifier and address with another version of its
+     * software. It then holds and knows nothing of before.
+     */
+    void restart(String newVersion, long downMs) throws IOException, InterruptedException {
+        synchronized (this) {
+            record.line("runner %s crashes", id);
+            listener.close();
+            for (Socket s : connections) {
+                s.setSoLinger(true, 0);
+                s.close();
+            }
+            connections.clear();
+        }
+        Thread.sleep(downMs);
+        synchronized (this) {
+            version = newVersion;
+            born = System.currentTimeMillis();
+            seq = 0;
+            highestFencing = 0;
+            holdsModel = false;
+            modelDueAt = 0;
+            resident.clear();
+            coming.clear();
+            inUse.clear();
+            running = 0;
+            listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            listener.bind(address, 512);
+            ServerSocket next = listener;
+            Threads.start(id, () -> accept(next));
+            record.line("runner %s is back with %s", id, version);
+        }
+        publish();
     }
 
     private void beat() throws InterruptedException {
@@ -94,32 +146,41 @@
     /** Writes the record to the store if it has changed. */
     private synchronized void publish() {
         settle();
+        if (listener.isClosed()) {
+            return;
+        }
         String now =
                 """
-                {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":%d,
+                {"service":"%s","address":"%s","zone":"%s","version":"%s","slots":%d,
                  "state":"ready","coldLeftMs":0,"seq":%d,"born":%d%s}
                 """
                         .formatted(
-                                service, address(), zone, adapterSlots > 0 ? 64 : 6, seq, born,
+                                service, address(), zone, version, adapterSlots > 0 ? 64 : 6,
+                                seq, born,
                                 adapterSlots > 0
                                         ? ",\"stage\":\"mixed\",\"models\":" + models()
                                         : "");
-        if (!now.equals(recorded)) {
+        if (!now.equals(recorded) && store.put("servers/" + id, now)) {
             recorded = now;
-            store.put("servers/" + id, now);
         }
     }
 
     private String models() {
+        if (!holdsModel) {
+            return "[]";
+        }
         List<String> names = new ArrayList<>();
         resident.forEach(a -> names.add("\"" + a + "@1\""));
         return "[{\"name\":\"%s\",\"version\":1,\"adapters\":[%s]}]"
                 .formatted(MODEL, String.join(",", names));
     }
 
-    private void accept() throws IOException {
+    private void accept(ServerSocket from) throws IOException {
         while (true) {
-            Socket s = listener.accept();
+            Socket s = from.accept();
+            synchronized (this) {
+                connections.add(s);
+            }
             Threads.start(id + "-connection", () -> serve(s));
         }
     }
@@ -147,6 +208,10 @@
                 }
                 out.flush();
             }
+        } finally {
+            synchronized (this) {
+                connections.remove(socket);
+            }
         }
     }
 
@@ -169,6 +234,11 @@
     /** Ends the loads whose time has passed. */
     private void settle() {
         long now = System.nanoTime();
+        if (modelDueAt != 0 && modelDueAt - now <= 0) {
+            modelDueAt = 0;
+            holdsModel = true;
+            record.line("runner %s holds the model", id);
+        }
         for (String a : List.copyOf(coming.keySet())) {
             if (coming.get(a) - now <= 0) {
                 coming.remove(a);
@@ -199,15 +269,24 @@
         }
         highestFencing = fencing;
         boolean load = operation.equals("model_load");
-        boolean holds = load ? resident.contains(adapter) : !resident.contains(adapter) && !coming.containsKey(adapter);
+        boolean holds =
+                adapter.isEmpty()
+                        ? load == holdsModel
+                        : load
+                                ? resident.contains(adapter)
+                                : !resident.contains(adapter) && !coming.containsKey(adapter);
         String status;
         if (holds) {
             status = "200 OK";
-        } else if (load && coming.containsKey(adapter)) {
+        } else if (load && (coming.containsKey(adapter) || adapter.isEmpty() && modelDueAt != 0)) {
             status = "202 Accepted";
         } else if (!expect.isEmpty() && Long.parseLong(expect) != seq) {
             status = "409 Conflict";
-        } else if (load && coming.size() >= MAX_COMING) {
+        } else if (load && adapter.isEmpty()) {
+            modelDueAt = System.nanoTime() + MODEL_LOAD_MS * 1_000_000L;
+            seq++;
+            status = "202 Accepted";
+        } else if (!holdsModel || load && coming.size() >= MAX_COMING) {
             status = "409 Conflict";
         } else if (load) {
             if (resident.size() + coming.size() >= adapterSlots) {
@@ -232,6 +311,25 @@
         return Http.answer(status, "", "");
     }
 
+    /** Writes the events after a number, each with the version of the software that writes it. */
+    private void stream(int after, String common, String requestId, OutputStream out)
+            throws IOException, InterruptedException {
+        String by = version;
+        out.write(
+                Http.ascii(
+                        "HTTP/1.1 200 OK\r\n" + common + "Bronzehill-Server-Signature: 1.2."
+                                + requestId + "\r\nContent-Type: text/event-stream\r\n"
+                                + "Transfer-Encoding: chunked\r\n\r\n"));
+        out.flush();
+        for (int n = after + 1; n <= events; n++) {
+            Thread.sleep(workMs);
+            String event = "id: " + n + "\ndata: " + by + " " + id + "\n\n";
+            out.write(Http.ascii(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
+            out.flush();
+        }
+        out.write(Http.ascii("0\r\n\r\n"));
+    }
+
     private void run(Http.Head head, byte[] body, OutputStream out)
             throws IOException, InterruptedException {
         String requestId = head.get("Bronzehill-Attempt-Id");
@@ -241,15 +339,23 @@
         String adapter = model.contains("/") ? model.substring(model.indexOf('/') + 1) : "";
         synchronized (this) {
             settle();
-            if (!adapter.isEmpty() && !resident.contains(adapter)) {
+            if (!model.isEmpty() && !holdsModel
+                    || !adapter.isEmpty() && !resident.contains(adapter)) {
                 out.write(Http.answer("421 Misdirected Request", common, ""));
                 return;
             }
             inUse.merge(adapter, 1, Integer::sum);
             running++;
         }
-        record.line("run at %s request %s with %d bytes", id, requestId, body.length);
+        String after = head.get("Last-Event-Id");
+        record.line(
+                "run at %s %s request %s with %d bytes%s",
+                id, version, requestId, body.length, after.isEmpty() ? "" : " after event " + after);
         try {
+            if (events > 0) {
+                stream(after.isEmpty() ? 0 : Integer.parseInt(after), common, requestId, out);
+                return;
+            }
             Thread.sleep(workMs);
         } finally {
             synchronized (this) {
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -27,10 +27,14 @@
         }
     }
 
+    /** Stands for the reset of a call. */
+    private static final byte[] RESET = {};
+
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Item> history = new ArrayList<>();
     private final ServerSocket listener;
     private long revision = 100;
+    private boolean down;
 
     Store(String host) throws IOException {
         listener = new ServerSocket(0, 256, InetAddress.getByName(host));
@@ -41,7 +45,17 @@
         return listener.getInetAddress().getHostAddress() + ":" + listener.getLocalPort();
     }
 
-    synchronized void put(String key, String value) {
+    /** Makes the store unavailable: every call is reset, and waiting watches too. */
+    synchronized void setDown(boolean isDown) {
+        down = isDown;
+        notifyAll();
+    }
+
+    /** Writes an item; returns false while the store is down. */
+    synchronized boolean put(String key, String value) {
+        if (down) {
+            return false;
+        }
         Item old = items.get(key);
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
         revision++;
@@ -49,6 +63,7 @@
         items.put(key, item);
         history.add(item);
         notifyAll();
+        return true;
     }
 
     synchronized void delete(String key) {
@@ -73,7 +88,12 @@
             OutputStream out = s.getOutputStream();
             for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
                 Http.readBody(in, head);
-                out.write(answer(head.second()));
+                byte[] answer = answer(head.second());
+                if (answer == RESET) {
+                    s.setSoLinger(true, 0);
+                    return;
+                }
+                out.write(answer);
                 out.flush();
             }
         }
@@ -101,6 +121,9 @@
     }
 
     private synchronized byte[] range(String prefix, String after) {
+        if (down) {
+            return RESET;
+        }
         List<String> found = new ArrayList<>();
         items.tailMap(after, after.isEmpty()).values().stream()
                 .filter(i -> i.key().startsWith(prefix))
@@ -113,6 +136,9 @@
     private synchronized byte[] watch(String prefix, long after, long waitMs) {
         long until = System.nanoTime() + waitMs * 1_000_000;
         while (true) {
+            if (down) {
+                return RESET;
+            }
             List<String> found = new ArrayList<>();
             for (Item i : history) {
                 if (i.revision() > after && i.key().startsWith(prefix)) {
