Add review case 8: streams are lost with all machines beside two versions

The entry rejoined of KNOWN-RED.txt as a script: all six machines lose power for 1 s while runners of two software versions serve. 40 of 40 streams that their clients take up 3 s later were refused, 20 of 20 new ones began.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 does the same without the disruption. Needs deploy/build and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-2 ] || exit 2
-exec java -Xmx512m -cp target/review-2 Uploads review/8/record.txt
+exec java -Xmx256m -cp target/review-2 Rejoined review/8/record.txt
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -96,6 +96,15 @@
         return this;
     }
 
+    /** Sets the version of the runner's software, and writes it to the store. */
+    Runner software(String name) {
+        synchronized (this) {
+            version = name;
+        }
+        publish();
+        return this;
+    }
+
     String address() {
         return address.getHostString() + ":" + address.getPort();
     }
